--- /dev/null
+++ b/apierr/apierr.go
@@ -0,0 +1,150 @@
+// Package apierr defines the typed failures that callers and operators see.
+// Each has a stable code, an HTTP status and a statement of whether the request
+// was executed.
+package apierr
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pumiceford/wire"
+)
+
+// Code is a stable, machine-readable name of a failure.
+type Code string
+
+// The codes. They are part of the callers' interface and never change meaning.
+const (
+	CodeBadRequest       Code = "bad_request"
+	CodeTooLarge         Code = "too_large"
+	CodeUnauthorized     Code = "unauthorized"
+	CodeForbidden        Code = "forbidden"
+	CodeNotFound         Code = "not_found"
+	CodeUnknownModel     Code = "model_not_found"
+	CodeKeyConflict      Code = "idempotency_conflict"
+	CodePlanConflict     Code = "plan_conflict"
+	CodeRateLimited      Code = "rate_limited"
+	CodeOverloaded       Code = "overloaded"
+	CodeNotRun           Code = "not_run"
+	CodeOutcomeUnknown   Code = "outcome_unknown"
+	CodeDeadline         Code = "deadline_exceeded"
+	CodeLogDown          Code = "log_unavailable"
+	CodeNoTarget         Code = "no_target"
+	CodeLeaving          Code = "leaving"
+	CodeEngine           Code = "engine_failed"
+	CodeWrongIncarnation Code = "wrong_incarnation"
+	CodeUnknownRequest   Code = "unknown_request"
+	CodeNotOwner         Code = "not_owner"
+	CodeCancelled        Code = "cancelled"
+	CodeInternal         Code = "internal"
+)
+
+// Error is a failure with its code and whether the request ran.
+type Error struct {
+	Code       Code
+	Message    string
+	Ran        wire.Ran
+	RetryAfter time.Duration // zero when coming back does not help
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return string(e.Code) + ": " + e.Message
+}
+
+// New returns an Error for a request that was certainly not executed.
+func New(code Code, format string, args ...any) *Error {
+	return &Error{Code: code, Message: fmt.Sprintf(format, args...), Ran: wire.Ran_RAN_NO}
+}
+
+// Unknown returns an Error for a request that may have been executed.
+func Unknown(code Code, format string, args ...any) *Error {
+	return &Error{Code: code, Message: fmt.Sprintf(format, args...), Ran: wire.Ran_RAN_UNKNOWN}
+}
+
+// Executed returns an Error for a request that was executed, at least in part.
+func Executed(code Code, format string, args ...any) *Error {
+	return &Error{Code: code, Message: fmt.Sprintf(format, args...), Ran: wire.Ran_RAN_YES}
+}
+
+// After returns a copy of e that tells the caller when to come back.
+func (e *Error) After(d time.Duration) *Error {
+	out := *e
+	out.RetryAfter = d
+	return &out
+}
+
+// From finds the Error inside err. Any other failure becomes CodeInternal with
+// an unknown outcome, because nothing is known about it.
+func From(err error) *Error {
+	if err == nil {
+		return nil
+	}
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return Unknown(CodeInternal, "%v", err)
+}
+
+// Is reports whether err carries code.
+func Is(err error, code Code) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Code == code
+}
+
+var statusByCode = map[Code]int{
+	CodeBadRequest:       http.StatusBadRequest,
+	CodeTooLarge:         http.StatusRequestEntityTooLarge,
+	CodeUnauthorized:     http.StatusUnauthorized,
+	CodeForbidden:        http.StatusForbidden,
+	CodeNotFound:         http.StatusNotFound,
+	CodeUnknownModel:     http.StatusNotFound,
+	CodeKeyConflict:      http.StatusConflict,
+	CodePlanConflict:     http.StatusConflict,
+	CodeRateLimited:      http.StatusTooManyRequests,
+	CodeOverloaded:       http.StatusServiceUnavailable,
+	CodeNotRun:           http.StatusServiceUnavailable,
+	CodeOutcomeUnknown:   http.StatusBadGateway,
+	CodeDeadline:         http.StatusGatewayTimeout,
+	CodeLogDown:          http.StatusServiceUnavailable,
+	CodeNoTarget:         http.StatusServiceUnavailable,
+	CodeLeaving:          http.StatusServiceUnavailable,
+	CodeEngine:           http.StatusBadGateway,
+	CodeWrongIncarnation: http.StatusServiceUnavailable,
+	CodeUnknownRequest:   http.StatusNotFound,
+	CodeNotOwner:         http.StatusServiceUnavailable,
+	CodeCancelled:        http.StatusConflict,
+	CodeInternal:         http.StatusInternalServerError,
+}
+
+// Status returns the HTTP status of e.
+func (e *Error) Status() int {
+	if s, ok := statusByCode[e.Code]; ok {
+		return s
+	}
+	return http.StatusInternalServerError
+}
+
+// ToWire converts e for a stream between our processes.
+func (e *Error) ToWire() *wire.Failure {
+	return &wire.Failure{
+		Code:         string(e.Code),
+		Message:      e.Message,
+		Ran:          e.Ran,
+		RetryAfterMs: e.RetryAfter.Milliseconds(),
+	}
+}
+
+// FromWire converts a failure received from another process.
+func FromWire(f *wire.Failure) *Error {
+	return &Error{
+		Code:       Code(f.GetCode()),
+		Message:    f.GetMessage(),
+		Ran:        f.GetRan(),
+		RetryAfter: time.Duration(f.GetRetryAfterMs()) * time.Millisecond,
+	}
+}
--- /dev/null
+++ b/batch/snapshot.go
@@ -0,0 +1,317 @@
+package batch
+
+import (
+	"time"
+
+	"github.com/RoaringBitmap/roaring/v2"
+	"google.golang.org/protobuf/proto"
+
+	"pumiceford/journal"
+	"pumiceford/platform"
+	"pumiceford/wire"
+)
+
+// Snapshot returns the state as parts of at most maxPart bytes, ready to be
+// appended by the owner. The parts cover the stream up to Next.
+func (p *Partition) Snapshot(maxPart int) []*wire.SnapshotPart {
+	data := mustMarshal(p.state())
+	count := (len(data) + maxPart - 1) / maxPart
+	parts := make([]*wire.SnapshotPart, 0, count)
+	for n := 0; n < count; n++ {
+		lo := n * maxPart
+		hi := min(lo+maxPart, len(data))
+		parts = append(parts, &wire.SnapshotPart{
+			Id:    p.next,
+			Part:  uint32(n),
+			Parts: uint32(count),
+			Data:  data[lo:hi],
+		})
+	}
+	return parts
+}
+
+func (p *Partition) state() *wire.PartitionSnapshot {
+	s := &wire.PartitionSnapshot{
+		Next:             p.next,
+		Epoch:            p.epoch,
+		Owner:            p.Owner(),
+		OwnerIncarnation: p.ownerInc[:],
+		Writers:          p.dedupe.Snapshot(),
+	}
+	for _, f := range p.files {
+		s.Files = append(s.Files, f.toWire())
+	}
+	for _, j := range p.jobs {
+		s.Jobs = append(s.Jobs, j.toWire())
+	}
+	for _, k := range p.keys {
+		s.Keys = append(s.Keys, k)
+	}
+	return s
+}
+
+func (f *File) toWire() *wire.FileState {
+	out := &wire.FileState{
+		File:       f.ID[:],
+		Workspace:  f.Workspace,
+		Name:       f.Name,
+		Lines:      f.Lines,
+		Bytes:      f.Bytes,
+		Sealed:     f.Sealed,
+		TimeUnixMs: f.touched.UnixMilli(),
+	}
+	for _, c := range f.chunks {
+		place := uint64(0)
+		if c.known {
+			place = c.offset + 1
+		}
+		out.ChunkOffsets = append(out.ChunkOffsets, place)
+		out.ChunkLines = append(out.ChunkLines, c.lines)
+	}
+	return out
+}
+
+func (j *Job) toWire() *wire.JobState {
+	out := &wire.JobState{
+		Commit:    j.Commit,
+		Total:     j.Total,
+		Succeeded: bitmapBytes(j.succeeded),
+		Failed:    bitmapBytes(j.failed),
+		Started:   bitmapBytes(j.started),
+		Cancelled: j.state == JobCancelled,
+	}
+	if !j.ended.IsZero() {
+		out.EndedUnixMs = j.ended.UnixMilli()
+	}
+	for _, s := range j.spans {
+		out.Spans = append(out.Spans, &wire.ResultSpan{Offset: s.offset, MinIndex: s.min, MaxIndex: s.max})
+	}
+	return out
+}
+
+func bitmapBytes(b *roaring.Bitmap) []byte {
+	b.RunOptimize()
+	data, err := b.ToBytes()
+	if err != nil {
+		// Writing a bitmap to memory does not fail.
+		panic(err)
+	}
+	return data
+}
+
+// Restore builds a partition from a snapshot's bytes.
+func Restore(number uint32, data []byte) (*Partition, error) {
+	s := &wire.PartitionSnapshot{}
+	if err := proto.Unmarshal(data, s); err != nil {
+		return nil, err
+	}
+	p := NewPartition(number)
+	p.next = s.GetNext()
+	p.epoch = s.GetEpoch()
+	p.owner = s.GetOwner()
+	p.released = s.GetOwner() == ""
+	p.ownerInc, _ = journal.IncarnationFrom(s.GetOwnerIncarnation())
+	p.dedupe.Restore(s.GetWriters())
+	for _, f := range s.GetFiles() {
+		p.restoreFile(f)
+	}
+	for _, j := range s.GetJobs() {
+		if err := p.restoreJob(j); err != nil {
+			return nil, err
+		}
+	}
+	for _, k := range s.GetKeys() {
+		p.recordKey(k)
+	}
+	return p, nil
+}
+
+func (p *Partition) restoreFile(s *wire.FileState) {
+	id, ok := idFrom[FileID](s.GetFile())
+	if !ok {
+		return
+	}
+	f := &File{
+		ID:        id,
+		Workspace: s.GetWorkspace(),
+		Name:      s.GetName(),
+		Lines:     s.GetLines(),
+		Bytes:     s.GetBytes(),
+		Sealed:    s.GetSealed(),
+		touched:   time.UnixMilli(s.GetTimeUnixMs()),
+	}
+	for n, place := range s.GetChunkOffsets() {
+		c := chunkPlace{known: place > 0, lines: s.GetChunkLines()[n]}
+		if c.known {
+			c.offset = place - 1
+		}
+		f.chunks = append(f.chunks, c)
+	}
+	p.files[id] = f
+}
+
+func (p *Partition) restoreJob(s *wire.JobState) error {
+	id, ok := idFrom[JobID](s.GetCommit().GetJob())
+	if !ok {
+		return nil
+	}
+	j := newJob(id, s.GetCommit(), s.GetTotal())
+	for _, part := range []struct {
+		into *roaring.Bitmap
+		data []byte
+	}{{j.succeeded, s.GetSucceeded()}, {j.failed, s.GetFailed()}, {j.started, s.GetStarted()}} {
+		if err := part.into.UnmarshalBinary(part.data); err != nil {
+			return err
+		}
+	}
+	switch {
+	case s.GetCancelled():
+		j.state = JobCancelled
+	case j.done() == uint64(j.Total):
+		j.state = JobCompleted
+	}
+	if s.GetEndedUnixMs() != 0 {
+		j.ended = time.UnixMilli(s.GetEndedUnixMs())
+	}
+	for _, sp := range s.GetSpans() {
+		j.spans = append(j.spans, span{offset: sp.GetOffset(), min: sp.GetMinIndex(), max: sp.GetMaxIndex()})
+	}
+	p.jobs[id] = j
+	return nil
+}
+
+// OldestNeeded returns the lowest offset that must not be trimmed yet: a chunk
+// of a file in use or a readable result. It reports false when nothing is.
+func (p *Partition) OldestNeeded() (uint64, bool) {
+	oldest := ^uint64(0)
+	for _, f := range p.files {
+		for _, c := range f.chunks {
+			if c.known {
+				oldest = min(oldest, c.offset)
+			}
+		}
+	}
+	for _, j := range p.jobs {
+		for _, s := range j.spans {
+			oldest = min(oldest, s.offset)
+		}
+	}
+	return oldest, oldest != ^uint64(0)
+}
+
+// Carry lists the state whose records lie below an offset and must be repeated
+// before the log trims them.
+type Carry struct {
+	Chunks []CarryChunk
+	Spans  []CarrySpan
+}
+
+// CarryChunk names a chunk to repeat.
+type CarryChunk struct {
+	File   FileID
+	Number uint32
+	Offset uint64
+}
+
+// CarrySpan names a result record to repeat.
+type CarrySpan struct {
+	Job    JobID
+	Offset uint64
+}
+
+// CarryBelow returns what must be repeated for the log to trim below offset.
+func (p *Partition) CarryBelow(offset uint64) Carry {
+	var out Carry
+	for id, f := range p.files {
+		for n, c := range f.chunks {
+			if c.known && c.offset < offset {
+				out.Chunks = append(out.Chunks, CarryChunk{File: id, Number: uint32(n), Offset: c.offset})
+			}
+		}
+	}
+	for id, j := range p.jobs {
+		seen := make(map[uint64]bool)
+		for _, s := range j.spans {
+			if s.offset < offset && !seen[s.offset] {
+				seen[s.offset] = true
+				out.Spans = append(out.Spans, CarrySpan{Job: id, Offset: s.offset})
+			}
+		}
+	}
+	return out
+}
+
+// Finder picks the snapshot to start from out of the records still kept.
+//
+// The records that would prove who owned the partition may be trimmed. A
+// superseded owner can still append snapshot parts, and starting from them would
+// bring back old state. So the complete snapshot of the highest epoch wins, the
+// newest of them when there are several: an owner that took over later has
+// written one of its own before anything it needs was trimmed.
+type Finder struct {
+	parts map[finderKey][][]byte
+	best  finderKey
+	found bool
+}
+
+type finderKey struct {
+	inc   journal.Incarnation
+	epoch uint64
+	id    uint64
+}
+
+// NewFinder returns an empty Finder.
+func NewFinder() *Finder {
+	return &Finder{parts: make(map[finderKey][][]byte)}
+}
+
+// Add looks at one record.
+func (f *Finder) Add(rec platform.Record) {
+	env, inc, ok := journal.Decode(rec.Data)
+	if !ok {
+		return
+	}
+	for _, e := range env.GetEntries() {
+		if part := e.GetSnapshot(); part != nil {
+			f.addPart(finderKey{inc: inc, epoch: env.GetEpoch(), id: part.GetId()}, part)
+		}
+	}
+}
+
+// maxSnapshotParts bounds what a damaged record could make us allocate.
+const maxSnapshotParts = 65536
+
+func (f *Finder) addPart(key finderKey, part *wire.SnapshotPart) {
+	if part.GetParts() > maxSnapshotParts || part.GetPart() >= part.GetParts() {
+		return
+	}
+	got := f.parts[key]
+	if got == nil {
+		got = make([][]byte, part.GetParts())
+		f.parts[key] = got
+	}
+	if int(part.GetPart()) >= len(got) {
+		return
+	}
+	got[part.GetPart()] = part.GetData()
+	for _, data := range got {
+		if data == nil {
+			return
+		}
+	}
+	if !f.found || key.epoch > f.best.epoch || (key.epoch == f.best.epoch && key.id > f.best.id) {
+		f.best = key
+		f.found = true
+	}
+}
+
+// Snapshot returns the chosen snapshot's bytes and the offset it covers.
+func (f *Finder) Snapshot() (data []byte, next uint64, ok bool) {
+	if !f.found {
+		return nil, 0, false
+	}
+	for _, part := range f.parts[f.best] {
+		data = append(data, part...)
+	}
+	return data, f.best.id, true
+}
--- /dev/null
+++ b/cmd/pumice-standin/main.go
@@ -0,0 +1,33 @@
+// Command pumice-standin runs stand-ins for the outside systems with a settings file.
+package main
+
+import (
+	"os"
+
+	"github.com/alexflint/go-arg"
+
+	"pumiceford/daemon"
+	"pumiceford/settings"
+	"pumiceford/version"
+)
+
+type args struct {
+	Settings string `arg:"positional,required" help:"settings file, JSON with comments"`
+}
+
+// Version implements go-arg's Versioned.
+func (args) Version() string { return "pumice-standin " + version.Version }
+
+func main() {
+	var a args
+	arg.MustParse(&a)
+	var set settings.Standin
+	daemon.Exit(os.Stderr, func() error {
+		if err := settings.Load(a.Settings, &set); err != nil {
+			return err
+		}
+		stop, cancel := daemon.Signals()
+		defer cancel()
+		return daemon.RunStandin(stop, &set)
+	})
+}
--- /dev/null
+++ b/config/fold.go
@@ -0,0 +1,466 @@
+package config
+
+import (
+	"bytes"
+	"encoding/hex"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"pumiceford/apierr"
+	"pumiceford/journal"
+	"pumiceford/platform"
+	"pumiceford/wire"
+)
+
+// StreamName is the log stream of the configuration.
+const StreamName = "config"
+
+// PlanID names a plan.
+type PlanID [16]byte
+
+// String returns the hexadecimal form.
+func (id PlanID) String() string {
+	return hex.EncodeToString(id[:])
+}
+
+// ParsePlanID reads the hexadecimal form.
+func ParsePlanID(s string) (PlanID, error) {
+	var id PlanID
+	data, err := hex.DecodeString(s)
+	if err != nil || len(data) != len(id) {
+		return id, apierr.New(apierr.CodeBadRequest, "a plan id has %d hexadecimal digits", 2*len(id))
+	}
+	copy(id[:], data)
+	return id, nil
+}
+
+// Status is where a plan stands.
+type Status string
+
+// The statuses of a plan.
+const (
+	Proposed Status = "proposed"
+	Accepted Status = "accepted"
+	Rejected Status = "rejected" // its base was overtaken or a rule forbids it
+)
+
+// Plan is a proposed change with what the fold says of it.
+type Plan struct {
+	ID        PlanID
+	Author    string
+	Scope     string
+	Base      uint64
+	Intents   []Intent
+	Why       string
+	Time      time.Time
+	Offset    uint64 // of the plan's record
+	Status    Status
+	Decided   uint64 // offset of the record that decided it
+	Reason    string // why it was rejected
+	Confirmed []string
+	raw       []byte
+}
+
+// Digest binds a confirm to the content that its operator saw.
+func (p *Plan) Digest() []byte {
+	h := xxhash.New()
+	// A hash in memory takes every write.
+	_, _ = h.Write(p.ID[:])
+	_, _ = h.Write(p.raw)
+	return h.Sum(nil)
+}
+
+// State is the fold of the config stream. It is not safe for concurrent use.
+type State struct {
+	next    uint64
+	dedupe  *journal.Dedupe
+	tables  tables
+	plans   map[PlanID]*Plan
+	order   []PlanID // plans by offset, oldest first
+	changed map[string]Change
+	keys    map[string]string // key hash -> workspace
+}
+
+// maxPlans bounds the plans remembered, decided ones included.
+const maxPlans = 2000
+
+// NewState returns the empty configuration. bootstrap is the operator who exists
+// before any record.
+func NewState(bootstrap Operator) *State {
+	s := &State{
+		dedupe:  journal.NewDedupe(),
+		tables:  newTables(),
+		plans:   make(map[PlanID]*Plan),
+		changed: make(map[string]Change),
+		keys:    make(map[string]string),
+	}
+	if bootstrap.Name != "" {
+		s.tables.Operators[bootstrap.Name] = bootstrap
+	}
+	return s
+}
+
+// Next returns the offset of the first record not yet applied.
+func (s *State) Next() uint64 { return s.next }
+
+// Apply folds one record. Records below Next change nothing, so a state never
+// moves back.
+func (s *State) Apply(rec platform.Record) {
+	if rec.Offset < s.next {
+		return
+	}
+	s.next = rec.Offset + 1
+	env, inc, ok := journal.Decode(rec.Data)
+	if !ok || !s.dedupe.Fresh(inc, env.GetSeq(), rec.Offset) {
+		return
+	}
+	for _, e := range env.GetEntries() {
+		switch k := e.GetKind().(type) {
+		case *wire.Entry_Plan:
+			s.plan(rec, k.Plan)
+		case *wire.Entry_Confirm:
+			s.confirm(rec.Offset, k.Confirm)
+		}
+	}
+}
+
+func planIDFrom(b []byte) (PlanID, bool) {
+	var id PlanID
+	if len(b) != len(id) {
+		return id, false
+	}
+	copy(id[:], b)
+	return id, true
+}
+
+func (s *State) plan(rec platform.Record, p *wire.ConfigPlan) {
+	id, ok := planIDFrom(p.GetId())
+	if !ok || s.plans[id] != nil {
+		return
+	}
+	intents, err := DecodeIntents(p.GetChanges())
+	if err != nil {
+		return
+	}
+	s.plans[id] = &Plan{
+		ID:      id,
+		Author:  p.GetAuthor(),
+		Scope:   p.GetAuthorScope(),
+		Base:    p.GetBase(),
+		Intents: intents,
+		Why:     p.GetWhy(),
+		Time:    time.UnixMilli(p.GetTimeUnixMs()),
+		Offset:  rec.Offset,
+		Status:  Proposed,
+		raw:     p.GetChanges(),
+	}
+	s.order = append(s.order, id)
+	if len(s.order) > maxPlans {
+		delete(s.plans, s.order[0])
+		s.order = s.order[1:]
+	}
+}
+
+// confirm decides a plan. It counts only when nothing that the plan touches has
+// changed since its base; then of two racing operators the second one gets a
+// conflict instead of silently overriding the first.
+func (s *State) confirm(offset uint64, c *wire.ConfigConfirm) {
+	id, _ := planIDFrom(c.GetPlan())
+	p := s.plans[id]
+	if p == nil || p.Status != Proposed || !bytes.Equal(c.GetDigest(), p.Digest()) {
+		return
+	}
+	if err := s.check(p); err != nil {
+		s.reject(p, offset, err)
+		return
+	}
+	scope := c.GetAuthorScope()
+	if !slices.Contains(p.Confirmed, scope) {
+		p.Confirmed = append(p.Confirmed, scope)
+	}
+	if len(s.missing(p)) > 0 {
+		return
+	}
+	if err := s.tables.applyAll(p.Intents, offset); err != nil {
+		s.reject(p, offset, err)
+		return
+	}
+	p.Status = Accepted
+	p.Decided = offset
+	for _, key := range touched(p.Intents) {
+		s.changed[key] = Change{Offset: offset, Author: p.Author}
+	}
+	s.indexKeys(p.Intents)
+}
+
+func (s *State) reject(p *Plan, offset uint64, err error) {
+	p.Status = Rejected
+	p.Decided = offset
+	p.Reason = apierr.From(err).Message
+}
+
+// check says whether a plan still stands against the present state.
+func (s *State) check(p *Plan) error {
+	for _, key := range touched(p.Intents) {
+		if c, ok := s.changed[key]; ok && c.Offset >= p.Base {
+			return apierr.New(apierr.CodePlanConflict, "%s was changed by %s at offset %d, after the plan was made", key, c.Author, c.Offset)
+		}
+	}
+	for _, i := range p.Intents {
+		if owner, ok := s.keys[i.KeyHash]; i.Kind == AddKey && ok && owner != i.Workspace {
+			return apierr.New(apierr.CodePlanConflict, "the key belongs to another workspace")
+		}
+	}
+	return Authorize(p.Scope, p.Intents)
+}
+
+// Authorize checks that a scope may state intents. A workspace's operator acts
+// on that workspace alone.
+func Authorize(scope string, intents []Intent) error {
+	if scope == ScopeFleet {
+		return nil
+	}
+	for _, i := range intents {
+		if i.Touches() != "workspace/"+scope || i.Kind == CreateWorkspace {
+			return apierr.New(apierr.CodeForbidden, "scope %s may not %s", scope, i)
+		}
+	}
+	return nil
+}
+
+// missing names the scopes whose confirm a plan still needs: somebody of the
+// author's scope, and each workspace that would lose share.
+func (s *State) missing(p *Plan) []string {
+	need := append([]string{p.Scope}, s.tables.losers(p.Intents)...)
+	var out []string
+	for _, scope := range need {
+		if !slices.Contains(p.Confirmed, scope) && !slices.Contains(out, scope) {
+			out = append(out, scope)
+		}
+	}
+	return out
+}
+
+// Missing names the scopes whose confirm a proposed plan still needs.
+func (s *State) Missing(p *Plan) []string {
+	if p.Status != Proposed {
+		return nil
+	}
+	return s.missing(p)
+}
+
+func (s *State) indexKeys(intents []Intent) {
+	for _, i := range intents {
+		switch i.Kind {
+		case AddKey:
+			s.keys[i.KeyHash] = i.Workspace
+		case RevokeKey:
+			if s.keys[i.KeyHash] == i.Workspace {
+				delete(s.keys, i.KeyHash)
+			}
+		}
+	}
+}
+
+// Try says what would happen if intents were confirmed now, without changing
+// the state.
+func (s *State) Try(scope string, intents []Intent) (losers []string, err error) {
+	if err := Authorize(scope, intents); err != nil {
+		return nil, err
+	}
+	losers = s.tables.losers(intents)
+	trial := s.tables.clone()
+	return losers, trial.applyAll(intents, s.next)
+}
+
+func (t *tables) clone() tables {
+	return tables{
+		Workspaces: cloneMap(t.Workspaces),
+		Models:     cloneMap(t.Models),
+		Hosts:      cloneMap(t.Hosts),
+		Harm:       cloneMap(t.Harm),
+		Operators:  cloneMap(t.Operators),
+	}
+}
+
+func cloneMap[V any](m map[string]V) map[string]V {
+	out := make(map[string]V, len(m))
+	for k, v := range m {
+		out[k] = v
+	}
+	return out
+}
+
+// Plan returns a plan, nil when it is not known.
+func (s *State) Plan(id PlanID) *Plan { return s.plans[id] }
+
+// History returns the decided plans, newest first, at most limit.
+func (s *State) History(limit int) []*Plan {
+	var out []*Plan
+	for n := len(s.order) - 1; n >= 0 && len(out) < limit; n-- {
+		if p := s.plans[s.order[n]]; p.Status != Proposed {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// WorkspaceByKey finds the workspace of a bearer key by the key's hash.
+func (s *State) WorkspaceByKey(hash string) (Workspace, bool) {
+	name, ok := s.keys[hash]
+	if !ok {
+		return Workspace{}, false
+	}
+	ws, ok := s.tables.Workspaces[name]
+	return ws, ok
+}
+
+// OperatorByKey finds an operator by the key's hash.
+func (s *State) OperatorByKey(hash string) (Operator, bool) {
+	for _, op := range s.tables.Operators {
+		if op.KeyHash == hash {
+			return op, true
+		}
+	}
+	return Operator{}, false
+}
+
+// Workspace returns a workspace.
+func (s *State) Workspace(name string) (Workspace, bool) {
+	ws, ok := s.tables.Workspaces[name]
+	return ws, ok
+}
+
+// Model returns a model.
+func (s *State) Model(name string) (Model, bool) {
+	m, ok := s.tables.Models[name]
+	return m, ok
+}
+
+// Models returns all models, by name.
+func (s *State) Models() []Model {
+	var out []Model
+	for _, m := range s.tables.Models {
+		out = append(out, m)
+	}
+	slices.SortFunc(out, func(a, b Model) int { return compareStrings(a.Name, b.Name) })
+	return out
+}
+
+func compareStrings(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// Host returns what operators said of a host.
+func (s *State) Host(name string) Host {
+	h := s.tables.Hosts[name]
+	h.Name = name
+	return h
+}
+
+// Harm returns the harm that a deployment tolerates.
+func (s *State) Harm(deployment string) (float64, bool) {
+	h, ok := s.tables.Harm[deployment]
+	return h, ok
+}
+
+// Workspaces returns how many workspaces there are.
+func (s *State) Workspaces() int { return len(s.tables.Workspaces) }
+
+// stored is the JSON form of a snapshot.
+type stored struct {
+	Next    uint64            `json:"next"`
+	Tables  tables            `json:"tables"`
+	Changed map[string]Change `json:"changed"`
+	Plans   []storedPlan      `json:"plans"`
+	Writers []storedWriter    `json:"writers"`
+}
+
+type storedPlan struct {
+	ID        []byte   `json:"id"`
+	Author    string   `json:"author"`
+	Scope     string   `json:"scope"`
+	Base      uint64   `json:"base"`
+	Raw       []byte   `json:"raw"`
+	Why       string   `json:"why"`
+	TimeMs    int64    `json:"time_ms"`
+	Offset    uint64   `json:"offset"`
+	Status    Status   `json:"status"`
+	Decided   uint64   `json:"decided"`
+	Reason    string   `json:"reason"`
+	Confirmed []string `json:"confirmed"`
+}
+
+type storedWriter struct {
+	Incarnation []byte `json:"incarnation"`
+	Seq         uint64 `json:"seq"`
+	Offset      uint64 `json:"offset"`
+}
+
+// Snapshot returns the whole state for a node that cannot read it from the start.
+func (s *State) Snapshot() ([]byte, error) {
+	out := stored{Next: s.next, Tables: s.tables, Changed: s.changed}
+	for _, id := range s.order {
+		p := s.plans[id]
+		out.Plans = append(out.Plans, storedPlan{
+			ID: p.ID[:], Author: p.Author, Scope: p.Scope, Base: p.Base, Raw: p.raw, Why: p.Why,
+			TimeMs: p.Time.UnixMilli(), Offset: p.Offset, Status: p.Status, Decided: p.Decided,
+			Reason: p.Reason, Confirmed: p.Confirmed,
+		})
+	}
+	for _, w := range s.dedupe.Snapshot() {
+		out.Writers = append(out.Writers, storedWriter{Incarnation: w.GetIncarnation(), Seq: w.GetSeq(), Offset: w.GetOffset()})
+	}
+	return json.Marshal(out)
+}
+
+// Restore builds a state from a snapshot.
+func Restore(data []byte) (*State, error) {
+	var in stored
+	if err := json.Unmarshal(data, &in); err != nil {
+		return nil, apierr.New(apierr.CodeInternal, "config snapshot: %v", err)
+	}
+	s := NewState(Operator{})
+	s.next = in.Next
+	s.tables = in.Tables
+	s.changed = in.Changed
+	if s.changed == nil {
+		s.changed = make(map[string]Change)
+	}
+	for _, p := range in.Plans {
+		id, ok := planIDFrom(p.ID)
+		if !ok {
+			continue
+		}
+		intents, err := DecodeIntents(p.Raw)
+		if err != nil {
+			return nil, err
+		}
+		s.plans[id] = &Plan{
+			ID: id, Author: p.Author, Scope: p.Scope, Base: p.Base, Intents: intents, Why: p.Why,
+			Time: time.UnixMilli(p.TimeMs), Offset: p.Offset, Status: p.Status, Decided: p.Decided,
+			Reason: p.Reason, Confirmed: p.Confirmed, raw: p.Raw,
+		}
+		s.order = append(s.order, id)
+	}
+	var writers []*wire.WriterState
+	for _, w := range in.Writers {
+		writers = append(writers, &wire.WriterState{Incarnation: w.Incarnation, Seq: w.Seq, Offset: w.Offset})
+	}
+	s.dedupe.Restore(writers)
+	for name, ws := range s.tables.Workspaces {
+		for _, hash := range ws.Keys {
+			s.keys[hash] = name
+		}
+	}
+	return s, nil
+}
--- /dev/null
+++ b/daemon/agent.go
@@ -0,0 +1,122 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/common/adaptor"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"golang.org/x/sync/errgroup"
+
+	"pumiceford/admission"
+	"pumiceford/agent"
+	"pumiceford/config"
+	"pumiceford/engine"
+	"pumiceford/engine/enginehttp"
+	"pumiceford/httpx"
+	"pumiceford/journal"
+	"pumiceford/link"
+	"pumiceford/logging"
+	"pumiceford/metrics"
+	"pumiceford/platform/platformhttp"
+	"pumiceford/settings"
+)
+
+// defaultHarm is the harm tolerated before a policy is in force.
+const defaultHarm = 0.05
+
+// RunAgent runs pumice-agent until stop ends, then stops it gracefully.
+func RunAgent(stop context.Context, set *settings.Agent) error {
+	plat, err := platformhttp.New(set.Platform)
+	if err != nil {
+		return err
+	}
+	var eng engine.Engine
+	if set.Engine != "" {
+		if eng, err = enginehttp.New(set.Engine); err != nil {
+			return err
+		}
+	}
+	services := make(map[string]agent.Service)
+	for name, url := range set.Services {
+		if services[name], err = enginehttp.NewService(url); err != nil {
+			return err
+		}
+	}
+	peers, err := settings.Listen(set.Listen)
+	if err != nil {
+		return err
+	}
+	ops, err := settings.Listen(set.Metrics)
+	if err != nil {
+		return err
+	}
+	return ServeAgent(stop, set, plat, eng, services, peers, ops)
+}
+
+// ServeAgent runs an agent on open listeners.
+func ServeAgent(stop context.Context, set *settings.Agent, plat Platform, eng engine.Engine, services map[string]agent.Service, peers, ops net.Listener) error {
+	tlsConf, err := set.TLS.Config()
+	if err != nil {
+		return err
+	}
+	log := set.Log.Logger()
+	main := log.Part("agent")
+	if tlsConf == nil {
+		main.Warn("no tls settings; peers on loopback only")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	g, ctx := errgroup.WithContext(ctx)
+	harm := set.Harm
+	if harm == 0 {
+		harm = defaultHarm
+	}
+	inc := journal.NewIncarnation()
+	series := metrics.New(set.Name)
+	a := agent.New(ctx, agent.Config{
+		Name: set.Name, DataCentre: set.DataCentre, Incarnation: inc, Engine: eng, Services: services,
+		Admission: admission.Settings{Seats: set.Seats, Blocks: set.KVBlocks, Harm: harm},
+		Log:       log, Metrics: series,
+	})
+	f := config.NewFollower(plat, inc, config.Operator{}, log)
+	a.SetConfig(f)
+	linkCfg := link.Config{Node: set.Name, Incarnation: inc, TLS: tlsConf, Status: a.Status, Handle: a.Handle}
+	configPeers := agent.NewConfigPeers(plat, linkCfg)
+	f.SetFetch(configPeers.Fetch)
+	g.Go(func() error { configPeers.Run(ctx); return nil })
+	g.Go(func() error { f.Run(ctx); return nil })
+	g.Go(func() error { a.Follow(ctx, f, set.Deployment, plat, plat); return nil })
+	g.Go(func() error {
+		return link.Serve(ctx, peers, linkCfg)
+	})
+	g.Go(func() error { return serveAgentOps(ctx, ops, series) })
+	g.Go(func() error {
+		defer cancel()
+		if !waitStop(ctx, stop) {
+			return nil
+		}
+		main.Info("stopping")
+		bound, done := context.WithTimeout(context.Background(), orElse(set.StopWithin, defaultStopWithin))
+		defer done()
+		report(main, a.Leave(bound))
+		time.Sleep(lastWords)
+		return nil
+	})
+	main.Info("agent started", logging.F("listen", peers.Addr().String()))
+	return g.Wait()
+}
+
+// lastWords is how long a stopping agent stays for the last frames and
+// acknowledgements to leave its connections.
+const lastWords = 200 * time.Millisecond
+
+func serveAgentOps(ctx context.Context, ln net.Listener, set *metrics.Set) error {
+	const maxBody = 1 << 16
+	h := httpx.NewServer(ln, maxBody)
+	h.GET("/healthz", func(_ context.Context, c *app.RequestContext) { c.SetStatusCode(200) })
+	h.GET("/metrics", adaptor.HertzHandler(promhttp.HandlerFor(set.Registry, promhttp.HandlerOpts{})))
+	return httpx.Serve(ctx, h)
+}
--- /dev/null
+++ b/dev/dev.go
@@ -0,0 +1,253 @@
+// Package dev runs entries, agents and stand-ins in one process on loopback, for
+// trying pumiceford out and for checking a tree.
+package dev
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"pumiceford/agent"
+	"pumiceford/apierr"
+	"pumiceford/client"
+	"pumiceford/config"
+	"pumiceford/daemon"
+	"pumiceford/entry"
+	"pumiceford/platform"
+	"pumiceford/settings"
+	"pumiceford/standin"
+)
+
+// Keys of the development fleet.
+const (
+	OperatorKey  = "dev-operator-key"
+	WorkspaceKey = "dev-workspace-key"
+	Workspace    = "guild"
+	Model        = "renewal-7b"
+)
+
+// Options shape a Fleet.
+type Options struct {
+	Entries    int
+	Agents     int
+	Partitions uint32
+	Seats      int
+	Step       time.Duration
+	LogLevel   string
+}
+
+func (o Options) withDefaults() Options {
+	if o.Entries == 0 {
+		o.Entries = 2
+	}
+	if o.Agents == 0 {
+		o.Agents = 4
+	}
+	if o.Partitions == 0 {
+		o.Partitions = 8
+	}
+	if o.Seats == 0 {
+		o.Seats = 16
+	}
+	if o.Step == 0 {
+		o.Step = 2 * time.Millisecond
+	}
+	if o.LogLevel == "" {
+		o.LogLevel = "error"
+	}
+	return o
+}
+
+// Platform joins the stand-ins of the platform's services.
+type Platform struct {
+	*standin.Log
+	*standin.HostList
+	*standin.Weights
+}
+
+// Fleet is a running development fleet.
+type Fleet struct {
+	Callers   []string // base URLs, one for each entry
+	Operators []string
+	Platform  Platform
+	Engines   []*standin.Engine
+	Service   *standin.Service
+
+	stop  context.CancelFunc
+	group *errgroup.Group
+}
+
+// Start starts a fleet. Stop ends it.
+func Start(opts Options) (*Fleet, error) {
+	opts = opts.withDefaults()
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &Fleet{stop: cancel, group: &errgroup.Group{}, Service: &standin.Service{}}
+	f.Platform = Platform{
+		Log:      standin.NewLog(standin.LogSettings{}),
+		HostList: standin.NewHostList(0),
+		Weights:  &standin.Weights{BytesPerSecond: 1 << 30, ModelBytes: 100 << 20},
+	}
+	for n := range opts.Agents {
+		if err := f.startAgent(ctx, opts, n); err != nil {
+			cancel()
+			return nil, err
+		}
+	}
+	for n := range opts.Entries {
+		if err := f.startEntry(ctx, opts, n); err != nil {
+			cancel()
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+func loopback() (net.Listener, error) {
+	return settings.Listen("127.0.0.1:0")
+}
+
+var dataCentres = []string{"kakkanad-a", "kakkanad-b"}
+
+func (f *Fleet) startAgent(ctx context.Context, opts Options, n int) error {
+	peers, err := loopback()
+	if err != nil {
+		return err
+	}
+	ops, err := loopback()
+	if err != nil {
+		return err
+	}
+	eng := standin.NewEngine(ctx, standin.EngineSettings{Models: []string{Model}, StepBase: opts.Step, MaxRunning: opts.Seats})
+	f.Engines = append(f.Engines, eng)
+	set := &settings.Agent{
+		Name:       "agent-" + strconv.Itoa(n),
+		DataCentre: dataCentres[n%len(dataCentres)],
+		Deployment: "dev",
+		Seats:      opts.Seats,
+		Log:        settings.Log{Level: opts.LogLevel},
+	}
+	f.Platform.Put(platform.Host{Name: set.Name, Role: platform.RoleAgent, Addr: peers.Addr().String(), DataCentre: set.DataCentre})
+	services := map[string]agent.Service{"stamps": f.Service}
+	f.group.Go(func() error {
+		return daemon.ServeAgent(ctx, set, f.Platform, eng, services, peers, ops)
+	})
+	return nil
+}
+
+func (f *Fleet) startEntry(ctx context.Context, opts Options, n int) error {
+	var ls daemon.EntryListeners
+	for _, into := range []*net.Listener{&ls.Callers, &ls.Operators, &ls.Peers} {
+		ln, err := loopback()
+		if err != nil {
+			return err
+		}
+		*into = ln
+	}
+	set := &settings.Entry{
+		Name:         "entry-" + strconv.Itoa(n),
+		DataCentre:   dataCentres[n%len(dataCentres)],
+		Partitions:   opts.Partitions,
+		Bootstrap:    settings.Operator{Name: "dev", KeyHash: entry.HashKey(OperatorKey)},
+		BalancerSees: settings.Duration(time.Millisecond),
+		Log:          settings.Log{Level: opts.LogLevel},
+	}
+	f.Platform.Put(platform.Host{Name: set.Name, Role: platform.RoleEntry, Addr: ls.Peers.Addr().String(), DataCentre: set.DataCentre})
+	f.Callers = append(f.Callers, "http://"+ls.Callers.Addr().String())
+	f.Operators = append(f.Operators, "http://"+ls.Operators.Addr().String())
+	f.group.Go(func() error { return daemon.ServeEntry(ctx, set, f.Platform, ls) })
+	return nil
+}
+
+// Stop stops the fleet gracefully and returns its first failure.
+func (f *Fleet) Stop() error {
+	f.stop()
+	return f.group.Wait()
+}
+
+// Setup puts the development configuration in force: one model, one workspace
+// with a key and a share.
+func (f *Fleet) Setup(ctx context.Context) error {
+	ops, err := client.New(f.Operators[0], OperatorKey)
+	if err != nil {
+		return err
+	}
+	intents := []config.Intent{
+		{Kind: config.SetModel, Model: Model, Version: "v1"},
+		{Kind: config.CreateWorkspace, Workspace: Workspace},
+		{Kind: config.SetShare, Workspace: Workspace, Share: 0.5},
+		{Kind: config.AddKey, Workspace: Workspace, KeyHash: entry.HashKey(WorkspaceKey)},
+	}
+	_, err = PlanAndConfirm(ctx, ops, "development fleet", intents)
+	return err
+}
+
+// PlanAndConfirm states intents, confirms the plan and waits until it is in force.
+func PlanAndConfirm(ctx context.Context, ops *client.Client, why string, intents []config.Intent) (entry.PlanReply, error) {
+	var proposed, plan entry.PlanReply
+	if err := retry(ctx, func() error {
+		return ops.JSON(ctx, http.MethodPost, "/plans", entry.ProposeBody{Why: why, Intents: intents}, &proposed)
+	}); err != nil {
+		return proposed, err
+	}
+	if err := ops.JSON(ctx, http.MethodPost, "/plans/"+proposed.ID+"/confirm", entry.ConfirmBody{Digest: proposed.Digest}, &plan); err != nil {
+		return proposed, err
+	}
+	for !plan.InForce && len(plan.Missing) == 0 {
+		if err := pause(ctx, 50*time.Millisecond); err != nil {
+			return plan, apierr.Executed(apierr.CodeDeadline, "accepted but not in force on %v", plan.Laggards)
+		}
+		plan = entry.PlanReply{}
+		if err := ops.JSON(ctx, http.MethodGet, "/plans/"+proposed.ID, nil, &plan); err != nil {
+			return plan, err
+		}
+	}
+	return plan, nil
+}
+
+// retry repeats a call that is refused as not run while a fleet starts.
+func retry(ctx context.Context, call func() error) error {
+	for {
+		err := call()
+		if err == nil {
+			return nil
+		}
+		code := apierr.From(err).Code
+		starting := code == apierr.CodeNotRun || code == apierr.CodeNoTarget || code == apierr.CodeLogDown || code == apierr.CodeUnauthorized || code == apierr.CodeOutcomeUnknown
+		if !starting || pause(ctx, 50*time.Millisecond) != nil {
+			return err
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
+// Hints returns what a person may try against the fleet.
+func (f *Fleet) Hints() string {
+	return fmt.Sprintf(`callers    %s  %s
+operators  %s  %s
+key of workspace %q: %s
+operator key: %s
+
+try:
+  go run ./cmd/pumice chat --url %s --key %s "Is my instrument rating current?"
+  curl -s %s/v1/models -H "Authorization: Bearer %s"
+  go run ./cmd/pumice status --url %s --key %s
+`,
+		f.Callers[0], f.Callers[len(f.Callers)-1], f.Operators[0], f.Operators[len(f.Operators)-1],
+		Workspace, WorkspaceKey, OperatorKey,
+		f.Callers[0], WorkspaceKey, f.Callers[0], WorkspaceKey, f.Operators[0], OperatorKey)
+}
--- /dev/null
+++ b/e2e/fleet_test.go
@@ -0,0 +1,241 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"pumiceford/client"
+	"pumiceford/config"
+	"pumiceford/dev"
+	"pumiceford/entry"
+	"pumiceford/platform"
+)
+
+// bin is the folder of the built commands.
+var bin string
+
+func TestMain(m *testing.M) {
+	os.Exit(run(m))
+}
+
+func run(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "pumice-e2e")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	bin = dir
+	build := exec.Command("go", "build", "-o", dir, "pumiceford/cmd/pumice-entry", "pumiceford/cmd/pumice-agent", "pumiceford/cmd/pumice-standin")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return m.Run()
+}
+
+// patience bounds every wait. It is far above what any step takes, so that a
+// slow machine changes no verdict.
+const patience = 60 * time.Second
+
+type fleet struct {
+	t       *testing.T
+	dir     string
+	procs   map[string]*exec.Cmd
+	logs    map[string]*bytes.Buffer
+	files   map[string]string
+	callers []string
+	ops     []string
+	engines []string
+	plat    string
+}
+
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	return ln.Addr().String()
+}
+
+// newFleet starts stand-ins, two entries and three agents.
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	f := &fleet{t: t, dir: t.TempDir(), procs: make(map[string]*exec.Cmd), logs: make(map[string]*bytes.Buffer), files: make(map[string]string)}
+	t.Cleanup(f.stopAll)
+	f.plat = freeAddr(t)
+	service := freeAddr(t)
+	var hosts []platform.Host
+	var engines []map[string]any
+	for n := range 3 {
+		engineAddr, peer := freeAddr(t), freeAddr(t)
+		name := fmt.Sprintf("agent-%d", n)
+		f.engines = append(f.engines, "http://"+engineAddr)
+		engines = append(engines, map[string]any{"listen": engineAddr, "models": []string{dev.Model}, "step": "3ms", "max_running": 8})
+		hosts = append(hosts, platform.Host{Name: name, Role: platform.RoleAgent, Addr: peer, DataCentre: "kakkanad-a"})
+		f.write(name, map[string]any{
+			"name": name, "data_centre": "kakkanad-a", "deployment": "guild", "listen": peer, "metrics": freeAddr(t),
+			"platform": "http://" + f.plat, "engine": "http://" + engineAddr, "seats": 8,
+			"services": map[string]string{"stamps": "http://" + service},
+		})
+	}
+	for n := range 2 {
+		callers, ops, peer := freeAddr(t), freeAddr(t), freeAddr(t)
+		name := fmt.Sprintf("entry-%d", n)
+		f.callers = append(f.callers, "http://"+callers)
+		f.ops = append(f.ops, "http://"+ops)
+		hosts = append(hosts, platform.Host{Name: name, Role: platform.RoleEntry, Addr: peer, DataCentre: "kakkanad-a"})
+		f.write(name, map[string]any{
+			"name": name, "data_centre": "kakkanad-a", "callers": callers, "operators": ops, "peers": peer,
+			"platform": "http://" + f.plat, "partitions": 4, "balancer_sees": "200ms",
+			"bootstrap_operator": map[string]string{"name": "dev", "key_hash": entry.HashKey(dev.OperatorKey)},
+		})
+	}
+	f.write("standin", map[string]any{
+		"platform": map[string]any{"listen": f.plat, "hosts": hosts},
+		"engines":  engines,
+		"services": []map[string]any{{"listen": service}},
+	})
+	f.start("standin", "pumice-standin")
+	f.await("platform", func(ctx context.Context) error {
+		c, err := client.New("http://"+f.plat, "")
+		if err != nil {
+			return err
+		}
+		return c.JSON(ctx, http.MethodGet, "/hosts", nil, nil)
+	})
+	for n := range 3 {
+		f.start(fmt.Sprintf("agent-%d", n), "pumice-agent")
+	}
+	for n := range 2 {
+		f.start(fmt.Sprintf("entry-%d", n), "pumice-entry")
+	}
+	f.setup()
+	return f
+}
+
+func (f *fleet) write(name string, v any) {
+	f.t.Helper()
+	data, err := json.Marshal(v)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	path := filepath.Join(f.dir, name+".hujson")
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	f.files[name] = path
+}
+
+func (f *fleet) start(name, command string) {
+	f.t.Helper()
+	cmd := exec.Command(filepath.Join(bin, command), f.files[name])
+	out := &bytes.Buffer{}
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	f.procs[name] = cmd
+	f.logs[name] = out
+}
+
+func (f *fleet) signal(name string, sig syscall.Signal) {
+	f.t.Helper()
+	if err := f.procs[name].Process.Signal(sig); err != nil {
+		f.t.Fatalf("%s: %v", name, err)
+	}
+}
+
+// kill ends a process at once.
+func (f *fleet) kill(name string) {
+	f.t.Helper()
+	f.signal(name, syscall.SIGKILL)
+	_ = f.procs[name].Wait()
+	delete(f.procs, name)
+}
+
+func (f *fleet) stopAll() {
+	for name, cmd := range f.procs {
+		_ = cmd.Process.Signal(syscall.SIGCONT)
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+		if f.t.Failed() {
+			f.t.Logf("%s:\n%s", name, f.logs[name])
+		}
+	}
+}
+
+// await repeats try until it succeeds.
+func (f *fleet) await(what string, try func(ctx context.Context) error) {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	var err error
+	for ctx.Err() == nil {
+		if err = try(ctx); err == nil {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	f.t.Fatalf("%s: %v", what, err)
+}
+
+func (f *fleet) caller(n int) *client.Client {
+	f.t.Helper()
+	c, err := client.New(f.callers[n], dev.WorkspaceKey)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return c
+}
+
+func (f *fleet) setup() {
+	f.t.Helper()
+	ops, err := client.New(f.ops[0], dev.OperatorKey)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	plan, err := dev.PlanAndConfirm(ctx, ops, "test", []config.Intent{
+		{Kind: config.SetModel, Model: dev.Model, Version: "v1"},
+		{Kind: config.CreateWorkspace, Workspace: dev.Workspace},
+		{Kind: config.AddKey, Workspace: dev.Workspace, KeyHash: entry.HashKey(dev.WorkspaceKey)},
+	})
+	if err != nil || !plan.InForce {
+		f.t.Fatalf("configuration: %v, in force %t", err, plan.InForce)
+	}
+}
+
+// runs returns how often each request was begun, over all engines.
+func (f *fleet) runs() map[string]int {
+	f.t.Helper()
+	all := make(map[string]int)
+	for _, url := range f.engines {
+		c, err := client.New(url, "")
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		var runs map[string]int
+		if err := c.JSON(context.Background(), http.MethodGet, "/runs", nil, &runs); err != nil {
+			f.t.Fatal(err)
+		}
+		for id, n := range runs {
+			all[id] += n
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/engine/enginehttp/client.go
@@ -0,0 +1,314 @@
+// Package enginehttp reaches a model engine over its OpenAI-compatible HTTP
+// interface with server-sent events.
+package enginehttp
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/client"
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cloudwego/hertz/pkg/protocol/sse"
+	"github.com/cockroachdb/errors"
+
+	"pumiceford/engine"
+	"pumiceford/httpx"
+)
+
+// Client implements engine.Engine.
+type Client struct {
+	base string
+	http *client.Client
+}
+
+// New returns a Client for a base URL.
+func New(base string) (*Client, error) {
+	cl, err := httpx.NewClient()
+	if err != nil {
+		return nil, errors.Wrap(err, "http client")
+	}
+	return &Client{base: base, http: cl}, nil
+}
+
+// CompletionRequest is the body of a completion. RequestID and ResumeFrom are
+// the engines' extensions for cancelling and resuming streams.
+type CompletionRequest struct {
+	Model      string `json:"model"`
+	Prompt     string `json:"prompt"`
+	MaxTokens  uint32 `json:"max_tokens"`
+	Stream     bool   `json:"stream"`
+	RequestID  string `json:"request_id"`
+	ResumeFrom uint32 `json:"resume_from,omitempty"`
+}
+
+// CompletionChunk is one event of a streamed completion.
+type CompletionChunk struct {
+	Choices []Choice `json:"choices"`
+	Usage   *Usage   `json:"usage,omitempty"`
+	Error   *Error   `json:"error,omitempty"`
+}
+
+// Choice is the only choice of a chunk.
+type Choice struct {
+	Text         string `json:"text"`
+	Tokens       uint32 `json:"tokens"`
+	FinishReason string `json:"finish_reason,omitempty"`
+}
+
+// Usage counts tokens.
+type Usage struct {
+	PromptTokens     uint32 `json:"prompt_tokens"`
+	CompletionTokens uint32 `json:"completion_tokens"`
+	TotalTokens      uint32 `json:"total_tokens"`
+}
+
+// Error is a failure of the engine.
+type Error struct {
+	Code    string `json:"code"`
+	Message string `json:"message"`
+}
+
+// Codes of Error.
+const (
+	CodeRejected     = "rejected"
+	CodeBusy         = "busy"
+	CodeLost         = "lost"
+	CodeUnknownModel = "model_not_found"
+	CodeStaleFence   = "stale_fence"
+)
+
+// ErrorFor maps a code to the failure of package engine.
+func ErrorFor(code string) error {
+	switch code {
+	case CodeRejected:
+		return engine.ErrRejected
+	case CodeBusy:
+		return engine.ErrBusy
+	case CodeUnknownModel:
+		return engine.ErrUnknownModel
+	case CodeStaleFence:
+		return engine.ErrStaleFence
+	}
+	return engine.ErrLost
+}
+
+// CodeFor maps a failure of package engine to its code.
+func CodeFor(err error) string {
+	switch {
+	case errors.Is(err, engine.ErrRejected):
+		return CodeRejected
+	case errors.Is(err, engine.ErrBusy):
+		return CodeBusy
+	case errors.Is(err, engine.ErrUnknownModel):
+		return CodeUnknownModel
+	case errors.Is(err, engine.ErrStaleFence):
+		return CodeStaleFence
+	}
+	return CodeLost
+}
+
+// Generate implements engine.Engine.
+func (c *Client) Generate(ctx context.Context, r engine.Request) (engine.Stream, error) {
+	body, err := json.Marshal(CompletionRequest{
+		Model: r.Model, Prompt: r.Prompt, MaxTokens: r.MaxTokens, Stream: true,
+		RequestID: r.ID, ResumeFrom: r.ResumeFrom,
+	})
+	if err != nil {
+		return nil, errors.Mark(err, engine.ErrRejected)
+	}
+	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
+	req.SetMethod(http.MethodPost)
+	req.SetRequestURI(c.base + "/v1/completions")
+	req.Header.SetContentTypeBytes([]byte("application/json"))
+	req.SetBody(body)
+	err = c.http.Do(ctx, req, resp)
+	protocol.ReleaseRequest(req)
+	if err != nil {
+		// The engine may have received it before the connection broke.
+		return nil, errors.Mark(err, engine.ErrLost)
+	}
+	if resp.StatusCode() != http.StatusOK {
+		defer protocol.ReleaseResponse(resp)
+		return nil, refusal(resp)
+	}
+	return c.stream(r.ID, resp)
+}
+
+func refusal(resp *protocol.Response) error {
+	data, err := resp.BodyE()
+	if err != nil {
+		return errors.Mark(err, engine.ErrLost)
+	}
+	var chunk CompletionChunk
+	if json.Unmarshal(data, &chunk) != nil || chunk.Error == nil {
+		return engine.ErrBusy
+	}
+	return ErrorFor(chunk.Error.Code)
+}
+
+func (c *Client) stream(id string, resp *protocol.Response) (engine.Stream, error) {
+	rd, err := sse.NewReader(resp)
+	if err != nil {
+		return nil, errors.Mark(err, engine.ErrLost)
+	}
+	st := &stream{c: c, id: id, events: make(chan result, 1), stop: make(chan struct{})}
+	go st.read(rd)
+	return st, nil
+}
+
+type result struct {
+	chunk engine.Chunk
+	err   error
+}
+
+type stream struct {
+	c      *Client
+	id     string
+	events chan result
+	stop   chan struct{}
+	ended  bool // the last chunk or an error was returned
+	cut    bool
+}
+
+// read hands the events over until the stream ends or nobody wants them.
+func (s *stream) read(rd *sse.Reader) {
+	defer func() { _ = rd.Close() }()
+	ev := sse.NewEvent()
+	defer ev.Release()
+	for {
+		r := next(rd, ev)
+		select {
+		case s.events <- r:
+		case <-s.stop:
+			return
+		}
+		if r.err != nil || r.chunk.Finish != "" {
+			return
+		}
+	}
+}
+
+func next(rd *sse.Reader, ev *sse.Event) result {
+	if err := rd.Read(ev); err != nil {
+		// An end before the last chunk is a lost engine, never a whole answer.
+		if errors.Is(err, io.EOF) {
+			return result{err: engine.ErrLost}
+		}
+		return result{err: errors.Mark(err, engine.ErrLost)}
+	}
+	var c CompletionChunk
+	if err := json.Unmarshal(ev.Data, &c); err != nil {
+		return result{err: errors.Mark(err, engine.ErrLost)}
+	}
+	if c.Error != nil {
+		return result{err: ErrorFor(c.Error.Code)}
+	}
+	var out engine.Chunk
+	for _, ch := range c.Choices {
+		out.Text += ch.Text
+		out.Tokens += ch.Tokens
+		out.Finish = ch.FinishReason
+	}
+	if c.Usage != nil {
+		out.PromptTokens = c.Usage.PromptTokens
+	}
+	return result{chunk: out}
+}
+
+// Next implements engine.Stream.
+func (s *stream) Next(ctx context.Context) (engine.Chunk, error) {
+	select {
+	case r := <-s.events:
+		s.ended = r.err != nil || r.chunk.Finish != ""
+		return r.chunk, r.err
+	case <-ctx.Done():
+		return engine.Chunk{}, ctx.Err()
+	}
+}
+
+// cancelTimeout bounds the call that cancels a stream at the engine.
+const cancelTimeout = time.Second
+
+// Cancel implements engine.Stream.
+func (s *stream) Cancel() {
+	if s.cut {
+		return
+	}
+	s.cut = true
+	close(s.stop)
+	if s.ended {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+	// If the engine does not answer, it frees the seat when it notices the
+	// closed connection.
+	_, _, _ = httpx.Call(ctx, s.c.http, http.MethodPost, s.c.base+"/v1/requests/"+s.id+"/cancel", "", nil)
+}
+
+// Load implements engine.Engine.
+func (c *Client) Load(ctx context.Context) (engine.Load, error) {
+	var l engine.Load
+	err := c.get(ctx, "/load", &l)
+	return l, err
+}
+
+// Models implements engine.Engine.
+func (c *Client) Models(ctx context.Context) ([]string, error) {
+	var m []string
+	err := c.get(ctx, "/models", &m)
+	return m, err
+}
+
+func (c *Client) get(ctx context.Context, path string, into any) error {
+	status, data, err := httpx.Call(ctx, c.http, http.MethodGet, c.base+path, "", nil)
+	if err != nil || status != http.StatusOK {
+		return errors.Mark(errors.Newf("GET %s: status %d", path, status), engine.ErrLost)
+	}
+	return json.Unmarshal(data, into)
+}
+
+// Order implements engine.Engine.
+func (c *Client) Order(ctx context.Context, o engine.Order) error {
+	body, err := json.Marshal(o)
+	if err != nil {
+		return errors.Mark(err, engine.ErrRejected)
+	}
+	status, data, err := httpx.Call(ctx, c.http, http.MethodPost, c.base+"/orders", "application/json", body)
+	if err != nil {
+		return errors.Mark(err, engine.ErrLost)
+	}
+	if status == http.StatusOK {
+		return nil
+	}
+	var chunk CompletionChunk
+	if json.Unmarshal(data, &chunk) == nil && chunk.Error != nil {
+		return ErrorFor(chunk.Error.Code)
+	}
+	return engine.ErrBusy
+}
+
+// Service calls a plain service over HTTP. It implements the agent's port and
+// never repeats a call.
+type Service struct {
+	base string
+	http *client.Client
+}
+
+// NewService returns a Service for a base URL.
+func NewService(base string) (*Service, error) {
+	cl, err := httpx.NewClient()
+	if err != nil {
+		return nil, errors.Wrap(err, "http client")
+	}
+	return &Service{base: base, http: cl}, nil
+}
+
+// Do makes one call.
+func (s *Service) Do(ctx context.Context, method, path string, body []byte) (int, string, []byte, error) {
+	status, data, err := httpx.Call(ctx, s.http, method, s.base+path, "application/json", body)
+	return status, "application/json", data, err
+}
--- /dev/null
+++ b/entry/api.go
@@ -0,0 +1,309 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+	"unicode/utf8"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/common/adaptor"
+	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"pumiceford/agent"
+	"pumiceford/apierr"
+	"pumiceford/batch"
+	"pumiceford/config"
+	"pumiceford/httpx"
+	"pumiceford/wire"
+)
+
+// Bounds of callers' requests.
+const (
+	MaxCallerBody    = 256 << 20 // a batch file; other bodies are bounded by MaxPromptBytes
+	MaxPromptBytes   = 1 << 20
+	MaxKeyBytes      = 256
+	defaultTimeout   = 60 * time.Second
+	defaultMaxTokens = 64
+)
+
+// Headers of the callers' interface.
+const (
+	HeaderKey           = "Idempotency-Key"
+	HeaderNonIdempotent = "X-Pumice-Non-Idempotent"
+	HeaderTimeout       = "X-Pumice-Timeout-Ms"
+	HeaderRan           = "X-Pumice-Ran" // "yes", "no" or "unknown", with every error
+	HeaderRequest       = "X-Request-Id"
+)
+
+// ServeCallers serves the callers' interface on ln until ctx ends.
+func (e *Entry) ServeCallers(ctx context.Context, ln net.Listener) error {
+	h := httpx.NewServer(ln, MaxCallerBody)
+	h.GET("/healthz", func(_ context.Context, c *app.RequestContext) { c.SetStatusCode(200) })
+	h.GET("/readyz", func(_ context.Context, c *app.RequestContext) {
+		if !e.Ready() {
+			c.SetStatusCode(503)
+			return
+		}
+		c.SetStatusCode(200)
+	})
+	h.GET("/v1/models", e.caller(e.serveModels))
+	h.POST("/v1/completions", e.caller(e.serveCompletion))
+	h.POST("/v1/chat/completions", e.caller(e.serveChat))
+	h.Any("/v1/services/:service/*path", e.caller(e.serveService))
+	e.routeBatch(h)
+	return httpx.Serve(ctx, h)
+}
+
+// ServeMetrics is the handler of /metrics.
+func (e *Entry) serveMetrics() app.HandlerFunc {
+	handler := promhttp.HandlerFor(e.cfg.Metrics.Registry, promhttp.HandlerOpts{})
+	return adaptor.HertzHandler(handler)
+}
+
+// callerFunc handles a request of a known workspace.
+type callerFunc func(ctx context.Context, c *app.RequestContext, ws config.Workspace) error
+
+// caller checks the bearer key and turns failures into answers.
+func (e *Entry) caller(fn callerFunc) app.HandlerFunc {
+	return func(ctx context.Context, c *app.RequestContext) {
+		defer e.enter()()
+		ws, err := e.authenticate(c)
+		if err == nil {
+			err = fn(ctx, c, ws)
+		}
+		if err != nil {
+			writeError(c, err)
+		}
+	}
+}
+
+func bearer(c *app.RequestContext) string {
+	auth := string(c.GetHeader("Authorization"))
+	key, ok := strings.CutPrefix(auth, "Bearer ")
+	if !ok {
+		return ""
+	}
+	return key
+}
+
+func (e *Entry) authenticate(c *app.RequestContext) (config.Workspace, error) {
+	if !e.follower.Synced() {
+		return config.Workspace{}, apierr.New(apierr.CodeNotRun, "this entry has no configuration yet").After(time.Second)
+	}
+	var ws config.Workspace
+	ok := false
+	hash := HashKey(bearer(c))
+	e.follower.View(func(s *config.State) { ws, ok = s.WorkspaceByKey(hash) })
+	if !ok {
+		return ws, apierr.New(apierr.CodeUnauthorized, "unknown key")
+	}
+	if !e.allow(ws) {
+		return ws, apierr.New(apierr.CodeRateLimited, "the workspace's rate limit is reached").After(time.Second)
+	}
+	return ws, nil
+}
+
+// errorBody is the JSON of every failure, in the form of the OpenAI interface.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Code    string `json:"code"`
+	Type    string `json:"type"`
+	Message string `json:"message"`
+	Ran     string `json:"ran"`
+}
+
+func ranText(r wire.Ran) string {
+	switch r {
+	case wire.Ran_RAN_NO:
+		return "no"
+	case wire.Ran_RAN_YES:
+		return "yes"
+	}
+	return "unknown"
+}
+
+func errorOf(err error) (*apierr.Error, errorBody) {
+	fail := apierr.From(err)
+	return fail, errorBody{Error: errorDetail{
+		Code: string(fail.Code), Type: string(fail.Code), Message: fail.Message, Ran: ranText(fail.Ran),
+	}}
+}
+
+func writeError(c *app.RequestContext, err error) {
+	fail, body := errorOf(err)
+	c.Response.Header.Set(HeaderRan, ranText(fail.Ran))
+	if fail.RetryAfter > 0 {
+		c.Response.Header.Set("Retry-After", strconv.Itoa(int((fail.RetryAfter+time.Second-1)/time.Second)))
+		c.Response.Header.Set("Retry-After-Ms", strconv.FormatInt(fail.RetryAfter.Milliseconds(), 10))
+	}
+	httpx.WriteJSON(c, fail.Status(), body)
+}
+
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelInfo `json:"data"`
+}
+
+type modelInfo struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+	Version string `json:"version"`
+}
+
+func (e *Entry) serveModels(_ context.Context, c *app.RequestContext, _ config.Workspace) error {
+	list := modelList{Object: "list", Data: []modelInfo{}}
+	e.follower.View(func(s *config.State) {
+		for _, m := range s.Models() {
+			list.Data = append(list.Data, modelInfo{ID: m.Name, Object: "model", OwnedBy: "fleet", Version: m.Version})
+		}
+	})
+	httpx.WriteJSON(c, 200, list)
+	return nil
+}
+
+func (e *Entry) knowsModel(name string) bool {
+	known := false
+	e.follower.View(func(s *config.State) { _, known = s.Model(name) })
+	return known
+}
+
+// completionBody is the body of both kinds of completions.
+type completionBody struct {
+	Model               string              `json:"model"`
+	Prompt              string              `json:"prompt"`
+	Messages            []batch.ChatMessage `json:"messages"`
+	MaxTokens           uint32              `json:"max_tokens"`
+	MaxCompletionTokens uint32              `json:"max_completion_tokens"`
+	Stream              bool                `json:"stream"`
+	StreamOptions       struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
+}
+
+// decodeCompletion reads a completion's body and checks it.
+func decodeCompletion(body []byte, chat bool) (completionBody, error) {
+	var b completionBody
+	if len(body) > MaxPromptBytes {
+		return b, apierr.New(apierr.CodeTooLarge, "body is over %d bytes", MaxPromptBytes)
+	}
+	if !utf8.Valid(body) {
+		return b, apierr.New(apierr.CodeBadRequest, "body is not UTF-8")
+	}
+	if err := json.Unmarshal(body, &b); err != nil {
+		return b, apierr.New(apierr.CodeBadRequest, "body: %v", err)
+	}
+	if chat {
+		b.Prompt = batch.ChatPrompt(b.Messages)
+	}
+	if b.MaxTokens == 0 {
+		b.MaxTokens = b.MaxCompletionTokens
+	}
+	if b.MaxTokens == 0 {
+		b.MaxTokens = defaultMaxTokens
+	}
+	switch {
+	case b.Model == "":
+		return b, apierr.New(apierr.CodeBadRequest, "model is missing")
+	case b.Prompt == "":
+		return b, apierr.New(apierr.CodeBadRequest, "the prompt is empty")
+	case b.MaxTokens > batch.MaxTokensLimit:
+		return b, apierr.New(apierr.CodeBadRequest, "max_tokens is over %d", batch.MaxTokensLimit)
+	}
+	return b, nil
+}
+
+// newRequest reads the headers that every online request may carry.
+func newRequest(c *app.RequestContext, ws config.Workspace) (*Request, error) {
+	timeout := defaultTimeout
+	if v := string(c.GetHeader(HeaderTimeout)); v != "" {
+		ms, err := strconv.ParseInt(v, 10, 64)
+		if err != nil || ms <= 0 || time.Duration(ms)*time.Millisecond > agent.MaxTimeout {
+			return nil, apierr.New(apierr.CodeBadRequest, "%s must be 1 to %d", HeaderTimeout, agent.MaxTimeout.Milliseconds())
+		}
+		timeout = time.Duration(ms) * time.Millisecond
+	}
+	key := string(c.GetHeader(HeaderKey))
+	if len(key) > MaxKeyBytes || !utf8.ValidString(key) {
+		return nil, apierr.New(apierr.CodeBadRequest, "%s must be UTF-8 of at most %d bytes", HeaderKey, MaxKeyBytes)
+	}
+	return &Request{
+		ID:            uuid.New(),
+		Workspace:     ws.Name,
+		Weight:        ws.Share,
+		Deadline:      time.Now().Add(timeout),
+		Key:           key,
+		NonIdempotent: string(c.GetHeader(HeaderNonIdempotent)) == "true",
+	}, nil
+}
+
+func (e *Entry) serveCompletion(ctx context.Context, c *app.RequestContext, ws config.Workspace) error {
+	return e.complete(ctx, c, ws, false)
+}
+
+func (e *Entry) serveChat(ctx context.Context, c *app.RequestContext, ws config.Workspace) error {
+	return e.complete(ctx, c, ws, true)
+}
+
+func (e *Entry) complete(ctx context.Context, c *app.RequestContext, ws config.Workspace, chat bool) error {
+	body, err := decodeCompletion(c.Request.Body(), chat)
+	if err != nil {
+		return err
+	}
+	req, err := newRequest(c, ws)
+	if err != nil {
+		return err
+	}
+	req.Model = body.Model
+	req.Prompt = body.Prompt
+	req.MaxTokens = body.MaxTokens
+	c.Response.Header.Set(HeaderRequest, req.ID.String())
+	out := &completionWriter{c: c, chat: chat, model: req.Model, id: req.ID.String(), usage: body.StreamOptions.IncludeUsage}
+	if !body.Stream {
+		return e.completeWhole(ctx, req, out)
+	}
+	return e.completeStream(ctx, req, out)
+}
+
+// serveService routes a call to a plain service. POST is not repeated unless the
+// caller marks it as idempotent.
+func (e *Entry) serveService(ctx context.Context, c *app.RequestContext, ws config.Workspace) error {
+	if len(c.Request.Body()) > MaxPromptBytes {
+		return apierr.New(apierr.CodeTooLarge, "body is over %d bytes", MaxPromptBytes)
+	}
+	req, err := newRequest(c, ws)
+	if err != nil {
+		return err
+	}
+	req.Service = c.Param("service")
+	req.Method = string(c.Method())
+	req.Path = "/" + strings.TrimPrefix(c.Param("path"), "/")
+	req.Body = append([]byte(nil), c.Request.Body()...)
+	req.NonIdempotent = serviceNonIdempotent(req.Method, string(c.GetHeader(HeaderNonIdempotent)))
+	var reply []byte
+	end, err := e.Do(ctx, req, func(p *wire.Piece) error {
+		reply = append(reply, p.GetText()...)
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	c.Data(int(end.GetStatus()), end.GetContentType(), reply)
+	return nil
+}
+
+func serviceNonIdempotent(method, mark string) bool {
+	if mark != "" {
+		return mark != "false"
+	}
+	return method == "POST" || method == "PATCH"
+}
--- /dev/null
+++ b/entry/api_completion.go
@@ -0,0 +1,166 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol/sse"
+
+	"pumiceford/engine/enginehttp"
+	"pumiceford/httpx"
+	"pumiceford/wire"
+)
+
+// completionWriter writes answers in the form of the OpenAI interface.
+type completionWriter struct {
+	c     *app.RequestContext
+	chat  bool
+	model string
+	id    string
+	usage bool
+	sse   *sse.Writer // set once the first byte was streamed
+}
+
+type completionReply struct {
+	ID      string             `json:"id"`
+	Object  string             `json:"object"`
+	Created int64              `json:"created"`
+	Model   string             `json:"model"`
+	Choices []completionChoice `json:"choices"`
+	Usage   *enginehttp.Usage  `json:"usage,omitempty"`
+}
+
+type completionChoice struct {
+	Index        int          `json:"index"`
+	Text         *string      `json:"text,omitempty"`
+	Message      *chatMessage `json:"message,omitempty"`
+	Delta        *chatMessage `json:"delta,omitempty"`
+	FinishReason *string      `json:"finish_reason"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+func (w *completionWriter) object(stream bool) string {
+	switch {
+	case w.chat && stream:
+		return "chat.completion.chunk"
+	case w.chat:
+		return "chat.completion"
+	}
+	return "text_completion"
+}
+
+func (w *completionWriter) reply(stream bool, choices ...completionChoice) completionReply {
+	if choices == nil {
+		choices = []completionChoice{}
+	}
+	return completionReply{
+		ID:      "cmpl-" + w.id,
+		Object:  w.object(stream),
+		Created: time.Now().Unix(),
+		Model:   w.model,
+		Choices: choices,
+	}
+}
+
+func usageOf(end *wire.End, tokens uint32) *enginehttp.Usage {
+	return &enginehttp.Usage{
+		PromptTokens:     end.GetPromptTokens(),
+		CompletionTokens: tokens,
+		TotalTokens:      end.GetPromptTokens() + tokens,
+	}
+}
+
+func (e *Entry) completeWhole(ctx context.Context, req *Request, w *completionWriter) error {
+	var text strings.Builder
+	var tokens uint32
+	end, err := e.Do(ctx, req, func(p *wire.Piece) error {
+		text.Write(p.GetText())
+		tokens += p.GetTokens()
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	finish := end.GetFinishReason()
+	choice := completionChoice{FinishReason: &finish}
+	content := text.String()
+	if w.chat {
+		choice.Message = &chatMessage{Role: "assistant", Content: content}
+	} else {
+		choice.Text = &content
+	}
+	reply := w.reply(false, choice)
+	reply.Usage = usageOf(end, tokens)
+	httpx.WriteJSON(w.c, 200, reply)
+	return nil
+}
+
+func (e *Entry) completeStream(ctx context.Context, req *Request, w *completionWriter) error {
+	var tokens uint32
+	end, err := e.Do(ctx, req, func(p *wire.Piece) error {
+		tokens += p.GetTokens()
+		return w.piece(string(p.GetText()))
+	})
+	if err != nil && w.sse == nil {
+		return err
+	}
+	if err != nil {
+		// The status line is out. The error event, and no [DONE] after it, tells
+		// the caller that the answer is not whole.
+		_, body := errorOf(err)
+		_ = w.event(body)
+		return nil
+	}
+	w.end(end, tokens)
+	return nil
+}
+
+func (w *completionWriter) piece(text string) error {
+	choice := completionChoice{}
+	if w.chat {
+		choice.Delta = &chatMessage{Content: text}
+		if w.sse == nil {
+			choice.Delta.Role = "assistant"
+		}
+	} else {
+		choice.Text = &text
+	}
+	return w.event(w.reply(true, choice))
+}
+
+func (w *completionWriter) end(end *wire.End, tokens uint32) {
+	finish := end.GetFinishReason()
+	choice := completionChoice{FinishReason: &finish}
+	empty := ""
+	if w.chat {
+		choice.Delta = &chatMessage{}
+	} else {
+		choice.Text = &empty
+	}
+	// A caller that is gone by now has lost nothing but the end.
+	_ = w.event(w.reply(true, choice))
+	if w.usage {
+		last := w.reply(true)
+		last.Usage = usageOf(end, tokens)
+		_ = w.event(last)
+	}
+	_ = w.sse.WriteEvent("", "", []byte("[DONE]"))
+}
+
+func (w *completionWriter) event(v any) error {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	if w.sse == nil {
+		w.sse = sse.NewWriter(w.c)
+	}
+	return w.sse.WriteEvent("", "", data)
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,314 @@
+// Package entry is the process on an entry host: it takes callers' requests,
+// routes online requests to agents, runs its part of the batch partitions, and
+// serves operators.
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"pumiceford/config"
+	"pumiceford/journal"
+	"pumiceford/ledger"
+	"pumiceford/link"
+	"pumiceford/logging"
+	"pumiceford/metrics"
+	"pumiceford/online"
+	"pumiceford/platform"
+	"pumiceford/routing"
+	"pumiceford/wire"
+)
+
+// Config says what an entry is made of.
+type Config struct {
+	Name        string
+	DataCentre  string
+	Incarnation journal.Incarnation
+	Log         platform.Log
+	HostList    platform.HostList
+	Link        link.Config // Dial, TLS and timings; the rest is set here
+	Ledger      ledger.Config
+	Routing     routing.Settings
+	Bootstrap   config.Operator
+
+	// HostsEvery is the interval at which the host list is read, default 1 s.
+	HostsEvery time.Duration
+	// ReattachFor is how long an entry tries to reach an agent that holds an
+	// answer, default 3 s.
+	ReattachFor time.Duration
+	// AgentsPerEntry bounds the agents that one entry talks to, default 64.
+	AgentsPerEntry int
+
+	Logger  logging.Logger
+	Metrics *metrics.Set
+}
+
+// Defaults of Config.
+const (
+	defaultHostsEvery     = time.Second
+	defaultReattachFor    = 3 * time.Second
+	defaultAgentsPerEntry = 64
+)
+
+// Entry is one entry. Lock order: Entry.mu is taken last and nothing else is
+// taken under it.
+type Entry struct {
+	cfg      Config
+	log      logging.Logger
+	follower *config.Follower
+	manager  *ledger.Manager
+	budget   *online.RetryBudget
+	events   *eventLog
+
+	mu        sync.Mutex
+	router    *routing.Router
+	agents    map[string]*node // by host name
+	entries   map[string]*node
+	limits    map[string]*limiter
+	leaving   bool
+	active    int
+	offsets   map[string]uint64 // node -> config offset it reported
+	hosts     []platform.Host   // the last host list
+	alive     int               // live entries, this one included
+	leavingBy map[string]bool   // agents that say so themselves
+}
+
+// node is another process that this entry talks to.
+type node struct {
+	host   platform.Host
+	peer   *link.Peer
+	cancel context.CancelFunc
+	ctx    context.Context
+}
+
+type limiter struct {
+	perSecond float64
+	bucket    *rate.Limiter
+}
+
+// New returns an Entry. Run starts it.
+func New(cfg Config) *Entry {
+	if cfg.HostsEvery == 0 {
+		cfg.HostsEvery = defaultHostsEvery
+	}
+	if cfg.ReattachFor == 0 {
+		cfg.ReattachFor = defaultReattachFor
+	}
+	if cfg.AgentsPerEntry == 0 {
+		cfg.AgentsPerEntry = defaultAgentsPerEntry
+	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = metrics.New(cfg.Name)
+	}
+	cfg.Routing.DataCentre = cfg.DataCentre
+	e := &Entry{
+		cfg:       cfg,
+		log:       cfg.Logger.Part("entry"),
+		budget:    online.NewRetryBudget(),
+		events:    newEventLog(),
+		router:    routing.New(cfg.Routing),
+		agents:    make(map[string]*node),
+		entries:   make(map[string]*node),
+		limits:    make(map[string]*limiter),
+		offsets:   make(map[string]uint64),
+		leavingBy: make(map[string]bool),
+	}
+	e.follower = config.NewFollower(cfg.Log, cfg.Incarnation, cfg.Bootstrap, cfg.Logger)
+	e.follower.SetFetch(e.fetchConfig)
+	e.cfg.Ledger.Node = cfg.Name
+	e.cfg.Ledger.Incarnation = cfg.Incarnation
+	e.cfg.Ledger.Log = cfg.Log
+	e.cfg.Ledger.Share = e.share
+	e.cfg.Ledger.Log2 = cfg.Logger
+	e.cfg.Ledger.Metrics = cfg.Metrics
+	e.manager = ledger.NewManager(e.cfg.Ledger, e.feedAgents)
+	e.cfg.Link.Node = cfg.Name
+	e.cfg.Link.Incarnation = cfg.Incarnation
+	e.cfg.Link.Status = e.status
+	e.cfg.Link.OnStatus = e.noteStatus
+	e.cfg.Link.Handle = e.handle
+	return e
+}
+
+// Run serves peers on ln and keeps the entry's state until ctx ends.
+func (e *Entry) Run(ctx context.Context, ln net.Listener) error {
+	go e.follower.Run(ctx)
+	go e.followHosts(ctx)
+	go e.manager.Run(ctx)
+	go e.keepConfigSnapshot(ctx)
+	return link.Serve(ctx, ln, e.cfg.Link)
+}
+
+// Ready reports whether the entry should get requests from the balancer.
+func (e *Entry) Ready() bool {
+	if !e.follower.Synced() {
+		return false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.leaving
+}
+
+// Leave stops new requests, waits until those in progress have finished, hands
+// its partitions over, and returns how many requests the end of ctx cut off.
+// balancer is the time in which the balancer sees that the entry is not ready
+// any more; until it has passed requests are still taken.
+func (e *Entry) Leave(ctx context.Context, balancer time.Duration) int {
+	e.mu.Lock()
+	e.leaving = true
+	e.mu.Unlock()
+	sleep(ctx, balancer)
+	tick := time.NewTicker(20 * time.Millisecond)
+	defer tick.Stop()
+	for e.activeRequests() > 0 && ctx.Err() == nil {
+		<-tick.C
+	}
+	cut := e.activeRequests()
+	e.manager.Leave(ctx)
+	return cut
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func (e *Entry) activeRequests() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.active
+}
+
+// enter counts a request in progress. The returned function ends it.
+func (e *Entry) enter() func() {
+	e.mu.Lock()
+	e.active++
+	e.mu.Unlock()
+	return func() {
+		e.mu.Lock()
+		e.active--
+		e.mu.Unlock()
+	}
+}
+
+func (e *Entry) share(workspace string) float64 {
+	share := 0.0
+	e.follower.View(func(s *config.State) {
+		if ws, ok := s.Workspace(workspace); ok {
+			share = ws.Share
+		}
+	})
+	return max(share, leastShare)
+}
+
+// leastShare is the weight of a workspace without a share. It gets what the
+// others leave.
+const leastShare = 0.001
+
+func (e *Entry) status() *wire.NodeStatus {
+	e.mu.Lock()
+	leaving := e.leaving
+	e.mu.Unlock()
+	return &wire.NodeStatus{
+		Node:         e.cfg.Name,
+		DataCentre:   e.cfg.DataCentre,
+		Incarnation:  e.cfg.Incarnation[:],
+		Leaving:      leaving,
+		ConfigOffset: e.follower.Offset(),
+	}
+}
+
+// noteStatus takes what a peer said of itself on a heartbeat.
+func (e *Entry) noteStatus(_ string, st *wire.NodeStatus) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if st.GetNode() == "" {
+		return
+	}
+	e.offsets[st.GetNode()] = st.GetConfigOffset()
+	if e.agents[st.GetNode()] == nil {
+		return
+	}
+	e.leavingBy[st.GetNode()] = st.GetLeaving()
+	e.router.Note(time.Now(), st.GetNode(), routing.Report{
+		Incarnation: string(st.GetIncarnation()),
+		DataCentre:  st.GetDataCentre(),
+		Models:      st.GetModels(),
+		Services:    st.GetServices(),
+		Seats:       int(st.GetSeats()),
+		Running:     int(st.GetOnlineRunning()),
+		Queued:      int(st.GetOnlineQueued()),
+		Leaving:     st.GetLeaving(),
+	})
+}
+
+// handle serves streams that other nodes open to this entry.
+func (e *Entry) handle(ctx context.Context, _ link.Class, call *wire.Call, st *link.Stream) {
+	switch k := call.GetKind().(type) {
+	case *wire.Call_ConfigFetch:
+		// A reader that is gone asks again.
+		_ = st.Send(e.follower.Records(k.ConfigFetch.GetFrom()))
+	case *wire.Call_Peer:
+		_ = st.Send(e.servePeer(ctx, k.Peer))
+	}
+}
+
+// allow takes one request of a workspace's rate limit. The limit is shared
+// evenly among the live entries, because the balancer spreads requests evenly.
+func (e *Entry) allow(ws config.Workspace) bool {
+	if ws.Limit <= 0 {
+		return true
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	mine := ws.Limit / float64(max(e.alive, 1))
+	l := e.limits[ws.Name]
+	if l == nil || l.perSecond != mine {
+		l = &limiter{perSecond: mine, bucket: rate.NewLimiter(rate.Limit(mine), int(mine)+1)}
+		e.limits[ws.Name] = l
+	}
+	return l.bucket.Allow()
+}
+
+// HashKey returns the form in which keys are kept in the configuration.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// configSnapshotEvery is how many config records a snapshot may lie behind.
+const configSnapshotEvery = 500
+
+// keepConfigSnapshot writes snapshots of the configuration now and then. The
+// entry that is proposed for partition 0 does it, so that few write the same.
+func (e *Entry) keepConfigSnapshot(ctx context.Context) {
+	var written uint64
+	tick := time.NewTicker(5 * time.Second)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		offset := e.follower.Offset()
+		if offset < written+configSnapshotEvery || e.manager.Proposed(0) != e.cfg.Name {
+			continue
+		}
+		if err := e.follower.WriteSnapshot(ctx); err != nil {
+			e.log.Warn("config snapshot not written", logging.F("error", err.Error()))
+			continue
+		}
+		written = e.follower.Offset()
+	}
+}
--- /dev/null
+++ b/entry/events.go
@@ -0,0 +1,49 @@
+package entry
+
+import (
+	"sync"
+	"time"
+)
+
+// Event is one act of the system with its reason.
+type Event struct {
+	Time    time.Time `json:"time"`
+	Kind    string    `json:"kind"`
+	Subject string    `json:"subject"`
+	Reason  string    `json:"reason"`
+}
+
+// maxEvents bounds the events kept in memory.
+const maxEvents = 1000
+
+// eventLog keeps the newest events.
+type eventLog struct {
+	mu   sync.Mutex
+	ring []Event
+}
+
+func newEventLog() *eventLog {
+	return &eventLog{}
+}
+
+func (l *eventLog) add(kind, subject, reason string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ring = append(l.ring, Event{Time: time.Now(), Kind: kind, Subject: subject, Reason: reason})
+	if len(l.ring) > maxEvents {
+		l.ring = l.ring[len(l.ring)-maxEvents:]
+	}
+}
+
+// about returns the kept events of a subject, or of all when it is empty.
+func (l *eventLog) about(subject string) []Event {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []Event
+	for _, e := range l.ring {
+		if subject == "" || e.Subject == subject {
+			out = append(out, e)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/entry/online.go
@@ -0,0 +1,359 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"pumiceford/apierr"
+	"pumiceford/link"
+	"pumiceford/online"
+	"pumiceford/routing"
+	"pumiceford/wire"
+)
+
+// Request is one online request of a caller.
+type Request struct {
+	ID            uuid.UUID
+	Workspace     string
+	Model         string
+	Prompt        string
+	MaxTokens     uint32
+	Service       string // plain service; Model, Prompt and MaxTokens are unused then
+	Method        string
+	Path          string
+	Body          []byte
+	NonIdempotent bool
+	Key           string // caller's idempotency key, with NonIdempotent
+	Deadline      time.Time
+	Weight        float64
+}
+
+// Sink receives the pieces of an answer in order. An error means that the caller
+// is gone.
+type Sink func(*wire.Piece) error
+
+// run is one online request on its way.
+type run struct {
+	e         *Entry
+	req       *Request
+	sink      Sink
+	delivered uint32 // tokens given to the caller
+	sent      bool   // some bytes were given to the caller
+	exclude   map[string]bool
+}
+
+// maxTries bounds the agents that one request is sent to.
+const maxTries = 4
+
+// Do runs a request and gives its answer to sink. Every failure is an
+// apierr.Error that says truly whether the request ran.
+func (e *Entry) Do(ctx context.Context, req *Request, sink Sink) (*wire.End, error) {
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	defer cancel()
+	r := &run{e: e, req: req, sink: sink, exclude: make(map[string]bool)}
+	began := time.Now()
+	end, err := r.start(ctx)
+	e.cfg.Metrics.Observe("online_total", req.Workspace, time.Since(began))
+	if err == nil {
+		e.budget.Success()
+		return end, nil
+	}
+	fail := apierr.From(err)
+	e.cfg.Metrics.Count("online_failed_" + string(fail.Code))
+	return nil, fail
+}
+
+func (r *run) start(ctx context.Context) (*wire.End, error) {
+	if r.req.NonIdempotent && r.req.Key != "" {
+		return r.keyed(ctx)
+	}
+	return r.try(ctx)
+}
+
+// pick chooses an agent and counts the request there.
+func (r *run) pick() (routing.Choice, bool) {
+	q := routing.Query{Model: r.req.Model, Service: r.req.Service, Exclude: r.exclude}
+	if r.req.Service == "" {
+		q.Prefix = routing.PrefixKey(r.req.Model, r.req.Prompt)
+	}
+	r.e.mu.Lock()
+	defer r.e.mu.Unlock()
+	c, ok := r.e.router.Pick(time.Now(), q)
+	if ok {
+		r.e.router.Began(c.Name)
+	}
+	return c, ok
+}
+
+func (r *run) ended(name string, err error) {
+	fault := err != nil && (apierr.Is(err, apierr.CodeEngine) || errors.Is(err, errAgentGone))
+	r.e.mu.Lock()
+	defer r.e.mu.Unlock()
+	r.e.router.Ended(time.Now(), name, fault)
+}
+
+// errAgentGone says that an agent that had the request cannot be asked any more.
+var errAgentGone = errors.New("agent gone")
+
+// try sends the request to agents until it is answered or must be given up.
+func (r *run) try(ctx context.Context) (*wire.End, error) {
+	var last error
+	for n := 0; n < maxTries; n++ {
+		choice, ok := r.pick()
+		if !ok {
+			break
+		}
+		end, err := r.at(ctx, choice)
+		r.ended(choice.Name, err)
+		if err == nil {
+			return end, nil
+		}
+		last = err
+		r.exclude[choice.Name] = true
+		if !r.mayTryElsewhere(ctx, err) {
+			return nil, r.final(err)
+		}
+		if n > 0 {
+			jitter(ctx, n)
+		}
+	}
+	if last != nil {
+		return nil, r.final(last)
+	}
+	return nil, r.noTarget()
+}
+
+// noTarget is the truth when no agent could be tried.
+func (r *run) noTarget() error {
+	if r.req.Service == "" && !r.e.knowsModel(r.req.Model) {
+		return apierr.New(apierr.CodeUnknownModel, "no such model: %s", r.req.Model)
+	}
+	return apierr.New(apierr.CodeNoTarget, "no target serves this now").After(time.Second)
+}
+
+// retryBase is the mean pause before the second retry; it doubles.
+const retryBase = 5 * time.Millisecond
+
+// jitter waits a random time, so that retries of many requests do not meet.
+func jitter(ctx context.Context, n int) {
+	limit := retryBase << n
+	sleep(ctx, time.Duration(rand.Int64N(int64(limit))))
+}
+
+// mayTryElsewhere says whether a failure lets the request go to another agent.
+func (r *run) mayTryElsewhere(ctx context.Context, err error) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	fail := apierr.From(err)
+	if fail.Ran == wire.Ran_RAN_NO {
+		switch fail.Code {
+		case apierr.CodeLeaving, apierr.CodeWrongIncarnation, apierr.CodeUnknownModel, apierr.CodeNotRun:
+			return true
+		case apierr.CodeOverloaded, apierr.CodeEngine:
+			return r.e.budget.Take()
+		}
+		return false
+	}
+	if r.req.NonIdempotent {
+		return false
+	}
+	lost := errors.Is(err, errAgentGone) || fail.Code == apierr.CodeEngine
+	return lost && r.e.budget.Take()
+}
+
+// final turns the last failure into what the caller gets.
+func (r *run) final(err error) error {
+	fail := *apierr.From(err)
+	if errors.Is(err, errAgentGone) {
+		fail = *apierr.Unknown(apierr.CodeOutcomeUnknown, "the target was lost while it had the request")
+	}
+	if r.sent && fail.Ran == wire.Ran_RAN_NO {
+		// An earlier target gave part of the answer.
+		fail.Ran = wire.Ran_RAN_YES
+	}
+	if fail.Code == apierr.CodeEngine && fail.Ran == wire.Ran_RAN_UNKNOWN {
+		fail.Code = apierr.CodeOutcomeUnknown
+	}
+	return &fail
+}
+
+// at runs the request at one agent.
+func (r *run) at(ctx context.Context, c routing.Choice) (*wire.End, error) {
+	n := r.e.agent(c.Name)
+	if n == nil {
+		return nil, apierr.New(apierr.CodeNotRun, "agent is gone")
+	}
+	start := &wire.Start{
+		Id:               r.req.ID[:],
+		Workspace:        r.req.Workspace,
+		Class:            "online",
+		Model:            r.req.Model,
+		Service:          r.req.Service,
+		Method:           r.req.Method,
+		Path:             r.req.Path,
+		Body:             r.req.Body,
+		Prompt:           r.req.Prompt,
+		MaxTokens:        r.req.MaxTokens,
+		TimeoutMs:        time.Until(r.req.Deadline).Milliseconds(),
+		NonIdempotent:    r.req.NonIdempotent,
+		ResumeFrom:       r.delivered,
+		AgentIncarnation: []byte(c.Incarnation),
+		KeepAnswer:       r.req.Key != "",
+		Weight:           r.req.Weight,
+	}
+	at := &attachment{run: r, node: n, inc: []byte(c.Incarnation), asm: online.NewAssembler(r.req.ID[:]), id: r.req.ID[:]}
+	return at.follow(ctx, &wire.Call{Kind: &wire.Call_Start{Start: start}})
+}
+
+// attachment follows one answer at one agent through lost connections.
+type attachment struct {
+	run  *run
+	node *node
+	id   []byte
+	inc  []byte // incarnation of the agent that the request is meant for
+	asm  *online.Assembler
+	// shared says that the request belongs to another call of the same caller;
+	// leaving it must not stop it.
+	shared bool
+}
+
+// follow opens the answer with call and reads it to its end.
+func (a *attachment) follow(ctx context.Context, call *wire.Call) (*wire.End, error) {
+	lostAt := time.Time{}
+	for {
+		before := a.asm.Next()
+		err := a.read(ctx, call)
+		if end := a.asm.End(); end != nil {
+			return end, nil
+		}
+		if a.asm.Next() != before {
+			lostAt = time.Time{}
+		}
+		var fail *apierr.Error
+		if errors.As(err, &fail) {
+			if fail.Code == apierr.CodeUnknownRequest {
+				return nil, a.resolve(ctx)
+			}
+			return nil, fail
+		}
+		if ctx.Err() != nil {
+			return nil, a.giveUp(ctx)
+		}
+		if lostAt.IsZero() {
+			lostAt = time.Now()
+		}
+		if time.Since(lostAt) > a.run.e.cfg.ReattachFor {
+			return nil, errors.Mark(apierr.Unknown(apierr.CodeOutcomeUnknown, "target not reached"), errAgentGone)
+		}
+		if !lostAt.IsZero() && a.asm.Next() == before {
+			sleep(ctx, reattachPause)
+		}
+		call = &wire.Call{Kind: &wire.Call_Attach{Attach: &wire.Attach{Id: a.id, FromSeq: a.asm.Next()}}}
+	}
+}
+
+// reattachPause is the wait between two tries to reach an agent.
+const reattachPause = 20 * time.Millisecond
+
+// read opens one stream and takes frames until the answer ends or the stream
+// breaks. Failures with a type end the request; others are worth another stream.
+func (a *attachment) read(ctx context.Context, call *wire.Call) error {
+	st, err := a.node.peer.Open(ctx, link.Online, call)
+	if err != nil {
+		return err
+	}
+	defer st.Close()
+	stop := context.AfterFunc(ctx, st.Close)
+	defer stop()
+	for {
+		f := &wire.Frame{}
+		if err := st.Recv(f); err != nil {
+			return err
+		}
+		if fail := f.GetFailure(); fail.GetCode() == string(apierr.CodeUnknownRequest) {
+			// Not part of the answer's sequence.
+			return apierr.FromWire(fail)
+		}
+		pieces, err := a.asm.Take(f)
+		if err != nil {
+			return err
+		}
+		for _, p := range pieces {
+			if err := a.deliver(p); err != nil {
+				return a.callerGone()
+			}
+		}
+		if fail := a.asm.Failure(); fail != nil {
+			return apierr.FromWire(fail)
+		}
+		if a.asm.End() != nil {
+			return nil
+		}
+	}
+}
+
+func (a *attachment) deliver(p *wire.Piece) error {
+	if len(p.GetText()) > 0 {
+		a.run.sent = true
+	}
+	a.run.delivered += p.GetTokens()
+	return a.run.sink(p)
+}
+
+func (a *attachment) callerGone() error {
+	ctx, cancel := context.WithTimeout(context.Background(), revokeTimeout)
+	defer cancel()
+	ran := a.revoke(ctx)
+	return &apierr.Error{Code: apierr.CodeCancelled, Message: "the caller hung up", Ran: ran}
+}
+
+// revokeTimeout bounds the call that gives a request up at its agent.
+const revokeTimeout = time.Second
+
+// revoke gives the request up at the agent and returns whether it ran. Unknown
+// means that the agent could not be asked.
+func (a *attachment) revoke(ctx context.Context) wire.Ran {
+	if a.shared {
+		return wire.Ran_RAN_UNKNOWN
+	}
+	reply := &wire.Revoked{}
+	call := &wire.Call{Kind: &wire.Call_Revoke{Revoke: &wire.Revoke{Id: a.id, AgentIncarnation: a.inc}}}
+	if err := a.node.peer.Call(ctx, link.Online, call, reply); err != nil {
+		return wire.Ran_RAN_UNKNOWN
+	}
+	return reply.GetRan()
+}
+
+// giveUp ends a request whose deadline passed or whose caller hung up.
+func (a *attachment) giveUp(ctx context.Context) error {
+	short, cancel := context.WithTimeout(context.Background(), revokeTimeout)
+	defer cancel()
+	ran := a.revoke(short)
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return &apierr.Error{Code: apierr.CodeDeadline, Message: "the deadline passed", Ran: ran}
+	}
+	return &apierr.Error{Code: apierr.CodeCancelled, Message: "the caller hung up", Ran: ran}
+}
+
+// resolve finds the truth about a request that the agent does not know: the
+// start was lost on its way, or the agent was restarted. The revoke leaves a
+// tombstone, so that a late copy of the start cannot run.
+func (a *attachment) resolve(ctx context.Context) error {
+	if a.asm.Next() > 0 {
+		return errors.Mark(apierr.Executed(apierr.CodeOutcomeUnknown, "target lost the answer"), errAgentGone)
+	}
+	ctx, cancel := context.WithTimeout(ctx, revokeTimeout)
+	defer cancel()
+	switch a.revoke(ctx) {
+	case wire.Ran_RAN_NO:
+		return apierr.New(apierr.CodeNotRun, "the request did not reach its target")
+	case wire.Ran_RAN_YES:
+		return errors.Mark(apierr.Executed(apierr.CodeOutcomeUnknown, "target lost the answer"), errAgentGone)
+	}
+	return errors.Mark(apierr.Unknown(apierr.CodeOutcomeUnknown, "target was restarted"), errAgentGone)
+}
--- /dev/null
+++ b/httpx/httpx.go
@@ -0,0 +1,111 @@
+// Package httpx sets up hertz servers and clients alike for all processes.
+package httpx
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/client"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol"
+)
+
+func init() {
+	// hertz logs through a logger of its own. What matters of it reaches us as
+	// errors.
+	hlog.SetOutput(io.Discard)
+}
+
+// Bounds of all HTTP servers.
+const (
+	MaxHeaderBytes = 64 << 10
+	idleTimeout    = 2 * time.Minute
+	dialTimeout    = 2 * time.Second
+	maxConns       = 4096
+)
+
+// NewServer returns a hertz server on ln that refuses bodies over maxBody bytes.
+func NewServer(ln net.Listener, maxBody int, opts ...config.Option) *server.Hertz {
+	all := []config.Option{
+		server.WithListener(ln),
+		server.WithTransport(standard.NewTransporter),
+		server.WithMaxRequestBodySize(maxBody),
+		server.WithMaxHeaderBytes(MaxHeaderBytes),
+		server.WithIdleTimeout(idleTimeout),
+		server.WithDisablePrintRoute(true),
+		server.WithSenseClientDisconnection(true),
+		server.WithExitWaitTime(0),
+	}
+	return server.New(append(all, opts...)...)
+}
+
+// Serve runs h until ctx ends. Requests in progress are not waited for; callers
+// that must finish them do so before they end ctx.
+func Serve(ctx context.Context, h *server.Hertz) error {
+	stop := context.AfterFunc(ctx, func() {
+		shut, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		// A shutdown that runs into its timeout leaves connections to end with
+		// the process.
+		_ = h.Shutdown(shut)
+	})
+	defer stop()
+	err := h.Run()
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// NewClient returns a hertz client whose response bodies are streams.
+func NewClient() (*client.Client, error) {
+	return client.NewClient(
+		client.WithDialer(standard.NewDialer()),
+		client.WithDialTimeout(dialTimeout),
+		client.WithMaxConnsPerHost(maxConns),
+		client.WithResponseBodyStream(true),
+	)
+}
+
+// WriteJSON answers with a JSON body.
+func WriteJSON(c *app.RequestContext, status int, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		c.Data(500, "application/json", []byte(`{"error":{"code":"internal"}}`))
+		return
+	}
+	c.Data(status, "application/json", data)
+}
+
+// Call makes a request and returns the status and the whole body.
+func Call(ctx context.Context, cl *client.Client, method, url, contentType string, body []byte) (int, []byte, error) {
+	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
+	defer protocol.ReleaseRequest(req)
+	defer protocol.ReleaseResponse(resp)
+	req.SetMethod(method)
+	req.SetRequestURI(url)
+	if contentType != "" {
+		req.Header.SetContentTypeBytes([]byte(contentType))
+	}
+	if body != nil {
+		req.SetBody(body)
+	}
+	if dl, ok := ctx.Deadline(); ok {
+		req.SetOptions(config.WithRequestTimeout(time.Until(dl)))
+	}
+	if err := cl.Do(ctx, req, resp); err != nil {
+		return 0, nil, err
+	}
+	data, err := resp.BodyE()
+	if err != nil {
+		return 0, nil, err
+	}
+	return resp.StatusCode(), append([]byte(nil), data...), nil
+}
--- /dev/null
+++ b/ledger/ops.go
@@ -0,0 +1,439 @@
+package ledger
+
+import (
+	"bytes"
+	"context"
+	"time"
+
+	"pumiceford/apierr"
+	"pumiceford/batch"
+	"pumiceford/wire"
+)
+
+// Serve carries out one request of a caller on this partition.
+func (o *Owner) Serve(ctx context.Context, req *wire.PeerRequest) *wire.PeerReply {
+	reply, err := o.serve(ctx, req)
+	if err != nil {
+		return &wire.PeerReply{Failure: apierr.From(err).ToWire()}
+	}
+	return reply
+}
+
+func (o *Owner) serve(ctx context.Context, req *wire.PeerRequest) (*wire.PeerReply, error) {
+	if !o.Ready() {
+		return nil, notOwner()
+	}
+	switch k := req.GetKind().(type) {
+	case *wire.PeerRequest_PutChunk:
+		return o.putChunk(ctx, k.PutChunk)
+	case *wire.PeerRequest_SealFile:
+		return o.sealFile(ctx, k.SealFile)
+	case *wire.PeerRequest_CommitJob:
+		return o.commitJob(ctx, k.CommitJob)
+	case *wire.PeerRequest_CancelJob:
+		return o.cancelJob(ctx, k.CancelJob)
+	case *wire.PeerRequest_GetJob:
+		return o.getJob(k.GetJob)
+	case *wire.PeerRequest_ListJobs:
+		return o.listJobs(k.ListJobs)
+	case *wire.PeerRequest_ReadResults:
+		return o.readResults(ctx, k.ReadResults)
+	case *wire.PeerRequest_ReadFile:
+		return o.readFile(ctx, k.ReadFile)
+	case *wire.PeerRequest_RecordKey:
+		return o.recordKey(ctx, k.RecordKey)
+	}
+	return nil, apierr.New(apierr.CodeBadRequest, "unknown request")
+}
+
+// Ready reports whether this node owns the partition as far as it has read.
+func (o *Owner) Ready() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return !o.closed && o.part != nil && o.owned()
+}
+
+func (o *Owner) putChunk(ctx context.Context, c *wire.PutChunk) (*wire.PeerReply, error) {
+	if o.hasChunk(c) {
+		return &wire.PeerReply{}, nil
+	}
+	err := o.commit(ctx, &wire.Entry{Kind: &wire.Entry_Chunk{Chunk: c}})
+	return &wire.PeerReply{}, err
+}
+
+func fileID(b []byte) (batch.FileID, bool) {
+	var id batch.FileID
+	if len(b) != len(id) {
+		return id, false
+	}
+	copy(id[:], b)
+	return id, true
+}
+
+func jobID(b []byte) (batch.JobID, bool) {
+	var id batch.JobID
+	if len(b) != len(id) {
+		return id, false
+	}
+	copy(id[:], b)
+	return id, true
+}
+
+// hasChunk reports whether a chunk is there already: a caller that repeats an
+// upload pays for it once. Files are named by their content.
+func (o *Owner) hasChunk(c *wire.PutChunk) bool {
+	id, _ := fileID(c.GetFile())
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	f := o.part.File(id)
+	if f == nil || f.Workspace != c.GetWorkspace() {
+		return false
+	}
+	_, ok := f.ChunkOffset(c.GetNumber())
+	return ok || f.Sealed
+}
+
+func (o *Owner) fileOf(workspace string, file []byte) *batch.File {
+	id, _ := fileID(file)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	f := o.part.File(id)
+	if f == nil || f.Workspace != workspace {
+		return nil
+	}
+	return f
+}
+
+func (o *Owner) sealFile(ctx context.Context, s *wire.SealFile) (*wire.PeerReply, error) {
+	if f := o.fileOf(s.GetWorkspace(), s.GetFile()); f != nil && f.Sealed {
+		return &wire.PeerReply{}, nil
+	}
+	if err := o.commit(ctx, &wire.Entry{Kind: &wire.Entry_Seal{Seal: s}}); err != nil {
+		return nil, err
+	}
+	if f := o.fileOf(s.GetWorkspace(), s.GetFile()); f == nil || !f.Sealed {
+		return nil, apierr.New(apierr.CodeBadRequest, "chunks of the file are missing")
+	}
+	return &wire.PeerReply{}, nil
+}
+
+// commitJob accepts a job. The caller is told only what was read back: the job
+// that stands under the key, which is this one or the same one sent before.
+func (o *Owner) commitJob(ctx context.Context, c *wire.CommitJob) (*wire.PeerReply, error) {
+	id, ok := jobID(c.GetJob())
+	if !ok {
+		return nil, apierr.New(apierr.CodeBadRequest, "bad job id")
+	}
+	if o.job(id) == nil {
+		if f := o.fileOf(c.GetWorkspace(), c.GetFile()); f == nil || !f.Sealed {
+			return nil, apierr.New(apierr.CodeNotFound, "no such file")
+		}
+		if err := o.commit(ctx, &wire.Entry{Kind: &wire.Entry_Commit{Commit: c}}); err != nil {
+			return nil, err
+		}
+	}
+	j := o.job(id)
+	if j == nil {
+		return nil, notOwner()
+	}
+	if !batch.SameJob(j, c) {
+		return nil, apierr.New(apierr.CodeKeyConflict, "the idempotency key belongs to a job with another content")
+	}
+	return o.info(j), nil
+}
+
+func (o *Owner) job(id batch.JobID) *batch.Job {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.part.Job(id)
+}
+
+func (o *Owner) info(j *batch.Job) *wire.PeerReply {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return &wire.PeerReply{Job: j.Info(o.number)}
+}
+
+// jobOf finds a workspace's job. Another workspace's job is not found, so that
+// its existence is not told either.
+func (o *Owner) jobOf(workspace string, id []byte) (*batch.Job, error) {
+	key, _ := jobID(id)
+	j := o.job(key)
+	if j == nil || j.Commit.GetWorkspace() != workspace {
+		return nil, apierr.New(apierr.CodeNotFound, "no such batch")
+	}
+	return j, nil
+}
+
+func (o *Owner) getJob(g *wire.GetJob) (*wire.PeerReply, error) {
+	j, err := o.jobOf(g.GetWorkspace(), g.GetJob())
+	if err != nil {
+		return nil, err
+	}
+	reply := o.info(j)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if w := o.cancels[j.ID]; w != nil && !w.finished() {
+		reply.Job.State = StateCancelling
+	}
+	return reply, nil
+}
+
+// StateCancelling is told while agents have not yet confirmed a cancel.
+const StateCancelling = "cancelling"
+
+func (o *Owner) listJobs(l *wire.ListJobs) (*wire.PeerReply, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	reply := &wire.PeerReply{}
+	o.part.Jobs(func(j *batch.Job) bool {
+		if j.Commit.GetWorkspace() == l.GetWorkspace() {
+			reply.Jobs = append(reply.Jobs, j.Info(o.number))
+		}
+		return true
+	})
+	return reply, nil
+}
+
+// cancelWait tracks which agents have confirmed that nothing of a job runs or
+// will start there.
+type cancelWait struct {
+	open map[string]bool // agents that have not confirmed
+	done chan struct{}
+}
+
+func (w *cancelWait) confirm(agent string) {
+	if !w.open[agent] {
+		return
+	}
+	delete(w.open, agent)
+	if len(w.open) == 0 {
+		close(w.done)
+	}
+}
+
+func (w *cancelWait) finished() bool {
+	return len(w.open) == 0
+}
+
+// cancelPatience is how long a cancel waits for agents before it answers
+// "cancelling".
+const cancelPatience = 2 * time.Second
+
+// cancelJob stops a job. "cancelled" is told only when the record was read back
+// and every agent has confirmed that nothing of the job runs or will start; until
+// then the answer is "cancelling".
+func (o *Owner) cancelJob(ctx context.Context, c *wire.CancelJob) (*wire.PeerReply, error) {
+	j, err := o.jobOf(c.GetWorkspace(), c.GetJob())
+	if err != nil {
+		return nil, err
+	}
+	if o.stateOf(j) == batch.JobRunning {
+		if err := o.commit(ctx, &wire.Entry{Kind: &wire.Entry_Cancel{Cancel: c}}); err != nil {
+			return nil, err
+		}
+	}
+	if o.stateOf(j) == batch.JobCancelled {
+		o.awaitStop(ctx, j.ID)
+	}
+	return o.getJob(&wire.GetJob{Workspace: c.GetWorkspace(), Job: c.GetJob()})
+}
+
+func (o *Owner) stateOf(j *batch.Job) batch.JobState {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return j.State()
+}
+
+func (o *Owner) awaitStop(ctx context.Context, id batch.JobID) {
+	w := o.startCancel(id)
+	timer := time.NewTimer(cancelPatience)
+	defer timer.Stop()
+	select {
+	case <-w.done:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// startCancel tells every agent. Agents that are away but not given up count as
+// open: they may hold items that their lease still lets start.
+func (o *Owner) startCancel(id batch.JobID) *cancelWait {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if w := o.cancels[id]; w != nil {
+		return w
+	}
+	w := &cancelWait{open: make(map[string]bool), done: make(chan struct{})}
+	o.cancels[id] = w
+	for agent, f := range o.feeds {
+		w.open[agent] = true
+		f.cancelled(o.jobRef(id))
+	}
+	for agent := range o.lost {
+		w.open[agent] = true
+	}
+	if len(w.open) == 0 {
+		close(w.done)
+	}
+	return w
+}
+
+func (o *Owner) jobRef(id batch.JobID) *wire.JobRef {
+	return &wire.JobRef{Partition: o.number, Epoch: o.epoch, Job: append([]byte(nil), id[:]...)}
+}
+
+// confirmStop takes an agent's word that nothing of a job runs there. Owner.mu
+// must be held.
+func (o *Owner) confirmStop(agent string, ref *wire.JobRef) {
+	id, ok := jobID(ref.GetJob())
+	if !ok || ref.GetPartition() != o.number {
+		return
+	}
+	if w := o.cancels[id]; w != nil {
+		w.confirm(agent)
+	}
+}
+
+// maxResultPage bounds the items in one page of results.
+const maxResultPage = 1000
+
+// readResults returns outcomes in the caller's order. Items without one are left
+// out, so that results are readable while the job still runs.
+func (o *Owner) readResults(ctx context.Context, r *wire.ReadResults) (*wire.PeerReply, error) {
+	j, err := o.jobOf(r.GetWorkspace(), r.GetJob())
+	if err != nil {
+		return nil, err
+	}
+	limit := r.GetLimit()
+	if limit == 0 || limit > maxResultPage {
+		limit = maxResultPage
+	}
+	o.mu.Lock()
+	to := min(r.GetFrom()+limit, j.Total)
+	offsets := j.SpansFor(r.GetFrom(), to)
+	states := make(map[uint32]string)
+	for index := r.GetFrom(); index < to; index++ {
+		if s := j.ItemState(index); s != "pending" {
+			states[index] = s
+		}
+	}
+	o.mu.Unlock()
+	outcomes, err := o.outcomes(ctx, j.ID, offsets, r.GetFrom(), to)
+	if err != nil {
+		return nil, err
+	}
+	page := &wire.ResultPage{Next: to, More: to < j.Total}
+	for index := r.GetFrom(); index < to; index++ {
+		state, ok := states[index]
+		if !ok {
+			continue
+		}
+		line, err := o.resultLine(ctx, j, index, state, outcomes[index])
+		if err != nil {
+			return nil, err
+		}
+		page.Lines = append(page.Lines, line)
+	}
+	return &wire.PeerReply{Results: page}, nil
+}
+
+// outcomes reads the records that hold results. Of several outcomes of an item
+// the first one counts, as in the fold.
+func (o *Owner) outcomes(ctx context.Context, id batch.JobID, offsets []uint64, from, to uint32) (map[uint32]*wire.Outcome, error) {
+	out := make(map[uint32]*wire.Outcome)
+	seen := make(map[uint64]bool)
+	for _, off := range offsets {
+		if seen[off] {
+			continue
+		}
+		seen[off] = true
+		data, err := readOne(ctx, o.cfg.Log, StreamName(o.number), off)
+		if err != nil {
+			return nil, err
+		}
+		for _, oc := range batch.OutcomesIn(data, id) {
+			if oc.GetIndex() < from || oc.GetIndex() >= to || out[oc.GetIndex()] != nil {
+				continue
+			}
+			out[oc.GetIndex()] = oc
+		}
+	}
+	return out, nil
+}
+
+func (o *Owner) resultLine(ctx context.Context, j *batch.Job, index uint32, state string, oc *wire.Outcome) (*wire.ResultLine, error) {
+	if oc == nil && state != "cancelled" {
+		return nil, apierr.New(apierr.CodeInternal, "result of item %d is not on the log", index)
+	}
+	line, err := o.line(ctx, j, index)
+	if err != nil {
+		return nil, err
+	}
+	customID := ""
+	if item, err := batch.ParseItem(line); err == nil {
+		customID = item.CustomID
+	}
+	return &wire.ResultLine{
+		Index:            index,
+		CustomId:         customID,
+		State:            state,
+		Reason:           oc.GetReason(),
+		Text:             oc.GetText(),
+		PromptTokens:     oc.GetPromptTokens(),
+		CompletionTokens: oc.GetCompletionTokens(),
+	}, nil
+}
+
+func (o *Owner) readFile(ctx context.Context, r *wire.ReadFile) (*wire.PeerReply, error) {
+	f := o.fileOf(r.GetWorkspace(), r.GetFile())
+	if f == nil || !f.Sealed {
+		return nil, apierr.New(apierr.CodeNotFound, "no such file")
+	}
+	o.mu.Lock()
+	page := &wire.FilePage{Chunks: f.Chunks(), TotalLines: f.Lines, Bytes: f.Bytes, Name: f.Name}
+	off, ok := f.ChunkOffset(r.GetChunk())
+	o.mu.Unlock()
+	if !ok {
+		return &wire.PeerReply{File: page}, nil
+	}
+	chunk, err := o.chunks.get(ctx, f.ID, r.GetChunk(), off)
+	if err != nil {
+		return nil, err
+	}
+	page.Lines = chunk.GetLines()
+	return &wire.PeerReply{File: page}, nil
+}
+
+// recordKey records that a keyed non-idempotent request is about to start, or
+// tells which request started under the key before.
+func (o *Owner) recordKey(ctx context.Context, k *wire.RecordKey) (*wire.PeerReply, error) {
+	var id batch.KeyID
+	if len(k.GetKey()) != len(id) {
+		return nil, apierr.New(apierr.CodeBadRequest, "bad key")
+	}
+	copy(id[:], k.GetKey())
+	if o.keyOf(id) == nil {
+		if err := o.commit(ctx, &wire.Entry{Kind: &wire.Entry_Key{Key: k}}); err != nil {
+			return nil, err
+		}
+	}
+	got := o.keyOf(id)
+	if got == nil {
+		return nil, notOwner()
+	}
+	if !bytes.Equal(got.GetDigest(), k.GetDigest()) {
+		return nil, apierr.New(apierr.CodeKeyConflict, "the idempotency key belongs to another request")
+	}
+	return &wire.PeerReply{Key: &wire.KeyReply{
+		Request: got.GetRequest(),
+		Agent:   got.GetAgent(),
+		First:   bytes.Equal(got.GetRequest(), k.GetRequest()),
+	}}, nil
+}
+
+func (o *Owner) keyOf(id batch.KeyID) *wire.RecordKey {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.part.Key(id)
+}
--- /dev/null
+++ b/link/link.go
@@ -0,0 +1,144 @@
+// Package link keeps yamux sessions between our processes and watches that they
+// are alive.
+//
+// A pair of processes keeps one session for each class of traffic, so that a
+// large batch result cannot stand before an online token. On every session the
+// dialling side sends a heartbeat at a fixed interval and the other side echoes
+// it with its own status. A session without heartbeats for SilentAfter is closed:
+// a connection can go silent for good while new ones work, and TCP alone would
+// notice only after many minutes.
+package link
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/yamux"
+
+	"pumiceford/journal"
+	"pumiceford/wire"
+)
+
+// Class is the kind of traffic on a session.
+type Class string
+
+// The classes.
+const (
+	Online  Class = "online"
+	Batch   Class = "batch"
+	Control Class = "control"
+)
+
+// Classes lists all classes.
+var Classes = []Class{Online, Batch, Control}
+
+// DialFunc connects to an address.
+type DialFunc func(ctx context.Context, addr string) (net.Conn, error)
+
+// Config says how a node keeps its sessions.
+type Config struct {
+	Node        string
+	Incarnation journal.Incarnation
+	TLS         *tls.Config // nil means plain connections, for loopback only
+	Dial        DialFunc    // nil means TCP
+
+	HeartbeatEvery time.Duration // interval of heartbeats, default 500 ms
+	SilentAfter    time.Duration // a session without heartbeats is closed after this, default 2 s
+	DialTimeout    time.Duration // default 2 s
+
+	// Status returns what this node says of itself on heartbeats.
+	Status func() *wire.NodeStatus
+	// OnStatus receives what a peer says of itself. The address is empty for
+	// peers that dialled us.
+	OnStatus func(addr string, st *wire.NodeStatus)
+	// Handle serves a stream that the peer opened. It may be nil.
+	Handle Handler
+}
+
+// Handler serves one stream. The stream is closed when it returns.
+type Handler func(ctx context.Context, class Class, call *wire.Call, st *Stream)
+
+// Defaults of Config.
+const (
+	DefaultHeartbeatEvery = 500 * time.Millisecond
+	DefaultSilentAfter    = 2 * time.Second
+	DefaultDialTimeout    = 2 * time.Second
+	helloTimeout          = 2 * time.Second
+)
+
+// ErrClosed says that the session or peer was closed.
+var ErrClosed = errors.New("link closed")
+
+func (c Config) withDefaults() Config {
+	if c.HeartbeatEvery == 0 {
+		c.HeartbeatEvery = DefaultHeartbeatEvery
+	}
+	if c.SilentAfter == 0 {
+		c.SilentAfter = DefaultSilentAfter
+	}
+	if c.DialTimeout == 0 {
+		c.DialTimeout = DefaultDialTimeout
+	}
+	if c.Dial == nil {
+		c.Dial = dialTCP
+	}
+	if c.Status == nil {
+		c.Status = func() *wire.NodeStatus { return &wire.NodeStatus{} }
+	}
+	if c.OnStatus == nil {
+		c.OnStatus = func(string, *wire.NodeStatus) {}
+	}
+	return c
+}
+
+func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", addr)
+}
+
+// Stream is one message stream in a session.
+type Stream struct {
+	conn *yamux.Stream
+	rd   *wire.Reader
+}
+
+func newStream(conn *yamux.Stream) *Stream {
+	return &Stream{conn: conn, rd: wire.NewReader(conn)}
+}
+
+// Send writes one message.
+func (s *Stream) Send(m wireMessage) error {
+	return wire.Write(s.conn, m)
+}
+
+// Recv reads the next message into m.
+func (s *Stream) Recv(m wireMessage) error {
+	return s.rd.Read(m)
+}
+
+// SetDeadline bounds all later reads and writes.
+func (s *Stream) SetDeadline(t time.Time) {
+	// yamux.Stream.SetDeadline never fails.
+	_ = s.conn.SetDeadline(t)
+}
+
+// Close closes both directions. A blocked Recv returns.
+func (s *Stream) Close() {
+	// Past this point nobody reads the stream, so a failed close changes nothing.
+	_ = s.conn.Close()
+	_ = s.conn.SetReadDeadline(time.Unix(1, 0))
+}
+
+func yamuxConfig() *yamux.Config {
+	cfg := yamux.DefaultConfig()
+	cfg.EnableKeepAlive = false // our own heartbeats also carry status
+	cfg.LogOutput = io.Discard  // session errors reach us through the streams
+	cfg.ConnectionWriteTimeout = 5 * time.Second
+	cfg.StreamOpenTimeout = 5 * time.Second
+	cfg.StreamCloseTimeout = 10 * time.Second
+	return cfg
+}
--- /dev/null
+++ b/online/answer.go
@@ -0,0 +1,100 @@
+// Package online holds the aggregates of an online request: the answer as it
+// grows at the agent, the same answer as it is put together at the entry, and the
+// request's life cycle.
+package online
+
+import (
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"pumiceford/wire"
+)
+
+// Answer is a growing answer at the agent. Frames are kept until the answer is
+// dropped, so that a reader who lost its connection continues where it was.
+type Answer struct {
+	id []byte
+
+	mu      sync.Mutex
+	frames  []*wire.Frame
+	digest  *xxhash.Digest
+	closed  bool
+	changed chan struct{} // closed when a frame is added
+	tokens  uint32
+}
+
+// NewAnswer returns an empty Answer for a request id.
+func NewAnswer(id []byte) *Answer {
+	return &Answer{id: id, digest: xxhash.New(), changed: make(chan struct{})}
+}
+
+// Add appends text.
+func (a *Answer) Add(text string, tokens uint32) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.closed {
+		return
+	}
+	// A hash in memory takes every write.
+	_, _ = a.digest.WriteString(text)
+	a.tokens += tokens
+	a.put(&wire.Frame{Kind: &wire.Frame_Piece{Piece: &wire.Piece{Text: []byte(text), Tokens: tokens}}})
+}
+
+// End closes a whole answer.
+func (a *Answer) End(end *wire.End) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.closed {
+		return
+	}
+	end.Count = uint64(len(a.frames))
+	end.Digest = a.digest.Sum64()
+	a.closed = true
+	a.put(&wire.Frame{Kind: &wire.Frame_End{End: end}})
+}
+
+// Fail closes an answer that will not be whole.
+func (a *Answer) Fail(f *wire.Failure) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.closed {
+		return
+	}
+	a.closed = true
+	a.put(&wire.Frame{Kind: &wire.Frame_Failure{Failure: f}})
+}
+
+func (a *Answer) put(f *wire.Frame) {
+	f.Id = a.id
+	f.Seq = uint64(len(a.frames))
+	a.frames = append(a.frames, f)
+	close(a.changed)
+	a.changed = make(chan struct{})
+}
+
+// From returns the frames from seq on, whether the answer is closed, and a
+// channel that is closed when there is more.
+func (a *Answer) From(seq uint64) (frames []*wire.Frame, closed bool, changed <-chan struct{}) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if seq < uint64(len(a.frames)) {
+		frames = a.frames[seq:len(a.frames):len(a.frames)]
+	}
+	return frames, a.closed, a.changed
+}
+
+// Closed reports whether the answer ended.
+func (a *Answer) Closed() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.closed
+}
+
+// Tokens returns how many tokens the answer has.
+func (a *Answer) Tokens() uint32 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.tokens
+}
--- /dev/null
+++ b/standin/hosts.go
@@ -0,0 +1,138 @@
+package standin
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"pumiceford/platform"
+)
+
+// HostList is a stand-in for the platform's lagging host list.
+type HostList struct {
+	lag time.Duration
+
+	mu   sync.Mutex
+	now  []platform.Host
+	past []hostsAt
+	down bool
+}
+
+type hostsAt struct {
+	at    time.Time
+	hosts []platform.Host
+}
+
+// NewHostList returns a list that shows changes lag later.
+func NewHostList(lag time.Duration, hosts ...platform.Host) *HostList {
+	return &HostList{lag: lag, now: hosts, past: []hostsAt{{hosts: hosts}}}
+}
+
+// Put adds or replaces a host.
+func (h *HostList) Put(host platform.Host) {
+	h.change(host.Name, &host)
+}
+
+// Remove takes a host off the list.
+func (h *HostList) Remove(name string) {
+	h.change(name, nil)
+}
+
+// SetDown switches an outage on or off.
+func (h *HostList) SetDown(down bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.down = down
+}
+
+func (h *HostList) change(name string, host *platform.Host) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var next []platform.Host
+	for _, old := range h.now {
+		if old.Name != name {
+			next = append(next, old)
+		}
+	}
+	if host != nil {
+		next = append(next, *host)
+	}
+	h.now = next
+	h.past = append(h.past, hostsAt{at: time.Now(), hosts: next})
+}
+
+// Hosts implements platform.HostList.
+func (h *HostList) Hosts(context.Context) ([]platform.Host, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.down {
+		return nil, platform.ErrUnavailable
+	}
+	for len(h.past) > 1 && time.Since(h.past[1].at) >= h.lag {
+		h.past = h.past[1:]
+	}
+	return append([]platform.Host(nil), h.past[0].hosts...), nil
+}
+
+// Weights is a stand-in for the platform's rate-limited weight store.
+type Weights struct {
+	BytesPerSecond int64
+	ModelBytes     int64
+
+	mu   sync.Mutex
+	free time.Time // when the store is free for the next fetch
+}
+
+// Fetch implements platform.WeightStore.
+func (w *Weights) Fetch(ctx context.Context, _, _ string) (int64, error) {
+	took := time.Duration(float64(w.ModelBytes) / float64(max(w.BytesPerSecond, 1)) * float64(time.Second))
+	w.mu.Lock()
+	start := time.Now()
+	if w.free.After(start) {
+		start = w.free
+	}
+	w.free = start.Add(took)
+	until := w.free
+	w.mu.Unlock()
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return 0, platform.ErrUnavailable
+	case <-timer.C:
+		return w.ModelBytes, nil
+	}
+}
+
+// Service is a stand-in for a plain service whose calls may not be repeated.
+type Service struct {
+	Delay time.Duration
+
+	mu    sync.Mutex
+	calls map[string]int // body -> calls
+}
+
+// Do makes one call. The reply names how often this body came.
+func (s *Service) Do(ctx context.Context, method, path string, body []byte) (int, string, []byte, error) {
+	s.mu.Lock()
+	if s.calls == nil {
+		s.calls = make(map[string]int)
+	}
+	s.calls[string(body)]++
+	s.mu.Unlock()
+	timer := time.NewTimer(s.Delay)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return 0, "", nil, ctx.Err()
+	case <-timer.C:
+	}
+	return 200, "application/json", []byte(`{"done":"` + method + " " + path + `"}`), nil
+}
+
+// Calls returns how often a body came.
+func (s *Service) Calls(body string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[body]
+}
--- /dev/null
+++ b/standin/http.go
@@ -0,0 +1,231 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/protocol/sse"
+	"github.com/cockroachdb/errors"
+
+	"pumiceford/engine"
+	"pumiceford/engine/enginehttp"
+	"pumiceford/httpx"
+	"pumiceford/platform"
+	"pumiceford/platform/platformhttp"
+)
+
+// MaxBody bounds the bodies that stand-ins take.
+const MaxBody = 8 << 20
+
+// RoutePlatform serves the log, the host list and the weight store.
+func RoutePlatform(h *server.Hertz, log *Log, hosts *HostList, weights *Weights) {
+	h.POST("/log/append", func(ctx context.Context, c *app.RequestContext) {
+		off, err := log.Append(ctx, c.Query("stream"), c.Request.Body())
+		if err != nil {
+			writeLogError(c, err)
+			return
+		}
+		httpx.WriteJSON(c, 200, platformhttp.AppendReply{Offset: off})
+	})
+	h.GET("/log/read", func(ctx context.Context, c *app.RequestContext) { serveRead(ctx, c, log) })
+	h.GET("/hosts", func(ctx context.Context, c *app.RequestContext) {
+		list, err := hosts.Hosts(ctx)
+		if err != nil {
+			writeLogError(c, err)
+			return
+		}
+		httpx.WriteJSON(c, 200, list)
+	})
+	h.PUT("/hosts", func(_ context.Context, c *app.RequestContext) {
+		var host platform.Host
+		if json.Unmarshal(c.Request.Body(), &host) != nil {
+			c.SetStatusCode(400)
+			return
+		}
+		hosts.Put(host)
+		httpx.WriteJSON(c, 200, host)
+	})
+	h.DELETE("/hosts/:name", func(_ context.Context, c *app.RequestContext) {
+		hosts.Remove(c.Param("name"))
+		httpx.WriteJSON(c, 200, struct{}{})
+	})
+	h.GET("/weights", func(ctx context.Context, c *app.RequestContext) {
+		n, err := weights.Fetch(ctx, c.Query("model"), c.Query("version"))
+		if err != nil {
+			writeLogError(c, err)
+			return
+		}
+		httpx.WriteJSON(c, 200, platformhttp.FetchReply{Bytes: n})
+	})
+	h.POST("/faults", func(_ context.Context, c *app.RequestContext) { serveFaults(c, log, hosts) })
+}
+
+// Faults switches faults of the platform's stand-ins.
+type Faults struct {
+	LogDown     bool    `json:"log_down"`
+	HostsDown   bool    `json:"hosts_down"`
+	SlowMs      int     `json:"slow_ms"`
+	LoseAnswers int     `json:"lose_answers"`
+	LostRate    float64 `json:"lost_rate"`
+	LateRate    float64 `json:"late_rate"`
+}
+
+func serveFaults(c *app.RequestContext, log *Log, hosts *HostList) {
+	var f Faults
+	if json.Unmarshal(c.Request.Body(), &f) != nil {
+		c.SetStatusCode(400)
+		return
+	}
+	log.SetDown(f.LogDown)
+	log.SetSlow(time.Duration(f.SlowMs) * time.Millisecond)
+	log.LoseAnswers(f.LoseAnswers)
+	log.SetFaultRates(f.LostRate, f.LateRate)
+	hosts.SetDown(f.HostsDown)
+	httpx.WriteJSON(c, 200, f)
+}
+
+func serveRead(ctx context.Context, c *app.RequestContext, log *Log) {
+	from, err1 := strconv.ParseUint(c.Query("from"), 10, 64)
+	size, err2 := strconv.Atoi(c.Query("max"))
+	wait, err3 := strconv.Atoi(c.Query("wait_ms"))
+	if err1 != nil || err2 != nil || err3 != nil {
+		c.SetStatusCode(400)
+		return
+	}
+	page, err := log.Read(ctx, c.Query("stream"), from, size, time.Duration(wait)*time.Millisecond)
+	if err != nil {
+		writeLogError(c, err)
+		return
+	}
+	reply := platformhttp.ReadReply{Earliest: page.Earliest, Tail: page.Tail}
+	for _, r := range page.Records {
+		reply.Records = append(reply.Records, platformhttp.WireRecord{Offset: r.Offset, TimeMs: r.Time.UnixMilli(), Data: r.Data})
+	}
+	httpx.WriteJSON(c, 200, reply)
+}
+
+func writeLogError(c *app.RequestContext, err error) {
+	var throttled *platform.ThrottledError
+	var trimmed *platform.TrimmedError
+	switch {
+	case errors.Is(err, platform.ErrTooLarge):
+		httpx.WriteJSON(c, 413, platformhttp.ErrorReply{Code: platformhttp.CodeTooLarge})
+	case errors.As(err, &throttled):
+		httpx.WriteJSON(c, 429, platformhttp.ErrorReply{Code: platformhttp.CodeThrottled, RetryAfterMs: throttled.RetryAfter.Milliseconds() + 1})
+	case errors.As(err, &trimmed):
+		httpx.WriteJSON(c, 410, platformhttp.ErrorReply{Code: platformhttp.CodeTrimmed, Earliest: trimmed.Earliest, Tail: trimmed.Tail})
+	default:
+		httpx.WriteJSON(c, 503, platformhttp.ErrorReply{Code: "unavailable"})
+	}
+}
+
+// engineServer serves one engine over HTTP.
+type engineServer struct {
+	e engine.Engine
+
+	mu      sync.Mutex
+	streams map[string]engine.Stream
+}
+
+// RouteEngine serves an engine over its OpenAI-compatible interface.
+func RouteEngine(h *server.Hertz, e *Engine) {
+	s := &engineServer{e: e, streams: make(map[string]engine.Stream)}
+	h.POST("/v1/completions", s.complete)
+	h.POST("/v1/requests/:id/cancel", s.cancel)
+	h.GET("/load", func(ctx context.Context, c *app.RequestContext) {
+		l, _ := e.Load(ctx)
+		httpx.WriteJSON(c, 200, l)
+	})
+	h.GET("/models", func(ctx context.Context, c *app.RequestContext) {
+		m, _ := e.Models(ctx)
+		httpx.WriteJSON(c, 200, m)
+	})
+	h.POST("/orders", func(ctx context.Context, c *app.RequestContext) {
+		var o engine.Order
+		if json.Unmarshal(c.Request.Body(), &o) != nil {
+			writeEngineError(c, engine.ErrRejected)
+			return
+		}
+		if err := e.Order(ctx, o); err != nil {
+			writeEngineError(c, err)
+			return
+		}
+		httpx.WriteJSON(c, 200, struct{}{})
+	})
+	h.POST("/crash", func(_ context.Context, c *app.RequestContext) {
+		e.Crash()
+		httpx.WriteJSON(c, 200, struct{}{})
+	})
+	h.GET("/runs", func(_ context.Context, c *app.RequestContext) { httpx.WriteJSON(c, 200, e.AllRuns()) })
+	h.GET("/stats", func(_ context.Context, c *app.RequestContext) { httpx.WriteJSON(c, 200, e.Stats()) })
+}
+
+func writeEngineError(c *app.RequestContext, err error) {
+	httpx.WriteJSON(c, 400, enginehttp.CompletionChunk{Error: &enginehttp.Error{Code: enginehttp.CodeFor(err), Message: err.Error()}})
+}
+
+func (s *engineServer) complete(ctx context.Context, c *app.RequestContext) {
+	var r enginehttp.CompletionRequest
+	if json.Unmarshal(c.Request.Body(), &r) != nil {
+		writeEngineError(c, engine.ErrRejected)
+		return
+	}
+	st, err := s.e.Generate(ctx, engine.Request{ID: r.RequestID, Model: r.Model, Prompt: r.Prompt, MaxTokens: r.MaxTokens, ResumeFrom: r.ResumeFrom})
+	if err != nil {
+		writeEngineError(c, err)
+		return
+	}
+	defer st.Cancel()
+	s.mu.Lock()
+	s.streams[r.RequestID] = st
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		delete(s.streams, r.RequestID)
+		s.mu.Unlock()
+	}()
+	s.pump(ctx, sse.NewWriter(c), st)
+}
+
+func (s *engineServer) pump(ctx context.Context, w *sse.Writer, st engine.Stream) {
+	for {
+		c, err := st.Next(ctx)
+		chunk := enginehttp.CompletionChunk{Choices: []enginehttp.Choice{{Text: c.Text, Tokens: c.Tokens, FinishReason: c.Finish}}}
+		if err != nil {
+			chunk = enginehttp.CompletionChunk{Error: &enginehttp.Error{Code: enginehttp.CodeFor(err), Message: err.Error()}}
+		} else if c.Finish != "" {
+			chunk.Usage = &enginehttp.Usage{PromptTokens: c.PromptTokens}
+		}
+		data, _ := json.Marshal(chunk)
+		if w.WriteEvent("", "", data) != nil || err != nil || c.Finish != "" {
+			return
+		}
+	}
+}
+
+func (s *engineServer) cancel(_ context.Context, c *app.RequestContext) {
+	s.mu.Lock()
+	st := s.streams[c.Param("id")]
+	s.mu.Unlock()
+	if st != nil {
+		st.Cancel()
+	}
+	httpx.WriteJSON(c, 200, struct{}{})
+}
+
+// RouteService serves a plain service.
+func RouteService(h *server.Hertz, svc *Service) {
+	h.Any("/*path", func(ctx context.Context, c *app.RequestContext) {
+		status, contentType, reply, err := svc.Do(ctx, string(c.Method()), string(c.Path()), c.Request.Body())
+		if err != nil {
+			c.SetStatusCode(503)
+			return
+		}
+		c.Data(status, contentType, reply)
+	})
+}
--- /dev/null
+++ b/standin/log.go
@@ -0,0 +1,300 @@
+// Package standin holds small models of the outside systems that pumiceford
+// meets: the log service, the host list, the weight store, the model engine and
+// a plain service. They serve tests, the development command and the experiment
+// tool. Faults are switched by settings and calls.
+package standin
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"pumiceford/platform"
+)
+
+// LogSettings shape a Log.
+type LogSettings struct {
+	RecordLimit      int           // bytes, default 1 MiB
+	AppendsPerSecond float64       // 0 means unlimited
+	Retention        time.Duration // records older than this are trimmed, 0 keeps all
+	RetainRecords    int           // at most this many records are kept in a stream, 0 keeps all
+	Latency          time.Duration // added to each call
+	Seed             uint64
+}
+
+// Log is an in-memory stand-in for the platform's log service. One mutex guards
+// all streams.
+type Log struct {
+	set LogSettings
+
+	mu       sync.Mutex
+	streams  map[string]*logStream
+	rng      *rand.Rand
+	down     bool
+	loseNext int     // answers to lose after the append took effect
+	dropNext int     // appends to lose before they take effect
+	loseRate float64 // share of answers lost
+	slow     time.Duration
+	late     []lateCopy // copies to land after the next append of their stream
+	lateRate float64
+	tokens   float64
+	filled   time.Time
+	appends  uint64
+	bytes    uint64
+}
+
+type lateCopy struct {
+	stream string
+	data   []byte
+}
+
+type logStream struct {
+	first   uint64 // offset of records[0]
+	records []platform.Record
+	changed chan struct{} // closed at the next append
+}
+
+// defaultRecordLimit is the record limit when settings give none.
+const defaultRecordLimit = 1 << 20
+
+// NewLog returns an empty log.
+func NewLog(set LogSettings) *Log {
+	if set.RecordLimit == 0 {
+		set.RecordLimit = defaultRecordLimit
+	}
+	return &Log{
+		set:     set,
+		streams: make(map[string]*logStream),
+		rng:     rand.New(rand.NewPCG(set.Seed, set.Seed)),
+		filled:  time.Now(),
+		tokens:  set.AppendsPerSecond,
+	}
+}
+
+// SetDown switches an outage on or off.
+func (l *Log) SetDown(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = down
+}
+
+// SetSlow adds a delay to each call.
+func (l *Log) SetSlow(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.slow = d
+}
+
+// LoseAnswers makes the next n appends take effect and then report an error.
+func (l *Log) LoseAnswers(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.loseNext = n
+}
+
+// DropAppends makes the next n appends report an error without effect.
+func (l *Log) DropAppends(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.dropNext = n
+}
+
+// SetFaultRates sets the share of appends whose answer is lost after the effect,
+// and the share of lost answers whose effect also repeats later as a late copy.
+func (l *Log) SetFaultRates(lost, late float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.loseRate = lost
+	l.lateRate = late
+}
+
+// Trim drops the records of a stream below an offset.
+func (l *Log) Trim(stream string, below uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stream(stream).trim(below)
+}
+
+// Counts returns how many appends took effect and their bytes.
+func (l *Log) Counts() (appends, bytes uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.appends, l.bytes
+}
+
+func (l *Log) stream(name string) *logStream {
+	s := l.streams[name]
+	if s == nil {
+		s = &logStream{changed: make(chan struct{})}
+		l.streams[name] = s
+	}
+	return s
+}
+
+func (s *logStream) tail() uint64 {
+	return s.first + uint64(len(s.records))
+}
+
+func (s *logStream) trim(below uint64) {
+	for len(s.records) > 0 && s.first < below {
+		s.records = s.records[1:]
+		s.first++
+	}
+}
+
+func (l *Log) delay(ctx context.Context) error {
+	l.mu.Lock()
+	d := l.set.Latency + l.slow
+	l.mu.Unlock()
+	if d == 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return platform.ErrUnavailable
+	case <-timer.C:
+		return nil
+	}
+}
+
+// Append implements platform.Log.
+func (l *Log) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
+	if err := l.delay(ctx); err != nil {
+		return 0, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return 0, platform.ErrUnavailable
+	}
+	if len(data) > l.set.RecordLimit {
+		return 0, platform.ErrTooLarge
+	}
+	if wait := l.throttle(); wait > 0 {
+		return 0, &platform.ThrottledError{RetryAfter: wait}
+	}
+	if l.dropNext > 0 {
+		l.dropNext--
+		return 0, platform.ErrUnavailable
+	}
+	off := l.add(stream, data)
+	l.landLate(stream)
+	if l.losesAnswer(stream, data) {
+		return 0, platform.ErrUnavailable
+	}
+	return off, nil
+}
+
+func (l *Log) losesAnswer(stream string, data []byte) bool {
+	lost := l.loseNext > 0 || (l.loseRate > 0 && l.rng.Float64() < l.loseRate)
+	if l.loseNext > 0 {
+		l.loseNext--
+	}
+	if lost && l.rng.Float64() < l.lateRate {
+		l.late = append(l.late, lateCopy{stream: stream, data: data})
+	}
+	return lost
+}
+
+// landLate lets the late copies of a stream land behind a newer record.
+func (l *Log) landLate(stream string) {
+	kept := l.late[:0]
+	for _, c := range l.late {
+		if c.stream == stream {
+			l.add(stream, c.data)
+			continue
+		}
+		kept = append(kept, c)
+	}
+	l.late = kept
+}
+
+func (l *Log) throttle() time.Duration {
+	rate := l.set.AppendsPerSecond
+	if rate <= 0 {
+		return 0
+	}
+	now := time.Now()
+	l.tokens = min(l.tokens+now.Sub(l.filled).Seconds()*rate, rate)
+	l.filled = now
+	if l.tokens < 1 {
+		return time.Duration((1 - l.tokens) / rate * float64(time.Second))
+	}
+	l.tokens--
+	return 0
+}
+
+func (l *Log) add(stream string, data []byte) uint64 {
+	s := l.stream(stream)
+	off := s.tail()
+	rec := platform.Record{Offset: off, Time: time.Now(), Data: append([]byte(nil), data...)}
+	s.records = append(s.records, rec)
+	l.retain(s)
+	l.appends++
+	l.bytes += uint64(len(data))
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return off
+}
+
+func (l *Log) retain(s *logStream) {
+	if n := l.set.RetainRecords; n > 0 && len(s.records) > n {
+		s.trim(s.tail() - uint64(n))
+	}
+	if l.set.Retention <= 0 {
+		return
+	}
+	horizon := time.Now().Add(-l.set.Retention)
+	for len(s.records) > 0 && s.records[0].Time.Before(horizon) {
+		s.trim(s.first + 1)
+	}
+}
+
+// Read implements platform.Log.
+func (l *Log) Read(ctx context.Context, stream string, from uint64, maxBytes int, wait time.Duration) (platform.Page, error) {
+	if err := l.delay(ctx); err != nil {
+		return platform.Page{}, err
+	}
+	deadline := time.NewTimer(wait)
+	defer deadline.Stop()
+	for {
+		page, changed, err := l.readNow(stream, from, maxBytes)
+		if err != nil || len(page.Records) > 0 || wait == 0 {
+			return page, err
+		}
+		select {
+		case <-ctx.Done():
+			return platform.Page{}, platform.ErrUnavailable
+		case <-deadline.C:
+			wait = 0
+		case <-changed:
+		}
+	}
+}
+
+func (l *Log) readNow(stream string, from uint64, maxBytes int) (platform.Page, <-chan struct{}, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return platform.Page{}, nil, platform.ErrUnavailable
+	}
+	s := l.stream(stream)
+	l.retain(s)
+	page := platform.Page{Earliest: s.first, Tail: s.tail()}
+	if from < s.first {
+		return page, nil, &platform.TrimmedError{Earliest: s.first, Tail: s.tail()}
+	}
+	size := 0
+	for off := from; off < s.tail(); off++ {
+		rec := s.records[off-s.first]
+		if size > 0 && size+len(rec.Data) > maxBytes {
+			break
+		}
+		size += len(rec.Data)
+		page.Records = append(page.Records, rec)
+	}
+	return page, s.changed, nil
+}
