Prove the ledger by drawn stories in virtual time

Cause of three faults that the stories found: (1) a partition that stopped and started again in one process numbered its records from 1 under the same incarnation, so every reader dropped its takeover as a copy and the partition stood still; (2) a call that timed out after a pause counted as a fault of the stream and stopped the partition; (3) items used up their attempts on a target whose engine was down and ended as failed.

Change: an incarnation for each run of a partition; a call's own time-out is no answer, not a fault; an engine that takes nothing is 'not run', and its target draws no batch for 300 ms. The configuration's writer lock became a semaphore.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -85,17 +85,18 @@
 
 // Admission is the decision state of one agent. It is not safe for concurrent use.
 type Admission struct {
-	set      Settings
-	online   *fairQueue
-	batch    *fairQueue
-	running  map[string]*Entry
-	nOnline  int
-	nBatch   int
-	blocks   int
-	alone    *Entry
-	steps    regression
-	arrivals arrivalRate
-	service  float64 // smoothed seconds an online entry runs
+	set       Settings
+	online    *fairQueue
+	batch     *fairQueue
+	running   map[string]*Entry
+	nOnline   int
+	nBatch    int
+	blocks    int
+	alone     *Entry
+	steps     regression
+	arrivals  arrivalRate
+	holdUntil time.Time
+	service   float64 // smoothed seconds an online entry runs
 }
 
 // New returns an Admission.
@@ -134,6 +135,11 @@
 	return true
 }
 
+// HoldBatch starts no batch entry before until.
+func (a *Admission) HoldBatch(until time.Time) {
+	a.holdUntil = until
+}
+
 // SetHarm changes the tolerated harm.
 func (a *Admission) SetHarm(harm float64) {
 	a.set.Harm = harm
@@ -254,6 +260,9 @@
 }
 
 func (a *Admission) startBatch(now time.Time, acts []Action) []Action {
+	if now.Before(a.holdUntil) {
+		return acts
+	}
 	limit := a.startLimit(now)
 	for a.batch.len() > 0 && a.nBatch < limit && a.alone == nil && a.online.len() == 0 {
 		e := a.batch.peek()
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -101,18 +101,19 @@
 	cfg Config
 	ctx context.Context
 
-	mu       sync.Mutex
-	adm      *admission.Admission
-	requests map[string]*request
-	tombs    map[string]tombstone
-	items    map[itemID]*item
-	parts    map[uint32]*partition
-	feeds    map[*feed]struct{}
-	heldSize int
-	rate     itemRate
-	leaving  bool // the process is stopping
-	drained  bool // operators want the host to leave
-	models   []string
+	mu        sync.Mutex
+	adm       *admission.Admission
+	requests  map[string]*request
+	tombs     map[string]tombstone
+	items     map[itemID]*item
+	parts     map[uint32]*partition
+	feeds     map[*feed]struct{}
+	heldSize  int
+	holdUntil time.Time // no batch before, because the engine took nothing
+	rate      itemRate
+	leaving   bool // the process is stopping
+	drained   bool // operators want the host to leave
+	models    []string
 
 	work chan task // started entries for the pool of workers
 	kick chan struct{}
--- a/agent/feed.go
+++ b/agent/feed.go
@@ -269,7 +269,8 @@
 // ReserveFor at the measured rate, shared among the owners that have a backlog.
 // It reports false while an earlier word still stands.
 func (a *Agent) want(f *feed) (uint32, bool) {
-	if a.closing() || a.heldSize >= a.cfg.MaxHeldBytes || a.cfg.Engine == nil {
+	held := a.heldSize >= a.cfg.MaxHeldBytes || time.Now().Before(a.holdUntil)
+	if a.closing() || held || a.cfg.Engine == nil {
 		return 0, true
 	}
 	if f.asked {
--- a/agent/item.go
+++ b/agent/item.go
@@ -221,6 +221,9 @@
 	if err != nil {
 		res = failedItem(err)
 	}
+	if res.GetNotRun() {
+		a.holdBatch(time.Now())
+	}
 	res.Ref = it.grant.GetRef()
 	it.result = res
 	it.state = itemDone
@@ -232,6 +235,17 @@
 	}
 }
 
+// engineHold is how long no batch item is started after the engine took nothing.
+const engineHold = 300 * time.Millisecond
+
+// holdBatch stops batch for a while. Without it a target whose engine is down
+// would draw items faster than any other, fail them all, and use up the attempts
+// of items that did nothing wrong.
+func (a *Agent) holdBatch(now time.Time) {
+	a.holdUntil = now.Add(engineHold)
+	a.adm.HoldBatch(a.holdUntil)
+}
+
 func failedItem(err error) *wire.ItemResult {
 	res := &wire.ItemResult{Reason: err.Error()}
 	switch {
@@ -239,7 +253,7 @@
 	case errors.Is(err, engine.ErrLost):
 		res.Retryable = true
 		res.TargetLost = true
-	case errors.Is(err, engine.ErrUnknownModel):
+	case errors.Is(err, engine.ErrUnknownModel), errors.Is(err, engine.ErrUnavailable):
 		res.NotRun = true
 	default:
 		res.Retryable = true
--- a/agent/request.go
+++ b/agent/request.go
@@ -356,6 +356,8 @@
 		return fail(apierr.CodeBadRequest, wire.Ran_RAN_NO)
 	case errors.Is(err, engine.ErrUnknownModel):
 		return fail(apierr.CodeUnknownModel, wire.Ran_RAN_NO)
+	case errors.Is(err, engine.ErrUnavailable):
+		return fail(apierr.CodeEngine, wire.Ran_RAN_NO)
 	case errors.Is(err, engine.ErrBusy):
 		return fail(apierr.CodeEngine, ran)
 	case errors.Is(err, engine.ErrLost):
--- a/config/follower.go
+++ b/config/follower.go
@@ -28,7 +28,7 @@
 	logger   logging.Logger
 	pollWait time.Duration
 
-	writeMu sync.Mutex // held by one writer at a time, before mu
+	writing chan struct{} // a semaphore of one, taken before mu; its holder waits for the log
 	stream  *journal.Stream
 
 	mu      sync.RWMutex
@@ -54,6 +54,7 @@
 		logger:   logger.Part("config"),
 		state:    NewState(bootstrap),
 		changed:  make(chan struct{}),
+		writing:  make(chan struct{}, 1),
 		pollWait: DefaultPollWait,
 	}
 	f.stream = journal.NewStream(log, StreamName, inc, 0, f.apply)
@@ -156,7 +157,7 @@
 	}
 }
 
-// poll reads from the log. The read waits without holding writeMu, so that a
+// poll reads from the log. The read waits without holding the writing semaphore, so that a
 // writer does not wait behind it.
 func (f *Follower) poll(ctx context.Context) error {
 	readCtx, cancel := context.WithTimeout(ctx, f.pollWait+f.stream.CallTimeout)
@@ -165,8 +166,8 @@
 	if err != nil {
 		return err
 	}
-	f.writeMu.Lock()
-	defer f.writeMu.Unlock()
+	f.writing <- struct{}{}
+	defer func() { <-f.writing }()
 	for _, rec := range page.Records {
 		f.apply(rec)
 	}
@@ -178,7 +179,7 @@
 
 const pollBytes = 1 << 20
 
-// catchup reads to the tail; writeMu must be held.
+// catchup reads to the tail; the writing semaphore must be held.
 func (f *Follower) catchup(ctx context.Context) error {
 	f.stream.Skip(f.Offset())
 	return f.stream.Catchup(ctx)
@@ -305,8 +306,8 @@
 // WriteSnapshot appends the present state, so that the records before it may be
 // trimmed. Any node may do it; two copies do no harm.
 func (f *Follower) WriteSnapshot(ctx context.Context) error {
-	f.writeMu.Lock()
-	defer f.writeMu.Unlock()
+	f.writing <- struct{}{}
+	defer func() { <-f.writing }()
 	f.mu.RLock()
 	next := f.state.Next()
 	data, err := f.state.Snapshot()
@@ -328,7 +329,7 @@
 	return nil
 }
 
-// write appends one entry and reads it back; writeMu must be held.
+// write appends one entry and reads it back; the writing semaphore must be held.
 func (f *Follower) write(ctx context.Context, entry *wire.Entry) error {
 	f.stream.Skip(f.Offset())
 	_, err := f.stream.Write(ctx, 0, []*wire.Entry{entry})
@@ -394,8 +395,8 @@
 	if err != nil {
 		return PlanView{}, apierr.New(apierr.CodeBadRequest, "intents: %v", err)
 	}
-	f.writeMu.Lock()
-	defer f.writeMu.Unlock()
+	f.writing <- struct{}{}
+	defer func() { <-f.writing }()
 	if err := f.catchup(ctx); err != nil {
 		return PlanView{}, logDown(false)
 	}
@@ -443,8 +444,8 @@
 // is returned as it is, so that a resend of a confirm whose answer was lost gets
 // the same answer. A plan that lost a race is a conflict.
 func (f *Follower) Confirm(ctx context.Context, op Operator, id PlanID, digest string) (PlanView, error) {
-	f.writeMu.Lock()
-	defer f.writeMu.Unlock()
+	f.writing <- struct{}{}
+	defer func() { <-f.writing }()
 	if err := f.catchup(ctx); err != nil {
 		return PlanView{}, logDown(false)
 	}
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -89,6 +89,9 @@
 	ErrRejected = errors.New("engine rejected the request")
 	// ErrBusy says that the engine failed for a reason that may pass.
 	ErrBusy = errors.New("engine failed, may be tried again")
+	// ErrUnavailable says that the engine takes nothing now. The request was not
+	// started.
+	ErrUnavailable = errors.New("engine unavailable")
 	// ErrLost says that the engine died; what it was running is gone.
 	ErrLost = errors.New("engine lost")
 	// ErrStaleFence says that the order carried an old fencing number.
--- a/engine/enginehttp/client.go
+++ b/engine/enginehttp/client.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/client"
@@ -78,6 +79,7 @@
 	CodeLost         = "lost"
 	CodeUnknownModel = "model_not_found"
 	CodeStaleFence   = "stale_fence"
+	CodeUnavailable  = "unavailable"
 )
 
 // ErrorFor maps a code to the failure of package engine.
@@ -87,6 +89,8 @@
 		return engine.ErrRejected
 	case CodeBusy:
 		return engine.ErrBusy
+	case CodeUnavailable:
+		return engine.ErrUnavailable
 	case CodeUnknownModel:
 		return engine.ErrUnknownModel
 	case CodeStaleFence:
@@ -102,6 +106,8 @@
 		return CodeRejected
 	case errors.Is(err, engine.ErrBusy):
 		return CodeBusy
+	case errors.Is(err, engine.ErrUnavailable):
+		return CodeUnavailable
 	case errors.Is(err, engine.ErrUnknownModel):
 		return CodeUnknownModel
 	case errors.Is(err, engine.ErrStaleFence):
@@ -126,6 +132,9 @@
 	req.SetBody(body)
 	err = c.http.Do(ctx, req, resp)
 	protocol.ReleaseRequest(req)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return nil, errors.Mark(err, engine.ErrUnavailable)
+	}
 	if err != nil {
 		// The engine may have received it before the connection broke.
 		return nil, errors.Mark(err, engine.ErrLost)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -122,7 +122,6 @@
 	e.follower = config.NewFollower(cfg.Log, cfg.Incarnation, cfg.Bootstrap, cfg.Logger)
 	e.follower.SetFetch(e.fetchConfig)
 	e.cfg.Ledger.Node = cfg.Name
-	e.cfg.Ledger.Incarnation = cfg.Incarnation
 	e.cfg.Ledger.Log = cfg.Log
 	e.cfg.Ledger.Share = e.share
 	e.cfg.Ledger.Log2 = cfg.Logger
--- /dev/null
+++ b/entry/world_test.go
@@ -0,0 +1,463 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"runtime"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pumiceford/admission"
+	"pumiceford/agent"
+	"pumiceford/batch"
+	"pumiceford/config"
+	"pumiceford/journal"
+	"pumiceford/ledger"
+	"pumiceford/link"
+	"pumiceford/logging"
+	"pumiceford/platform"
+	"pumiceford/standin"
+)
+
+// world holds entries and agents in one process on pipes, with faults at the
+// interfaces: connections, the log, the host list and the engines. It is driven
+// in virtual time.
+type world struct {
+	ctx   context.Context
+	end   context.CancelFunc
+	log   *standin.Log
+	hosts *standin.HostList
+	net   *pipeNet
+
+	mu      sync.Mutex
+	entries map[string]*worldEntry
+	agents  map[string]*worldAgent
+	engines map[string]*standin.Engine
+	service *standin.Service
+	set     worldSettings
+	wg      sync.WaitGroup
+}
+
+type worldSettings struct {
+	entries, agents int
+	partitions      uint32
+	log             standin.LogSettings
+	snapshotEvery   uint64
+	hostLag         time.Duration
+}
+
+type worldEntry struct {
+	*Entry
+	kill context.CancelFunc
+	host *pipeHost
+}
+
+type worldAgent struct {
+	*agent.Agent
+	kill context.CancelFunc
+	host *pipeHost
+}
+
+const worldModel = "fitting-3b"
+
+// verbose logs what entries do, for looking at one story.
+var verbose = false
+
+func worldLogger() logging.Logger {
+	if !verbose {
+		return logging.Logger{}
+	}
+	return logging.New(logging.Settings{Level: "debug"})
+}
+
+func newWorld(set worldSettings) *world {
+	ctx, end := context.WithCancel(context.Background())
+	w := &world{
+		ctx: ctx, end: end, set: set,
+		log:     standin.NewLog(set.log),
+		hosts:   standin.NewHostList(set.hostLag),
+		net:     &pipeNet{hosts: make(map[string]*pipeHost)},
+		entries: make(map[string]*worldEntry),
+		agents:  make(map[string]*worldAgent),
+		engines: make(map[string]*standin.Engine),
+		service: &standin.Service{Delay: 20 * time.Millisecond},
+	}
+	for n := range set.agents {
+		name := agentName(n)
+		w.engines[name] = standin.NewEngine(ctx, standin.EngineSettings{Models: []string{worldModel}, StepBase: 5 * time.Millisecond, MaxRunning: 4})
+		w.startAgent(name)
+	}
+	for n := range set.entries {
+		w.startEntry(entryName(n))
+	}
+	return w
+}
+
+func entryName(n int) string { return fmt.Sprintf("entry-%d", n) }
+func agentName(n int) string { return fmt.Sprintf("agent-%d", n) }
+
+func (w *world) linkConfig(h *pipeHost) link.Config {
+	return link.Config{
+		HeartbeatEvery: 200 * time.Millisecond,
+		SilentAfter:    time.Second,
+		Dial:           func(ctx context.Context, addr string) (net.Conn, error) { return w.net.dial(ctx, h, addr) },
+	}
+}
+
+func (w *world) startAgent(name string) {
+	ctx, kill := context.WithCancel(w.ctx)
+	host := w.net.up(name)
+	inc := journal.NewIncarnation()
+	a := agent.New(ctx, agent.Config{
+		Name: name, DataCentre: "caerdydd-a", Incarnation: inc, Engine: w.engines[name],
+		Services:  map[string]agent.Service{"stamps": w.service},
+		Admission: admission.Settings{Seats: 4, Harm: 0.1},
+	})
+	cfg := w.linkConfig(host)
+	cfg.Node, cfg.Incarnation, cfg.Status, cfg.Handle = name, inc, a.Status, a.Handle
+	w.wg.Go(func() { _ = link.Serve(ctx, host, cfg) })
+	w.agents[name] = &worldAgent{Agent: a, kill: kill, host: host}
+	w.hosts.Put(platform.Host{Name: name, Role: platform.RoleAgent, Addr: name, DataCentre: "caerdydd-a"})
+}
+
+func (w *world) startEntry(name string) {
+	ctx, kill := context.WithCancel(w.ctx)
+	host := w.net.up(name)
+	e := New(Config{
+		Name: name, DataCentre: "caerdydd-a", Incarnation: journal.NewIncarnation(),
+		Log: &gatedLog{log: w.log, host: host}, HostList: w.hosts, Link: w.linkConfig(host),
+		Bootstrap:  config.Operator{Name: "dev", Scope: config.ScopeFleet},
+		HostsEvery: 200 * time.Millisecond,
+		Logger:     worldLogger(),
+		Ledger: ledger.Config{
+			Partitions: w.set.partitions, ResultsEvery: 100 * time.Millisecond, SnapshotEvery: w.set.snapshotEvery,
+			Limits: batch.Limits{MaxAttempts: 4, MaxTargetLoss: 2, BackoffBase: 50 * time.Millisecond, BackoffMax: time.Second},
+		},
+	})
+	w.wg.Go(func() { _ = e.Run(ctx, host) })
+	w.mu.Lock()
+	w.entries[name] = &worldEntry{Entry: e, kill: kill, host: host}
+	w.mu.Unlock()
+	w.hosts.Put(hostOf(name))
+}
+
+// killEntry loses a host at once: its connections end before its code can say
+// anything, and the list drops it.
+func (w *world) killEntry(name string) {
+	w.mu.Lock()
+	e := w.entries[name]
+	delete(w.entries, name)
+	w.mu.Unlock()
+	if e == nil {
+		return
+	}
+	w.net.down(name)
+	e.kill()
+	w.hosts.Remove(name)
+}
+
+func (w *world) killAgent(name string) {
+	a := w.agents[name]
+	if a == nil {
+		return
+	}
+	delete(w.agents, name)
+	w.net.down(name)
+	a.kill()
+}
+
+// some returns a running entry, preferring one.
+func (w *world) some(n int) *worldEntry {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i := range w.set.entries {
+		if e := w.entries[entryName((n+i)%w.set.entries)]; e != nil && !e.host.isPaused() {
+			return e
+		}
+	}
+	return nil
+}
+
+func (w *world) close() {
+	w.net.healAll()
+	w.end()
+	w.net.closeAll()
+	w.wg.Wait()
+	// Virtual time stands still once the test function has returned; timers of
+	// what is winding down must fire before.
+	time.Sleep(time.Minute)
+}
+
+// gatedLog stops answering while its host is paused, before and after the call,
+// so that an append may take effect while its caller sleeps.
+type gatedLog struct {
+	log  platform.Log
+	host *pipeHost
+}
+
+func (g *gatedLog) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
+	g.host.gate()
+	off, err := g.log.Append(ctx, stream, data)
+	g.host.gate()
+	return off, err
+}
+
+func (g *gatedLog) Read(ctx context.Context, stream string, from uint64, maxBytes int, wait time.Duration) (platform.Page, error) {
+	g.host.gate()
+	p, err := g.log.Read(ctx, stream, from, maxBytes, wait)
+	g.host.gate()
+	return p, err
+}
+
+// pipeNet connects hosts by pipes.
+type pipeNet struct {
+	mu    sync.Mutex
+	hosts map[string]*pipeHost
+}
+
+// pipeHost is a host's listener and the switch of its faults.
+type pipeHost struct {
+	name string
+
+	mu     sync.Mutex
+	conns  map[*pipeConn]struct{}
+	accept chan net.Conn
+	closed chan struct{}
+	paused chan struct{} // closed when not paused
+	frozen bool
+}
+
+var errPipeDown = errors.New("host is down")
+
+func newPipeHost(name string) *pipeHost {
+	running := make(chan struct{})
+	close(running)
+	return &pipeHost{name: name, conns: make(map[*pipeConn]struct{}), accept: make(chan net.Conn), closed: make(chan struct{}), paused: running}
+}
+
+func (n *pipeNet) up(name string) *pipeHost {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	h := newPipeHost(name)
+	n.hosts[name] = h
+	return h
+}
+
+func (n *pipeNet) down(name string) {
+	n.mu.Lock()
+	h := n.hosts[name]
+	delete(n.hosts, name)
+	n.mu.Unlock()
+	if h != nil {
+		h.resume()
+		h.shut()
+	}
+}
+
+func (n *pipeNet) healAll() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, h := range n.hosts {
+		h.resume()
+	}
+}
+
+func (n *pipeNet) closeAll() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, h := range n.hosts {
+		h.shut()
+	}
+}
+
+// silence makes the open connections between two hosts silent for good. New
+// ones work.
+func (n *pipeNet) silence(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if h := n.hosts[a]; h != nil {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		for c := range h.conns {
+			if c.peer == b {
+				c.goSilent()
+			}
+		}
+	}
+}
+
+func (n *pipeNet) dial(ctx context.Context, from *pipeHost, addr string) (net.Conn, error) {
+	n.mu.Lock()
+	to := n.hosts[addr]
+	n.mu.Unlock()
+	if to == nil {
+		return nil, errPipeDown
+	}
+	a, b := net.Pipe()
+	quiet := make(chan struct{})
+	var once sync.Once
+	mute := func() { once.Do(func() { close(quiet) }) }
+	near := &pipeConn{Conn: a, host: from, peer: addr, quiet: quiet, mute: mute, closed: make(chan struct{})}
+	far := &pipeConn{Conn: b, host: to, peer: from.name, quiet: quiet, mute: mute, closed: make(chan struct{})}
+	select {
+	case to.accept <- far:
+	case <-to.closed:
+		return nil, errPipeDown
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	from.track(near)
+	to.track(far)
+	return near, nil
+}
+
+func (h *pipeHost) track(c *pipeConn) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	select {
+	case <-h.closed:
+		_ = c.Close()
+		return
+	default:
+	}
+	h.conns[c] = struct{}{}
+}
+
+func (h *pipeHost) shut() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	select {
+	case <-h.closed:
+	default:
+		close(h.closed)
+	}
+	for c := range h.conns {
+		_ = c.Close()
+	}
+}
+
+// Accept implements net.Listener.
+func (h *pipeHost) Accept() (net.Conn, error) {
+	select {
+	case c := <-h.accept:
+		return c, nil
+	case <-h.closed:
+		return nil, io.EOF
+	}
+}
+
+// Close implements net.Listener.
+func (h *pipeHost) Close() error {
+	h.shut()
+	return nil
+}
+
+// Addr implements net.Listener.
+func (h *pipeHost) Addr() net.Addr { return &net.UnixAddr{Name: h.name} }
+
+func (h *pipeHost) pause() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.frozen {
+		h.frozen = true
+		h.paused = make(chan struct{})
+	}
+}
+
+func (h *pipeHost) resume() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.frozen {
+		h.frozen = false
+		close(h.paused)
+	}
+}
+
+func (h *pipeHost) isPaused() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.frozen
+}
+
+// gate blocks while the host is paused.
+func (h *pipeHost) gate() {
+	h.mu.Lock()
+	p := h.paused
+	h.mu.Unlock()
+	<-p
+}
+
+// pipeConn is one end of a connection.
+type pipeConn struct {
+	net.Conn
+	host  *pipeHost
+	peer  string
+	quiet chan struct{} // closed when the connection is silent
+	mute  func()
+
+	once   sync.Once
+	closed chan struct{}
+}
+
+// gate blocks while the host is paused and the connection is open.
+func (c *pipeConn) gate() {
+	c.host.mu.Lock()
+	p := c.host.paused
+	c.host.mu.Unlock()
+	select {
+	case <-p:
+	case <-c.closed:
+	}
+}
+
+// Close implements net.Conn.
+func (c *pipeConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+func (c *pipeConn) goSilent() { c.mute() }
+
+// Read implements net.Conn.
+func (c *pipeConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.gate()
+	select {
+	case <-c.quiet:
+		if err == nil {
+			return c.Read(p)
+		}
+	default:
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *pipeConn) Write(p []byte) (int, error) {
+	c.gate()
+	select {
+	case <-c.quiet:
+		return len(p), nil
+	default:
+	}
+	return c.Conn.Write(p)
+}
+
+func hostOf(name string) platform.Host {
+	return platform.Host{Name: name, Role: platform.RoleEntry, Addr: name, DataCentre: "caerdydd-a"}
+}
+
+// bubble runs f in virtual time. yamux keeps timers in a pool of the whole
+// process, and a timer of one bubble must not be used in another: two collections
+// empty the pool. Tests in bubbles therefore never run in parallel.
+func bubble(t *testing.T, f func(*testing.T)) {
+	t.Helper()
+	runtime.GC()
+	runtime.GC()
+	synctest.Test(t, f)
+}
--- a/journal/writer.go
+++ b/journal/writer.go
@@ -78,6 +78,16 @@
 	s.failing.Store(err != nil && !isRefusal(err))
 }
 
+// unanswered turns the end of one call's own time into ErrUnavailable. A process
+// that was paused sees it although the log is well; taking it for a fault of the
+// stream would stop a partition for good.
+func unanswered(ctx context.Context, err error) error {
+	if err != nil && ctx.Err() == nil && errors.Is(err, context.DeadlineExceeded) {
+		return errors.Mark(err, platform.ErrUnavailable)
+	}
+	return err
+}
+
 // isRefusal reports whether the log answered, although with a refusal.
 func isRefusal(err error) bool {
 	var throttled *platform.ThrottledError
@@ -87,9 +97,10 @@
 
 // Poll reads once and applies what it got. It returns the tail that the log told.
 func (s *Stream) Poll(ctx context.Context, wait time.Duration) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, s.CallTimeout+wait)
+	short, cancel := context.WithTimeout(ctx, s.CallTimeout+wait)
 	defer cancel()
-	page, err := s.log.Read(ctx, s.name, s.next, readBytes, wait)
+	page, err := s.log.Read(short, s.name, s.next, readBytes, wait)
+	err = unanswered(ctx, err)
 	s.note(err)
 	if err != nil {
 		return 0, err
@@ -163,9 +174,10 @@
 }
 
 func (s *Stream) appendOnce(ctx context.Context, data []byte) error {
-	ctx, cancel := context.WithTimeout(ctx, s.CallTimeout)
+	short, cancel := context.WithTimeout(ctx, s.CallTimeout)
 	defer cancel()
-	_, err := s.log.Append(ctx, s.name, data)
+	_, err := s.log.Append(short, s.name, data)
+	err = unanswered(ctx, err)
 	s.note(err)
 	return err
 }
--- a/ledger/owner.go
+++ b/ledger/owner.go
@@ -23,10 +23,9 @@
 
 // Config says how partitions are run.
 type Config struct {
-	Node        string
-	Incarnation journal.Incarnation
-	Log         platform.Log
-	Partitions  uint32 // fixed when the streams are created
+	Node       string
+	Log        platform.Log
+	Partitions uint32 // fixed when the streams are created
 
 	// RecordLimit is the largest record that the log takes, default 1 MiB.
 	RecordLimit int
@@ -116,6 +115,7 @@
 // goroutine alone, which takes Owner.mu while it applies a record.
 type Owner struct {
 	cfg    Config
+	inc    journal.Incarnation // of this run
 	number uint32
 	stream *journal.Stream
 	log    logging.Logger
@@ -166,8 +166,12 @@
 // NewOwner returns an Owner for a partition. Run takes the partition over.
 func NewOwner(cfg Config, number uint32) *Owner {
 	cfg = cfg.withDefaults()
+	// Each run has an incarnation of its own. A second run in the same process
+	// numbers its records from 1 again; under the first run's incarnation every
+	// reader would drop them as copies, its takeover included.
 	return &Owner{
 		cfg:          cfg,
+		inc:          journal.NewIncarnation(),
 		number:       number,
 		log:          cfg.Log2.Part("ledger"),
 		feeds:        make(map[string]*feed),
@@ -278,7 +282,7 @@
 	o.mu.Lock()
 	o.part = part
 	o.mu.Unlock()
-	o.stream = journal.NewStream(o.cfg.Log, StreamName(o.number), o.cfg.Incarnation, part.Next(), o.apply)
+	o.stream = journal.NewStream(o.cfg.Log, StreamName(o.number), o.inc, part.Next(), o.apply)
 	return o.stream.Catchup(ctx)
 }
 
@@ -382,14 +386,14 @@
 	o.mu.Unlock()
 	claim := &wire.Entry{Kind: &wire.Entry_Takeover{Takeover: &wire.Takeover{
 		Owner:       o.cfg.Node,
-		Incarnation: o.cfg.Incarnation[:],
+		Incarnation: o.inc[:],
 	}}}
 	if _, err := o.stream.Write(ctx, epoch, []*wire.Entry{claim}); err != nil {
 		return err
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if !o.part.OwnedBy(o.cfg.Incarnation) || o.part.Epoch() != epoch {
+	if !o.part.OwnedBy(o.inc) || o.part.Epoch() != epoch {
 		return errSuperseded
 	}
 	o.epoch = epoch
@@ -409,7 +413,7 @@
 // owned reports whether this node still owns the partition as far as it has read.
 // Owner.mu must be held.
 func (o *Owner) owned() bool {
-	return o.epoch != 0 && o.part.Epoch() == o.epoch && o.part.OwnedBy(o.cfg.Incarnation)
+	return o.epoch != 0 && o.part.Epoch() == o.epoch && o.part.OwnedBy(o.inc)
 }
 
 // apply folds one record into the partition and the dispatcher.
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -172,7 +172,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if time.Now().Before(e.downTil) {
-		return nil, engine.ErrBusy
+		return nil, engine.ErrUnavailable
 	}
 	if !e.models[req.Model] {
 		return nil, engine.ErrUnknownModel
