Beat idle sessions seldom and tell a status once

Change: a session without streams beats every 2 s, one with streams every 500 ms and at once when a stream opens; a status is sent when it changed, or every fifth time. Routing drops an agent as soon as its session is lost; a start that was never sent goes elsewhere at once; idempotent requests resume elsewhere after 500 ms, others wait 3 s for their target.

--- a/agent/feed.go
+++ b/agent/feed.go
@@ -45,7 +45,7 @@
 }
 
 // feedInterval is the longest time between two messages to an owner.
-const feedInterval = 200 * time.Millisecond
+const feedInterval = time.Second
 
 // feedBatch is how long messages are gathered after the first of them.
 const feedBatch = 5 * time.Millisecond
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -39,9 +39,12 @@
 
 	// HostsEvery is the interval at which the host list is read, default 1 s.
 	HostsEvery time.Duration
-	// ReattachFor is how long an entry tries to reach an agent that holds an
-	// answer, default 3 s.
+	// ReattachFor is how long an entry tries to reach an agent that holds a
+	// non-idempotent request, default 3 s.
 	ReattachFor time.Duration
+	// ResumeAfter is the same for an idempotent request, which may go on at
+	// another agent, default 500 ms.
+	ResumeAfter time.Duration
 	// AgentsPerEntry bounds the agents that one entry talks to, default 64.
 	AgentsPerEntry int
 
@@ -53,6 +56,7 @@
 const (
 	defaultHostsEvery     = time.Second
 	defaultReattachFor    = 3 * time.Second
+	defaultResumeAfter    = 500 * time.Millisecond
 	defaultAgentsPerEntry = 64
 )
 
@@ -100,6 +104,9 @@
 	if cfg.ReattachFor == 0 {
 		cfg.ReattachFor = defaultReattachFor
 	}
+	if cfg.ResumeAfter == 0 {
+		cfg.ResumeAfter = defaultResumeAfter
+	}
 	if cfg.AgentsPerEntry == 0 {
 		cfg.AgentsPerEntry = defaultAgentsPerEntry
 	}
@@ -131,6 +138,7 @@
 	e.cfg.Link.Incarnation = cfg.Incarnation
 	e.cfg.Link.Status = e.status
 	e.cfg.Link.OnStatus = e.noteStatus
+	e.cfg.Link.OnLost = e.noteLost
 	e.cfg.Link.Handle = e.handle
 	return e
 }
@@ -227,11 +235,29 @@
 	}
 }
 
+// agentAt returns the name of the agent at an address. Entry.mu must be held.
+func (e *Entry) agentAt(addr string) string {
+	for name, n := range e.agents {
+		if n.host.Addr == addr {
+			return name
+		}
+	}
+	return ""
+}
+
+// noteLost takes an agent out of routing that cannot be reached.
+func (e *Entry) noteLost(addr string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.router.Lost(e.agentAt(addr))
+}
+
 // noteStatus takes what a peer said of itself on a heartbeat.
-func (e *Entry) noteStatus(_ string, st *wire.NodeStatus) {
+func (e *Entry) noteStatus(addr string, st *wire.NodeStatus) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if st.GetNode() == "" {
+	if st == nil {
+		e.router.Alive(time.Now(), e.agentAt(addr))
 		return
 	}
 	e.offsets[st.GetNode()] = st.GetConfigOffset()
--- a/entry/online.go
+++ b/entry/online.go
@@ -169,7 +169,7 @@
 // final turns the last failure into what the caller gets.
 func (r *run) final(err error) error {
 	fail := *apierr.From(err)
-	if errors.Is(err, errAgentGone) {
+	if errors.Is(err, errAgentGone) && fail.Ran != wire.Ran_RAN_NO {
 		fail = *apierr.Unknown(apierr.CodeOutcomeUnknown, "the target was lost while it had the request")
 	}
 	if r.sent && fail.Ran == wire.Ran_RAN_NO {
@@ -225,6 +225,10 @@
 // follow opens the answer with call and reads it to its end.
 func (a *attachment) follow(ctx context.Context, call *wire.Call) (*wire.End, error) {
 	lostAt := time.Time{}
+	patience := a.run.e.cfg.ReattachFor
+	if !a.run.req.NonIdempotent {
+		patience = a.run.e.cfg.ResumeAfter
+	}
 	for {
 		before := a.asm.Next()
 		err := a.read(ctx, call)
@@ -244,10 +248,14 @@
 		if ctx.Err() != nil {
 			return nil, a.giveUp(ctx)
 		}
+		var unsent *link.DialError
+		if call.GetStart() != nil && errors.As(err, &unsent) {
+			return nil, errors.Mark(apierr.New(apierr.CodeNotRun, "target not reached"), errAgentGone)
+		}
 		if lostAt.IsZero() {
 			lostAt = time.Now()
 		}
-		if time.Since(lostAt) > a.run.e.cfg.ReattachFor {
+		if time.Since(lostAt) > patience {
 			return nil, errors.Mark(apierr.Unknown(apierr.CodeOutcomeUnknown, "target not reached"), errAgentGone)
 		}
 		if !lostAt.IsZero() && a.asm.Next() == before {
--- a/ledger/feed.go
+++ b/ledger/feed.go
@@ -40,7 +40,7 @@
 
 // feedKeepalive is the longest time between two messages to an agent. It must
 // be well below the agent's LeaseFor.
-const feedKeepalive = 500 * time.Millisecond
+const feedKeepalive = time.Second
 
 // grantEvery is the interval at which an agent's wish is looked at while
 // nothing else wakes its feed.
--- a/link/link.go
+++ b/link/link.go
@@ -3,10 +3,11 @@
 //
 // A pair of processes keeps one session for each class of traffic, so that a
 // large batch result cannot stand before an online token. On every session the
-// dialling side sends a heartbeat at a fixed interval and the other side echoes
-// it with its own status. A session without heartbeats for SilentAfter is closed:
-// a connection can go silent for good while new ones work, and TCP alone would
-// notice only after many minutes.
+// dialling side sends heartbeats, often while streams are open and seldom
+// otherwise, and the other side echoes them with its own status. A session whose
+// heartbeat goes unanswered for SilentAfter is closed: a connection can go silent
+// for good while new ones work, and TCP alone would notice only after many
+// minutes.
 package link
 
 import (
@@ -46,15 +47,26 @@
 	TLS         *tls.Config // nil means plain connections, for loopback only
 	Dial        DialFunc    // nil means TCP
 
-	HeartbeatEvery time.Duration // interval of heartbeats, default 500 ms
-	SilentAfter    time.Duration // a session without heartbeats is closed after this, default 2 s
-	DialTimeout    time.Duration // default 2 s
+	// HeartbeatEvery is the interval of heartbeats on a session with open
+	// streams, default 500 ms.
+	HeartbeatEvery time.Duration
+	// IdleEvery is the interval on a session without, default 2 s. Idle sessions
+	// are most of the fleet's, and their heartbeats most of what control costs.
+	IdleEvery time.Duration
+	// SilentAfter is how long a heartbeat may go unanswered before the session
+	// is closed, default 2 s.
+	SilentAfter time.Duration
+	DialTimeout time.Duration // default 2 s
 
 	// Status returns what this node says of itself on heartbeats.
 	Status func() *wire.NodeStatus
 	// OnStatus receives what a peer says of itself. The address is empty for
 	// peers that dialled us.
+	// The status is nil when it is the one told before.
 	OnStatus func(addr string, st *wire.NodeStatus)
+	// OnLost is told the address of a peer that Keep holds a session to and that
+	// was lost or cannot be dialled.
+	OnLost func(addr string)
 	// Handle serves a stream that the peer opened. It may be nil.
 	Handle Handler
 }
@@ -65,11 +77,28 @@
 // Defaults of Config.
 const (
 	DefaultHeartbeatEvery = 500 * time.Millisecond
+	DefaultIdleEvery      = 2 * time.Second
 	DefaultSilentAfter    = 2 * time.Second
 	DefaultDialTimeout    = 2 * time.Second
 	helloTimeout          = 2 * time.Second
 )
 
+// DialError says that no session could be opened. Nothing was sent.
+type DialError struct {
+	Addr  string
+	Cause error
+}
+
+// Error implements error.
+func (e *DialError) Error() string {
+	return "no session to " + e.Addr + ": " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *DialError) Unwrap() error {
+	return e.Cause
+}
+
 // ErrClosed says that the session or peer was closed.
 var ErrClosed = errors.New("link closed")
 
@@ -77,6 +106,9 @@
 	if c.HeartbeatEvery == 0 {
 		c.HeartbeatEvery = DefaultHeartbeatEvery
 	}
+	if c.IdleEvery == 0 {
+		c.IdleEvery = DefaultIdleEvery
+	}
 	if c.SilentAfter == 0 {
 		c.SilentAfter = DefaultSilentAfter
 	}
@@ -89,6 +121,9 @@
 	if c.Status == nil {
 		c.Status = func() *wire.NodeStatus { return &wire.NodeStatus{} }
 	}
+	if c.OnLost == nil {
+		c.OnLost = func(string) {}
+	}
 	if c.OnStatus == nil {
 		c.OnStatus = func(string, *wire.NodeStatus) {}
 	}
--- a/link/peer.go
+++ b/link/peer.go
@@ -46,7 +46,7 @@
 func (p *Peer) Open(ctx context.Context, class Class, call *wire.Call) (*Stream, error) {
 	s, err := p.session(ctx, class)
 	if err != nil {
-		return nil, err
+		return nil, &DialError{Addr: p.addr, Cause: err}
 	}
 	return s.open(call)
 }
@@ -69,12 +69,14 @@
 	for ctx.Err() == nil && p.ctx.Err() == nil {
 		s, err := p.session(ctx, class)
 		if err != nil {
+			p.cfg.OnLost(p.addr)
 			sleep(ctx, pause)
 			continue
 		}
 		select {
 		case <-ctx.Done():
 		case <-s.mux.CloseChan():
+			p.cfg.OnLost(p.addr)
 		}
 	}
 }
@@ -133,7 +135,7 @@
 	}
 	s := newSession(p.cfg, class, p.addr, mux)
 	go s.closeWith(p.ctx)
-	go s.watch()
+	go s.watch(s.cfg.SilentAfter)
 	go s.beat()
 	go s.accept(p.ctx)
 	return s, nil
--- a/link/session.go
+++ b/link/session.go
@@ -20,13 +20,17 @@
 	class Class
 	addr  string // dialled address, empty on the accepting side
 	mux   *yamux.Session
-	heard atomic.Int64 // unix nanoseconds of the last heartbeat
+	wake  chan struct{} // a stream was opened: the next heartbeat is due now
+	// waiting is when the oldest unanswered heartbeat was sent, in Unix
+	// nanoseconds; 0 when none is. On the accepting side it is when the last
+	// heartbeat came.
+	waiting atomic.Int64
+	told    atomic.Pointer[wire.NodeStatus] // status sent last
+	untold  atomic.Int32                    // heartbeats since then
 }
 
 func newSession(cfg Config, class Class, addr string, mux *yamux.Session) *session {
-	s := &session{cfg: cfg, class: class, addr: addr, mux: mux}
-	s.heard.Store(time.Now().UnixNano())
-	return s
+	return &session{cfg: cfg, class: class, addr: addr, mux: mux, wake: make(chan struct{}, 1)}
 }
 
 func (s *session) close() {
@@ -53,11 +57,16 @@
 		st.Close()
 		return nil, err
 	}
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
 	return st, nil
 }
 
-// watch closes the session when heartbeats stay away.
-func (s *session) watch() {
+// watch closes the session when heartbeats stay away: on the dialling side when
+// one goes unanswered, on the accepting side when none comes.
+func (s *session) watch(allowed time.Duration) {
 	tick := time.NewTicker(s.cfg.HeartbeatEvery)
 	defer tick.Stop()
 	for {
@@ -66,8 +75,8 @@
 			return
 		case <-tick.C:
 		}
-		silent := time.Since(time.Unix(0, s.heard.Load()))
-		if silent > s.cfg.SilentAfter {
+		since := s.waiting.Load()
+		if since != 0 && time.Since(time.Unix(0, since)) > allowed {
 			s.close()
 			return
 		}
@@ -83,28 +92,60 @@
 	}
 	defer st.Close()
 	go s.readBeats(st)
-	tick := time.NewTicker(s.cfg.HeartbeatEvery)
-	defer tick.Stop()
 	for n := uint64(1); ; n++ {
+		s.waiting.CompareAndSwap(0, time.Now().UnixNano())
 		if st.Send(&wire.Heartbeat{Tick: n, Status: s.beatStatus()}) != nil {
 			s.close()
 			return
 		}
+		if !s.pauseBeat() {
+			return
+		}
+	}
+}
+
+// pauseBeat waits until the next heartbeat is due. It reports false when the
+// session has ended.
+func (s *session) pauseBeat() bool {
+	const ownStreams = 1 // the heartbeats' own
+	every := s.cfg.IdleEvery
+	if s.mux.NumStreams() > ownStreams {
+		every = s.cfg.HeartbeatEvery
+	}
+	timer := time.NewTimer(every)
+	defer timer.Stop()
+	for {
 		select {
 		case <-s.mux.CloseChan():
-			return
-		case <-tick.C:
+			return false
+		case <-timer.C:
+			return true
+		case <-s.wake:
+			if every == s.cfg.IdleEvery {
+				return true
+			}
 		}
 	}
 }
 
-// beatStatus returns the status to send. Only control sessions carry it, so
-// that its bytes are paid once for each pair of nodes.
+// tellAgain is how many heartbeats may go without the status when it has not
+// changed.
+const tellAgain = 5
+
+// beatStatus returns the status to send, nil when the peer has it already. Only
+// control sessions carry it, so that its bytes are paid once for each pair of
+// nodes.
 func (s *session) beatStatus() *wire.NodeStatus {
 	if s.class != Control {
 		return nil
 	}
-	return s.cfg.Status()
+	now := s.cfg.Status()
+	if last := s.told.Load(); last != nil && proto.Equal(last, now) && s.untold.Add(1) < tellAgain {
+		return nil
+	}
+	s.told.Store(now)
+	s.untold.Store(0)
+	return now
 }
 
 func (s *session) readBeats(st *Stream) {
@@ -113,14 +154,18 @@
 		if st.Recv(hb) != nil {
 			return
 		}
+		s.waiting.Store(0)
 		s.noteBeat(hb)
 	}
 }
 
 func (s *session) noteBeat(hb *wire.Heartbeat) {
-	s.heard.Store(time.Now().UnixNano())
 	if hb.GetStatus() != nil {
 		s.cfg.OnStatus(s.addr, hb.GetStatus())
+		return
+	}
+	if s.class == Control {
+		s.cfg.OnStatus(s.addr, nil)
 	}
 }
 
@@ -131,6 +176,7 @@
 		if st.Recv(hb) != nil {
 			return
 		}
+		s.waiting.Store(time.Now().UnixNano())
 		s.noteBeat(hb)
 		if st.Send(&wire.Heartbeat{Tick: hb.GetTick(), Status: s.beatStatus()}) != nil {
 			return
@@ -204,6 +250,7 @@
 	stop := context.AfterFunc(ctx, s.close)
 	defer stop()
 	defer s.close()
-	go s.watch()
+	s.waiting.Store(time.Now().UnixNano())
+	go s.watch(s.cfg.IdleEvery + s.cfg.SilentAfter)
 	s.accept(ctx)
 }
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -16,7 +16,8 @@
 // Settings shape a Router.
 type Settings struct {
 	DataCentre string // of this entry
-	// StatusFor is how long an agent's word counts, default 3 s.
+	// StatusFor is how long an agent's word counts, default 6 s: three
+	// heartbeats of an idle session.
 	StatusFor time.Duration
 	// LoadFactor bounds prefix affinity: an agent loaded more than this times
 	// the mean is passed over, default 1.25.
@@ -34,7 +35,7 @@
 
 func (s Settings) withDefaults() Settings {
 	if s.StatusFor == 0 {
-		s.StatusFor = 3 * time.Second
+		s.StatusFor = 6 * time.Second
 	}
 	if s.LoadFactor == 0 {
 		s.LoadFactor = 1.25
@@ -138,6 +139,21 @@
 	a.atReport = a.Outstanding
 }
 
+// Alive notes that an agent's last report still stands.
+func (r *Router) Alive(now time.Time, name string) {
+	if a := r.agents[name]; a != nil && !a.heard.IsZero() {
+		a.heard = now
+	}
+}
+
+// Lost notes that an agent cannot be reached. It gets nothing before it reports
+// again.
+func (r *Router) Lost(name string) {
+	if a := r.agents[name]; a != nil {
+		a.heard = time.Time{}
+	}
+}
+
 // Began counts a request sent to an agent.
 func (r *Router) Began(name string) {
 	if a := r.agents[name]; a != nil {
