--- a/ledger/dispatch.go
+++ b/ledger/dispatch.go
@@ -124,6 +124,7 @@
 		NonIdempotent: c.GetNonIdempotent(),
 		Attempt:       pick.Attempt,
 		Weight:        o.cfg.Share(c.GetWorkspace()),
+		CustomId:      item.CustomID,
 	}, nil
 }
 
--- a/ledger/maintain.go
+++ b/ledger/maintain.go
@@ -27,14 +27,34 @@
 	o.mu.Lock()
 	behind := o.part.Next() - o.snapAt
 	old := time.Since(o.snapTime) >= o.cfg.Retention/snapshotShare
+	asked := o.snapAsked
+	o.snapAsked = nil
 	o.mu.Unlock()
-	if behind < o.cfg.SnapshotEvery && !old {
+	if behind < o.cfg.SnapshotEvery && !old && len(asked) == 0 {
 		return nil
 	}
-	if err := o.carry(ctx); err != nil {
+	err := o.carry(ctx)
+	if err == nil {
+		err = o.snapshot(ctx)
+	}
+	for _, done := range asked {
+		done <- err
+	}
+	return err
+}
+
+// Snapshot writes a snapshot now and returns when it was read back.
+func (o *Owner) Snapshot(ctx context.Context) error {
+	done := make(chan error, 1)
+	o.mu.Lock()
+	o.snapAsked = append(o.snapAsked, done)
+	o.mu.Unlock()
+	select {
+	case err := <-done:
 		return err
+	case <-ctx.Done():
+		return ctx.Err()
 	}
-	return o.snapshot(ctx)
 }
 
 // snapshot appends the state in parts that fit the log's limit.
--- a/ledger/ops.go
+++ b/ledger/ops.go
@@ -366,13 +366,9 @@
 	if oc == nil && state != "cancelled" {
 		return nil, apierr.New(apierr.CodeInternal, "result of item %d is not on the log", index)
 	}
-	line, err := o.line(ctx, j, index)
-	if err != nil {
-		return nil, err
-	}
-	customID := ""
-	if item, err := batch.ParseItem(line); err == nil {
-		customID = item.CustomID
+	customID := oc.GetCustomId()
+	if customID == "" {
+		customID = o.customID(ctx, j, index)
 	}
 	return &wire.ResultLine{
 		Index:            index,
