Give the capacity page from measured slopes, and what it asked to be changed

Its first version showed turns and wake-ups that an idle owner pays for nothing, a host list of 80 KB read every second, and proposals worked out 320 times a second.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -105,6 +105,7 @@
 	adm       *admission.Admission
 	requests  map[string]*request
 	tombs     map[string]tombstone
+	tombsAt   time.Time // when they were looked through last
 	items     map[itemID]*item
 	parts     map[uint32]*partition
 	feeds     map[*feed]struct{}
@@ -166,8 +167,13 @@
 	}
 }
 
-// housekeepEvery is the interval of expiry, lease checks and model refresh.
-const housekeepEvery = 100 * time.Millisecond
+// Intervals of expiry, lease checks and model refresh.
+const (
+	housekeepEvery = 100 * time.Millisecond
+	// tombsEvery is the interval at which tombstones are looked through: there
+	// are thousands, and each stays for minutes.
+	tombsEvery = 10 * time.Second
+)
 
 func (a *Agent) loop() {
 	tick := time.NewTicker(housekeepEvery)
@@ -257,10 +263,9 @@
 func (a *Agent) housekeep(now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for id, t := range a.tombs {
-		if now.After(t.until) {
-			delete(a.tombs, id)
-		}
+	if now.Sub(a.tombsAt) >= tombsEvery {
+		a.tombsAt = now
+		maps.DeleteFunc(a.tombs, func(_ string, t tombstone) bool { return now.After(t.until) })
 	}
 	for id, r := range a.requests {
 		a.housekeepRequest(now, id, r)
--- a/bench/page.go
+++ b/bench/page.go
@@ -1,7 +1,9 @@
 package bench
 
 import (
+	"encoding/json"
 	"fmt"
+	"os"
 	"strings"
 )
 
@@ -26,6 +28,7 @@
 	letterFlush      = 6.0  // seconds between two appends of results of one owner
 	letterKeepDays   = 3.0  // results stay readable
 	letterCarryDays  = 0.5  // needed records are repeated at half of the retention
+	letterFollow     = 2.0  // seconds between two reads of an idle owner
 	letterPollEvery  = 5.0  // seconds, idle read of the config stream
 	letterHostsEvery = 2.0  // seconds, host list at an entry
 	letterFeedBytes  = 45.0 // bytes/s of an idle batch stream in one direction, derived from its messages
@@ -142,6 +145,7 @@
 		{"memory of a day's items", "5 M x item_done_memory", perOwner * c.per("item_done_memory"), "bytes", boundMemory},
 		{"memory of 3 days' items", "15 M x item_done_memory", perOwner * letterKeepDays * c.per("item_done_memory"), "bytes", boundMemory},
 		{"processor", "58 items/s x item_cpu", perOwner / secondsADay * c.per("item_cpu"), "core", boundCPU},
+		{"bytes of its reads of the log", "log_poll_bytes / 2 s", c.per("log_poll_bytes") / letterFollow, "bytes/s", 0},
 		{"snapshot of 3 days", "15 M x item_snapshot_bytes", perOwner * letterKeepDays * c.per("item_snapshot_bytes"), "bytes", 0},
 	}
 }
@@ -193,3 +197,49 @@
 		{"sessions dialled again after a data centre is lost and back", "940 / 8 hosts x 64", float64(LetterEntries+LetterAgents) / 8 * letterAgentsPer, "dials", 0},
 	}
 }
+
+// Marks around the tables in the page.
+const (
+	pageBegin = "<!-- tables: begin, written by pumice-bench page -->\n"
+	pageEnd   = "<!-- tables: end -->\n"
+)
+
+// LoadCapacity reads recorded slopes.
+func LoadCapacity(path string) (Capacity, error) {
+	var c Capacity
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return c, err
+	}
+	return c, json.Unmarshal(data, &c)
+}
+
+// splitPage returns what stands before, between and after the marks.
+func splitPage(page string) (before, tables, after string, err error) {
+	before, rest, ok := strings.Cut(page, pageBegin)
+	if !ok {
+		return "", "", "", &FailedError{What: "the page has no mark where its tables begin"}
+	}
+	tables, after, ok = strings.Cut(rest, pageEnd)
+	if !ok {
+		return "", "", "", &FailedError{What: "the page has no mark where its tables end"}
+	}
+	return before, tables, after, nil
+}
+
+// UpdatePage writes the page's tables from recorded slopes.
+func UpdatePage(slopes, page string) error {
+	c, err := LoadCapacity(slopes)
+	if err != nil {
+		return err
+	}
+	text, err := os.ReadFile(page)
+	if err != nil {
+		return err
+	}
+	before, _, after, err := splitPage(string(text))
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(page, []byte(before+pageBegin+c.Page()+pageEnd+after), 0o644)
+}
--- a/cmd/pumice-bench/main.go
+++ b/cmd/pumice-bench/main.go
@@ -23,8 +23,14 @@
 	JSON bool `arg:"--json"`
 }
 
+type pageCmd struct {
+	Slopes string `arg:"--slopes" default:"docs/capacity.json" help:"slopes of the last recorded run"`
+	Page   string `arg:"--page" default:"docs/CAPACITY.md" help:"page whose tables are written anew"`
+}
+
 type args struct {
 	Ledger   *ledgerCmd   `arg:"subcommand:ledger" help:"the batch ledger against a naive one"`
+	Page     *pageCmd     `arg:"subcommand:page" help:"write the capacity page's tables from recorded slopes"`
 	Capacity *capacityCmd `arg:"subcommand:capacity" help:"slopes of state, bytes, CPU and memory for each role"`
 }
 
@@ -43,6 +49,9 @@
 		if a.Ledger != nil {
 			return runLedger(ctx, a.Ledger)
 		}
+		if a.Page != nil {
+			return bench.UpdatePage(a.Page.Slopes, a.Page.Page)
+		}
 		return runCapacity(ctx, a.Capacity)
 	})
 }
--- a/ledger/feed.go
+++ b/ledger/feed.go
@@ -47,10 +47,6 @@
 // be well below the agent's LeaseFor.
 const feedKeepalive = time.Second
 
-// grantEvery is the interval at which an agent's wish is looked at while
-// nothing else wakes its feed.
-const grantEvery = 20 * time.Millisecond
-
 // Attach serves the batch stream to an agent until it ends.
 func (o *Owner) Attach(ctx context.Context, agent string, st Stream) {
 	f := &feed{
@@ -133,7 +129,7 @@
 // run sends messages: grants, acknowledgements, cancels, and the epoch that
 // keeps the agent's lease.
 func (f *feed) run(ctx context.Context) {
-	tick := time.NewTicker(grantEvery)
+	tick := time.NewTicker(feedKeepalive)
 	defer tick.Stop()
 	var sent time.Time
 	for {
@@ -141,7 +137,7 @@
 		m := f.take()
 		m.Grants = grants
 		idle := len(grants) == 0 && len(m.Durable) == 0 && len(m.Cancelled) == 0
-		if !idle || time.Since(sent) >= feedKeepalive {
+		if !idle || time.Since(sent) >= feedKeepalive/2 {
 			if !f.owner.stamp(m) || f.st.Send(m) != nil {
 				return
 			}
--- a/ledger/maintain.go
+++ b/ledger/maintain.go
@@ -49,6 +49,7 @@
 	o.mu.Lock()
 	o.snapAsked = append(o.snapAsked, done)
 	o.mu.Unlock()
+	o.wake()
 	select {
 	case err := <-done:
 		return err
--- a/ledger/manager.go
+++ b/ledger/manager.go
@@ -21,10 +21,14 @@
 	mu      sync.Mutex
 	entries []string // live entries that are not leaving, sorted
 	alive   []string // all live entries
-	owners  map[uint32]*running
-	since   map[uint32]time.Time // when this node was first proposed
-	leaving bool
-	onOwner func(ctx context.Context, o *Owner)
+	// proposed is the owner of each partition by rendezvous hashing over
+	// entries, worked out when they change: with 340 entries it takes too long
+	// to be done at every turn.
+	proposed []string
+	owners   map[uint32]*running
+	since    map[uint32]time.Time // when this node was first proposed
+	leaving  bool
+	onOwner  func(ctx context.Context, o *Owner)
 }
 
 type running struct {
@@ -52,7 +56,14 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.alive = slices.Clone(alive)
+	if slices.Equal(m.entries, staying) && m.proposed != nil {
+		return
+	}
 	m.entries = staying
+	m.proposed = make([]string, m.cfg.Partitions)
+	for p := range m.proposed {
+		m.proposed[p] = routing.Best(staying, uint64(p)+1)
+	}
 }
 
 // Proposed returns the entry that should own a partition, empty when there is none.
@@ -63,11 +74,10 @@
 }
 
 func (m *Manager) proposedLocked(partition uint32) string {
-	top := routing.Top(m.entries, uint64(partition)+1, 1)
-	if len(top) == 0 {
+	if int(partition) >= len(m.proposed) {
 		return ""
 	}
-	return top[0]
+	return m.proposed[partition]
 }
 
 // Owner returns the running owner of a partition, nil when another node should
--- a/ledger/owner.go
+++ b/ledger/owner.go
@@ -442,14 +442,21 @@
 	}
 }
 
+// idleTurn is how long the writer waits when nothing wakes it. Retries that
+// fall due, lost agents and snapshots are looked at then.
+const idleTurn = 100 * time.Millisecond
+
 // turn waits for something to do and does one round of the writer.
 func (o *Owner) turn(ctx context.Context) error {
-	timer := time.NewTimer(o.cfg.CommitEvery)
+	timer := time.NewTimer(idleTurn)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 		return ctx.Err()
 	case <-timer.C:
+	case <-o.signal:
+		// Records of other callers gather meanwhile.
+		pause(ctx, o.cfg.CommitEvery)
 	}
 	o.expireAgents(time.Now())
 	if err := o.flush(ctx); err != nil {
@@ -458,11 +465,35 @@
 	if err := o.maintain(ctx); err != nil {
 		return err
 	}
+	o.wakeFeeds()
 	return o.follow(ctx)
 }
 
+// wake makes the writer take a turn.
+func (o *Owner) wake() {
+	select {
+	case o.signal <- struct{}{}:
+	default:
+	}
+}
+
+// wakeFeeds lets agents that asked have what has come up.
+func (o *Owner) wakeFeeds() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.disp.Backlog() == 0 {
+		return
+	}
+	for _, f := range o.feeds {
+		if f.want > 0 {
+			f.wake()
+		}
+	}
+}
+
 // followEvery is how often an idle owner looks for a takeover by another node.
-const followEvery = 500 * time.Millisecond
+// Agents refuse a superseded owner's grants meanwhile, by their epoch.
+const followEvery = 2 * time.Second
 
 // follow reads the stream now and then, so that a superseded owner notices.
 func (o *Owner) follow(ctx context.Context) error {
@@ -715,6 +746,7 @@
 	}
 	o.waiting = append(o.waiting, w)
 	o.mu.Unlock()
+	o.wake()
 	select {
 	case err := <-w.done:
 		return err
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -330,6 +330,17 @@
 	return out[:min(n, len(out))]
 }
 
+// Best returns the node of highest Score for a key, empty when there is none.
+func Best(nodes []string, key uint64) string {
+	best, score := "", uint64(0)
+	for _, n := range nodes {
+		if s := Score(n, key); best == "" || s > score || (s == score && n < best) {
+			best, score = n, s
+		}
+	}
+	return best
+}
+
 // PrefixBytes is how much of a prompt decides its affinity.
 const PrefixBytes = 256
 
