Say whether a request ran over all its targets, not only the last

Cause, found by drawn online stories: a request that ran on a target that was then lost was told as 'not run' when the next target refused it; and a keyed request was told as 'not run' while nobody could know whether an earlier call with its key had run.

Change: what is known of all tries is joined; a keyed call that cannot reach its key's partition or any target says 'unknown' and to send it again with the key.

--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -48,7 +48,7 @@
 func (r *run) keyed(ctx context.Context) (*wire.End, error) {
 	choice, ok := r.pick()
 	if !ok {
-		return nil, r.noTarget()
+		return nil, unsure(r.noTarget())
 	}
 	reply, err := r.recordKey(ctx, choice)
 	if err != nil {
@@ -81,15 +81,25 @@
 		}},
 	})
 	if err != nil {
-		// Nothing was sent to an agent, and this request's id never will be: a
-		// record that lands late only burns the key.
-		fail := *apierr.From(err)
-		fail.Ran = wire.Ran_RAN_NO
-		return nil, &fail
+		if apierr.Is(err, apierr.CodeKeyConflict) || apierr.Is(err, apierr.CodeBadRequest) {
+			return nil, err
+		}
+		return nil, unsure(err)
 	}
 	return reply.GetKey(), nil
 }
 
+// unsure is the truth of a refusal while nobody can tell who owns the key. This
+// call sent nothing to an agent and never will, but an earlier call with the same
+// key may have run. A caller who read "not run" might send its request under a
+// new key, and it would run twice.
+func unsure(err error) error {
+	fail := *apierr.From(err)
+	fail.Ran = wire.Ran_RAN_UNKNOWN
+	fail.Message += "; this call started nothing, one sent before with this key may have run: send it again with the same key"
+	return &fail
+}
+
 // digest identifies the content of the request.
 func (r *run) digest() []byte {
 	tokens := binary.BigEndian.AppendUint32(nil, r.req.MaxTokens)
--- a/entry/online.go
+++ b/entry/online.go
@@ -41,8 +41,8 @@
 	e         *Entry
 	req       *Request
 	sink      Sink
-	delivered uint32 // tokens given to the caller
-	sent      bool   // some bytes were given to the caller
+	delivered uint32   // tokens given to the caller
+	ran       wire.Ran // what is known of all tries so far
 	exclude   map[string]bool
 }
 
@@ -54,7 +54,7 @@
 func (e *Entry) Do(ctx context.Context, req *Request, sink Sink) (*wire.End, error) {
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
-	r := &run{e: e, req: req, sink: sink, exclude: make(map[string]bool)}
+	r := &run{e: e, req: req, sink: sink, exclude: make(map[string]bool), ran: wire.Ran_RAN_NO}
 	began := time.Now()
 	end, err := r.start(ctx)
 	e.cfg.Metrics.Observe("online_total", req.Workspace, time.Since(began))
@@ -113,6 +113,7 @@
 			return end, nil
 		}
 		last = err
+		r.ran = worse(r.ran, apierr.From(err).Ran)
 		r.exclude[choice.Name] = true
 		if !r.mayTryElsewhere(ctx, err) {
 			return nil, r.final(err)
@@ -172,16 +173,27 @@
 	if errors.Is(err, errAgentGone) && fail.Ran != wire.Ran_RAN_NO {
 		fail = *apierr.Unknown(apierr.CodeOutcomeUnknown, "the target was lost while it had the request")
 	}
-	if r.sent && fail.Ran == wire.Ran_RAN_NO {
-		// An earlier target gave part of the answer.
-		fail.Ran = wire.Ran_RAN_YES
-	}
+	// The last target may truly not have run it while an earlier one did. Without
+	// this the caller would be told "not run" after a run whose target was lost.
+	fail.Ran = worse(r.ran, fail.Ran)
 	if fail.Code == apierr.CodeEngine && fail.Ran == wire.Ran_RAN_UNKNOWN {
 		fail.Code = apierr.CodeOutcomeUnknown
 	}
 	return &fail
 }
 
+// worse joins what is known of two tries: one that ran outweighs one that may
+// have run, and that one outweighs one that did not.
+func worse(a, b wire.Ran) wire.Ran {
+	switch {
+	case a == wire.Ran_RAN_YES || b == wire.Ran_RAN_YES:
+		return wire.Ran_RAN_YES
+	case a == wire.Ran_RAN_UNKNOWN || b == wire.Ran_RAN_UNKNOWN:
+		return wire.Ran_RAN_UNKNOWN
+	}
+	return wire.Ran_RAN_NO
+}
+
 // at runs the request at one agent.
 func (r *run) at(ctx context.Context, c routing.Choice) (*wire.End, error) {
 	n := r.e.agent(c.Name)
@@ -306,9 +318,6 @@
 }
 
 func (a *attachment) deliver(p *wire.Piece) error {
-	if len(p.GetText()) > 0 {
-		a.run.sent = true
-	}
 	a.run.delivered += p.GetTokens()
 	return a.run.sink(p)
 }
--- /dev/null
+++ b/entry/online_fault_test.go
@@ -0,0 +1,220 @@
+package entry
+
+import (
+	"context"
+	"encoding/hex"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"pgregory.net/rapid"
+
+	"pumiceford/apierr"
+	"pumiceford/standin"
+	"pumiceford/wire"
+)
+
+// call is one caller's request and what it was told.
+type call struct {
+	id      uuid.UUID
+	prompt  string
+	tokens  uint32
+	service bool
+	nonIdem bool
+	key     string
+	got     strings.Builder
+	foreign bool // a piece did not continue the answer
+	err     *apierr.Error
+	done    bool
+}
+
+func (c *call) want() string {
+	if c.service {
+		return `{"done":"POST /stamp"}`
+	}
+	return standin.AnswerText(c.prompt, c.tokens)
+}
+
+// send runs a request through an entry and notes what the caller sees.
+func (w *world) send(c *call, through int) {
+	defer func() { c.done = true }()
+	e := w.some(through)
+	if e == nil {
+		c.err = apierr.New(apierr.CodeNotRun, "no entry")
+		return
+	}
+	req := &Request{
+		ID: c.id, Workspace: worldWorkspace.Name, Model: worldModel, Prompt: c.prompt, MaxTokens: c.tokens,
+		NonIdempotent: c.nonIdem, Key: c.key, Deadline: time.Now().Add(20 * time.Second),
+	}
+	if c.service {
+		req.Service, req.Method, req.Path, req.Body = "stamps", "POST", "/stamp", []byte(c.prompt)
+	}
+	ctx, cancel := context.WithCancel(w.ctx)
+	defer cancel()
+	_, err := e.Do(ctx, req, func(p *wire.Piece) error {
+		c.got.Write(p.GetText())
+		c.foreign = c.foreign || !strings.HasPrefix(c.want(), c.got.String())
+		return nil
+	})
+	if err != nil {
+		c.err = apierr.From(err)
+	}
+}
+
+// runsOfCall counts how often a request reached an engine or the service.
+func (w *world) runsOfCall(c *call) int {
+	if c.service {
+		return w.service.Calls(c.prompt)
+	}
+	n := 0
+	for _, e := range w.engines {
+		n += e.Runs(hex.EncodeToString(c.id[:]))
+	}
+	return n
+}
+
+// check compares what a caller was told with what happened.
+func (w *world) check(c *call) error {
+	runs := w.runsOfCall(c)
+	switch {
+	case !c.done:
+		return fmt.Errorf("request %s has no answer", c.prompt)
+	case c.foreign:
+		return fmt.Errorf("request %s got %q, which does not begin %q", c.prompt, c.got.String(), c.want())
+	case c.err == nil && c.got.String() != c.want():
+		return fmt.Errorf("request %s ended well with %d of %d bytes", c.prompt, c.got.Len(), len(c.want()))
+	case c.nonIdem && runs > 1:
+		return fmt.Errorf("non-idempotent request %s ran %d times", c.prompt, runs)
+	case c.err != nil && c.err.Ran == wire.Ran_RAN_NO && runs > 0:
+		return fmt.Errorf("request %s was told as not run (%v) and ran %d times", c.prompt, c.err, runs)
+	case c.err != nil && c.err.Ran == wire.Ran_RAN_YES && runs == 0:
+		return fmt.Errorf("request %s was told as run (%v) and never ran", c.prompt, c.err)
+	}
+	return nil
+}
+
+var onlineKinds = []string{
+	"ask", "ask", "ask", "ask once", "ask once", "stamp", "keyed stamp", "resend",
+	"kill entry", "restart entry", "pause entry", "resume entry",
+	"kill agent", "restart agent", "pause agent", "resume agent", "crash engine", "silence", "silence",
+	"leave agent", "log down", "log up", "lose answers",
+}
+
+// runOnlineStory plays drawn steps with callers beside them.
+func runOnlineStory(t *testing.T, steps []step) error {
+	var failure error
+	bubble(t, func(*testing.T) {
+		w := newWorld(worldSettings{entries: 2, agents: 3, partitions: 2, snapshotEvery: 100, hostLag: 300 * time.Millisecond})
+		defer w.close()
+		if failure = await(time.Minute, func() error { return w.configure(w.ctx) }); failure != nil {
+			return
+		}
+		time.Sleep(time.Second)
+		var calls []*call
+		var wg sync.WaitGroup
+		for _, s := range steps {
+			time.Sleep(s.After)
+			if c := w.newCall(s, calls); c != nil {
+				calls = append(calls, c)
+				wg.Go(func() { w.send(c, s.A) })
+				continue
+			}
+			w.playOnline(s)
+		}
+		w.heal()
+		wg.Wait()
+		time.Sleep(10 * time.Second)
+		for _, c := range calls {
+			if failure = w.check(c); failure != nil {
+				return
+			}
+		}
+	})
+	return failure
+}
+
+// newCall makes the request of a step, nil when the step is a fault.
+func (w *world) newCall(s step, calls []*call) *call {
+	n := len(calls)
+	c := &call{id: uuid.New(), prompt: fmt.Sprintf("question %d", n), tokens: uint32(1 + 20*s.B)}
+	switch s.Kind {
+	case "ask":
+	case "ask once":
+		c.nonIdem = true
+	case "stamp":
+		c.service, c.nonIdem = true, true
+	case "keyed stamp":
+		c.service, c.nonIdem, c.key = true, true, c.prompt
+	case "resend":
+		// The caller sends a keyed request once more, through whichever entry.
+		for _, old := range calls {
+			if old.key != "" {
+				c.service, c.nonIdem, c.key, c.prompt, c.tokens = true, true, old.key, old.prompt, old.tokens
+				return c
+			}
+		}
+		return nil
+	default:
+		return nil
+	}
+	return c
+}
+
+func (w *world) playOnline(s step) {
+	name := agentName(s.A % w.set.agents)
+	switch s.Kind {
+	case "pause agent":
+		if a := w.agents[name]; a != nil {
+			a.host.pause()
+		}
+	case "resume agent":
+		if a := w.agents[name]; a != nil {
+			a.host.resume()
+		}
+	case "leave agent":
+		a := w.agents[name]
+		if a == nil {
+			return
+		}
+		delete(w.agents, name)
+		a.host.resume()
+		w.wg.Go(func() {
+			ctx, cancel := context.WithTimeout(w.ctx, 30*time.Second)
+			defer cancel()
+			a.Leave(ctx)
+			time.Sleep(200 * time.Millisecond)
+			if w.agents[name] == nil {
+				w.net.down(name)
+			}
+			a.kill()
+		})
+	default:
+		var none []*worldJob
+		w.play(s, &none)
+	}
+}
+
+// Symptom of every fault caught here: a caller gets another's bytes, a truncated
+// answer that looks whole, "not run" for a request that ran, or a second run of a
+// request that may run once. The sequence is drawn: hosts killed, paused and
+// leaving, engines that crash, connections that go silent, resends through the
+// other entry, log outages.
+func TestOnlineStories(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
+			return step{
+				Kind:  rapid.SampledFrom(onlineKinds).Draw(t, "kind"),
+				A:     rapid.IntRange(0, 2).Draw(t, "a"),
+				B:     rapid.IntRange(0, 9).Draw(t, "b"),
+				After: drawDelay(t),
+			}
+		}), 1, 25).Draw(rt, "steps")
+		if err := runOnlineStory(t, steps); err != nil {
+			rt.Fatalf("%v\n%s", err, storyText(steps))
+		}
+	})
+}
