Make the test of full records fail on the old size

With 100 bytes of text the ids fitted into the slack of the envelope.

Change: short results, so that the ids are most of the record.

--- a/ledger/owner_test.go
+++ b/ledger/owner_test.go
@@ -35,7 +35,7 @@
 		up.Declared = []uint32{0}
 	}
 	for _, g := range m.GetGrants() {
-		up.Results = append(up.Results, &wire.ItemResult{Ref: g.GetRef(), Ok: true, Text: make([]byte, 100)})
+		up.Results = append(up.Results, &wire.ItemResult{Ref: g.GetRef(), Ok: true, Text: []byte("short")})
 	}
 	select {
 	case a.up <- up:
