--- /dev/null
+++ b/dev/openai_test.go
@@ -0,0 +1,242 @@
+package dev
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+
+	"pumiceford/apierr"
+	"pumiceford/client"
+	"pumiceford/entry"
+	"pumiceford/standin"
+)
+
+// bound is far above what any test here takes.
+const bound = 2 * time.Minute
+
+func startFleet(t *testing.T) (*Fleet, context.Context) {
+	t.Helper()
+	f, err := Start(Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), bound)
+	t.Cleanup(func() {
+		cancel()
+		if err := f.Stop(); err != nil {
+			t.Error(err)
+		}
+	})
+	if err := f.Setup(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.awaitTargets(ctx); err != nil {
+		t.Fatal(err)
+	}
+	return f, ctx
+}
+
+// awaitTargets waits until every entry answers.
+func (f *Fleet) awaitTargets(ctx context.Context) error {
+	for n := range f.Callers {
+		c, err := f.caller(n)
+		if err != nil {
+			return err
+		}
+		if err := retry(ctx, func() error {
+			return c.Stream(ctx, client.CompletionRequest{Model: Model, Prompt: "ready", MaxTokens: 1}, func(string) {})
+		}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// The official client drives the callers' interface unmodified.
+func TestOpenAIClient(t *testing.T) {
+	f, ctx := startFleet(t)
+	c := openai.NewClient(option.WithBaseURL(f.Callers[0]+"/v1/"), option.WithAPIKey(WorkspaceKey), option.WithMaxRetries(0))
+
+	models, err := c.Models.List(ctx)
+	if err != nil || len(models.Data) != 1 || models.Data[0].ID != Model {
+		t.Fatalf("models: %v %v", models, err)
+	}
+
+	chat := openai.ChatCompletionNewParams{
+		Model: Model, MaxTokens: openai.Int(12),
+		Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage("alteration slots on Friday?")},
+	}
+	want := standin.AnswerText("user: alteration slots on Friday?\n", 12)
+	whole, err := c.Chat.Completions.New(ctx, chat)
+	if err != nil || whole.Choices[0].Message.Content != want || whole.Usage.CompletionTokens != 12 {
+		t.Fatalf("chat: %v %v", whole, err)
+	}
+	stream := c.Chat.Completions.NewStreaming(ctx, chat)
+	acc := openai.ChatCompletionAccumulator{}
+	for stream.Next() {
+		acc.AddChunk(stream.Current())
+	}
+	if err := stream.Err(); err != nil || acc.Choices[0].Message.Content != want {
+		t.Fatalf("streamed chat: %q %v", acc.Choices[0].Message.Content, err)
+	}
+	done, err := c.Completions.New(ctx, openai.CompletionNewParams{
+		Model: openai.CompletionNewParamsModel(Model), MaxTokens: openai.Int(5),
+		Prompt: openai.CompletionNewParamsPromptUnion{OfString: openai.String("lace")},
+	})
+	if err != nil || done.Choices[0].Text != standin.AnswerText("lace", 5) {
+		t.Fatalf("completion: %v %v", done, err)
+	}
+	testOpenAIBatch(t, ctx, c)
+}
+
+func testOpenAIBatch(t *testing.T, ctx context.Context, c openai.Client) {
+	t.Helper()
+	file, err := c.Files.New(ctx, openai.FileNewParams{
+		File: openai.File(bytes.NewReader(batchFile("official", 30, map[int]bool{4: true})), "items.jsonl", "application/jsonl"), Purpose: openai.FilePurposeBatch,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	job, err := c.Batches.New(ctx, openai.BatchNewParams{
+		InputFileID: file.ID, Endpoint: openai.BatchNewParamsEndpointV1Completions, CompletionWindow: openai.BatchNewParamsCompletionWindow24h,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for job.Status != openai.BatchStatusCompleted {
+		time.Sleep(50 * time.Millisecond)
+		if job, err = c.Batches.Get(ctx, job.ID); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if job.RequestCounts.Completed != 29 || job.RequestCounts.Failed != 1 {
+		t.Fatalf("counts %+v", job.RequestCounts)
+	}
+	for id, want := range map[string]int{job.OutputFileID: 29, job.ErrorFileID: 1} {
+		reply, err := c.Files.Content(ctx, id)
+		if err != nil {
+			t.Fatal(err)
+		}
+		data, err := io.ReadAll(reply.Body)
+		if err != nil || len(lines(data)) != want {
+			t.Fatalf("%s holds %d lines: %v", id, len(lines(data)), err)
+		}
+	}
+	list, err := c.Batches.List(ctx, openai.BatchListParams{Limit: openai.Int(1)})
+	if err != nil || len(list.Data) != 1 || list.Data[0].ID != job.ID {
+		t.Fatalf("list: %v %v", list, err)
+	}
+	long, err := c.Files.New(ctx, openai.FileNewParams{
+		File: openai.File(bytes.NewReader(batchFile("stop", 3000, nil)), "long.jsonl", "application/jsonl"), Purpose: openai.FilePurposeBatch,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if job, err = c.Batches.New(ctx, openai.BatchNewParams{
+		InputFileID: long.ID, Endpoint: openai.BatchNewParamsEndpointV1Completions, CompletionWindow: openai.BatchNewParamsCompletionWindow24h,
+	}); err != nil {
+		t.Fatal(err)
+	}
+	if job, err = c.Batches.Cancel(ctx, job.ID); err != nil {
+		t.Fatal(err)
+	}
+	if job.Status != openai.BatchStatusCancelled && job.Status != openai.BatchStatusCancelling {
+		t.Fatalf("cancelled job is %s", job.Status)
+	}
+}
+
+// Every bad input gets its own typed error that says the request did not run.
+func TestBadInput(t *testing.T) {
+	f, ctx := startFleet(t)
+	c, err := f.caller(0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	stranger, err := client.New(f.Callers[0], "no such key")
+	if err != nil {
+		t.Fatal(err)
+	}
+	post := func(c *client.Client, path, body string, h ...client.Header) error {
+		_, err := c.Raw(ctx, http.MethodPost, path, "application/json", []byte(body), h...)
+		return err
+	}
+	upload := func(data string) error {
+		_, err := c.Upload(ctx, "f", []byte(data))
+		return err
+	}
+	item := `{"custom_id":"a","body":{"model":"renewal-7b","prompt":"p"}}`
+	cases := []struct {
+		name string
+		err  error
+		code apierr.Code
+	}{
+		{"empty body", post(c, "/v1/completions", ""), apierr.CodeBadRequest},
+		{"truncated", post(c, "/v1/completions", `{"model":"renewal-7b","prompt":"x`), apierr.CodeBadRequest},
+		{"wrong type", post(c, "/v1/completions", `{"model":7,"prompt":"x"}`), apierr.CodeBadRequest},
+		{"not UTF-8", post(c, "/v1/completions", "{\"model\":\"renewal-7b\",\"prompt\":\"\xff\"}"), apierr.CodeBadRequest},
+		{"oversized", post(c, "/v1/completions", `{"model":"renewal-7b","prompt":"`+strings.Repeat("x", entry.MaxPromptBytes)+`"}`), apierr.CodeTooLarge},
+		{"no prompt", post(c, "/v1/completions", `{"model":"renewal-7b"}`), apierr.CodeBadRequest},
+		{"unknown model", post(c, "/v1/completions", `{"model":"none","prompt":"x"}`), apierr.CodeUnknownModel},
+		{"too many tokens", post(c, "/v1/completions", `{"model":"renewal-7b","prompt":"x","max_tokens":1000000}`), apierr.CodeBadRequest},
+		{"bad deadline", post(c, "/v1/completions", `{"model":"renewal-7b","prompt":"x"}`, client.Header{Name: entry.HeaderTimeout, Value: "soon"}), apierr.CodeBadRequest},
+		{"wrong key", post(stranger, "/v1/completions", `{"model":"renewal-7b","prompt":"x"}`), apierr.CodeUnauthorized},
+		{"no such service", post(c, "/v1/services/none/x", ``), apierr.CodeNoTarget},
+		{"empty file", upload(""), apierr.CodeBadRequest},
+		{"bad line", upload(item + "\n{"), apierr.CodeBadRequest},
+		{"same id twice", upload(item + "\n" + item), apierr.CodeBadRequest},
+		{"unknown model in a file", upload(`{"custom_id":"a","body":{"model":"none","prompt":"p"}}`), apierr.CodeUnknownModel},
+		{"unknown file", post(c, "/v1/batches", `{"input_file_id":"file-none","endpoint":"/v1/completions"}`), apierr.CodeNotFound},
+		{"wrong endpoint", post(c, "/v1/batches", `{"input_file_id":"file-none","endpoint":"/v1/images"}`), apierr.CodeBadRequest},
+		{"bad window", post(c, "/v1/batches", `{"input_file_id":"f","endpoint":"/v1/completions","completion_window":"soon"}`), apierr.CodeBadRequest},
+		{"unknown batch", post(c, "/v1/batches/batch_0000"+strings.Repeat("0", 32)+"/cancel", ""), apierr.CodeNotFound},
+	}
+	for _, tc := range cases {
+		var fail *apierr.Error
+		if !errors.As(tc.err, &fail) || fail.Code != tc.code || fail.Ran.String() != "RAN_NO" {
+			t.Errorf("%s: got %v, want %s", tc.name, tc.err, tc.code)
+		}
+	}
+}
+
+// Symptom: a seamstress's hem is taken up twice. Sequence: the same call with the
+// same key goes through both entries. Cause guarded against: a key that one entry
+// remembers for itself.
+func TestKeyedCallThroughBothEntries(t *testing.T) {
+	f, ctx := startFleet(t)
+	key := client.Header{Name: entry.HeaderKey, Value: "hem-17"}
+	var first string
+	for n := range 4 {
+		c, err := f.caller(n)
+		if err != nil {
+			t.Fatal(err)
+		}
+		reply, err := c.Raw(ctx, http.MethodPost, "/v1/services/stamps/hem", "application/json", []byte("17"), key)
+		if err != nil {
+			t.Fatalf("call %d: %v", n, err)
+		}
+		if n == 0 {
+			first = string(reply)
+		}
+		if string(reply) != first {
+			t.Fatalf("call %d got %q, the first got %q", n, reply, first)
+		}
+	}
+	if n := f.Service.Calls("17"); n != 1 {
+		t.Fatalf("the service was called %d times", n)
+	}
+	c, err := f.caller(1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Raw(ctx, http.MethodPost, "/v1/services/stamps/hem", "application/json", []byte("18"), key); !apierr.Is(err, apierr.CodeKeyConflict) {
+		t.Fatalf("another content under the key: %v", err)
+	}
+}
