--- /dev/null
+++ b/bench/path.go
@@ -0,0 +1,157 @@
+package bench
+
+import (
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/google/uuid"
+
+	"pumiceford/engine"
+	"pumiceford/engine/enginehttp"
+	"pumiceford/entry"
+	"pumiceford/httpx"
+	"pumiceford/standin"
+	"pumiceford/wire"
+)
+
+// PathLine is the latency of a one-token request over one path.
+type PathLine struct {
+	Name       string  `json:"name"`
+	P50Ms      float64 `json:"p50_ms"`
+	P99Ms      float64 `json:"p99_ms"`
+	CPUPerCall float64 `json:"cpu_us_per_request"`
+}
+
+// Path compares the engine stand-in asked directly with the same through an
+// entry and an agent, in turns within one run.
+type Path struct {
+	Rate       int        `json:"requests_per_second"`
+	Lines      []PathLine `json:"lines"`
+	AddedP50Ms float64    `json:"added_p50_ms"`
+	AddedP99Ms float64    `json:"added_p99_ms"`
+	// NoiseP50Ms is the difference between two direct paths: the machine's own.
+	NoiseP50Ms float64 `json:"noise_p50_ms"`
+}
+
+// Sizes of the path experiment.
+const (
+	pathRate  = 1000 // requests a second
+	pathTurns = 6
+	pathTurn  = time.Second
+)
+
+// RunPath measures the path's own cost on loopback.
+func RunPath(ctx context.Context) (Path, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return Path{}, err
+	}
+	sim := standin.NewEngine(ctx, standin.EngineSettings{Models: []string{benchModel}, StepBase: time.Millisecond, MaxRunning: 256})
+	h := httpx.NewServer(ln, standin.MaxBody)
+	standin.RouteEngine(h, sim)
+	go func() { _ = httpx.Serve(ctx, h) }()
+	eng, err := enginehttp.New("http://" + ln.Addr().String())
+	if err != nil {
+		return Path{}, err
+	}
+	p, err := newPair(ctx, eng, 256)
+	if err != nil {
+		return Path{}, err
+	}
+	direct := func() error { return askEngine(ctx, eng) }
+	through := func() error {
+		_, err := p.e.Do(ctx, &entry.Request{
+			ID: uuid.New(), Workspace: "w", Model: benchModel, Prompt: "prompt", MaxTokens: 1, Deadline: time.Now().Add(time.Minute),
+		}, func(*wire.Piece) error { return nil })
+		return err
+	}
+	runs := []*pathRun{{name: "engine directly", call: direct}, {name: "engine directly, again", call: direct}, {name: "entry and agent", call: through}}
+	for range pathTurns {
+		for _, r := range runs {
+			if err := r.turn(); err != nil {
+				return Path{}, err
+			}
+		}
+	}
+	out := Path{Rate: pathRate}
+	for _, r := range runs {
+		out.Lines = append(out.Lines, r.line())
+	}
+	out.AddedP50Ms = out.Lines[2].P50Ms - out.Lines[0].P50Ms
+	out.AddedP99Ms = out.Lines[2].P99Ms - out.Lines[0].P99Ms
+	out.NoiseP50Ms = out.Lines[1].P50Ms - out.Lines[0].P50Ms
+	return out, nil
+}
+
+func askEngine(ctx context.Context, eng engine.Engine) error {
+	st, err := eng.Generate(ctx, engine.Request{ID: uuid.NewString(), Model: benchModel, Prompt: "prompt", MaxTokens: 1})
+	if err != nil {
+		return err
+	}
+	defer st.Cancel()
+	for {
+		c, err := st.Next(ctx)
+		if err != nil || c.Finish != "" {
+			return err
+		}
+	}
+}
+
+// pathRun gathers one path over its turns. Medians over turns keep one bad
+// second from deciding.
+type pathRun struct {
+	name     string
+	call     func() error
+	p50, p99 []float64
+	cpu      float64
+	calls    int
+}
+
+// turn sends pathRate requests a second for one turn.
+func (r *pathRun) turn() error {
+	hist := hdrhistogram.New(1, int64(time.Minute), 3)
+	var mu sync.Mutex
+	var failed error
+	var wg sync.WaitGroup
+	used := spent(func() {
+		began := time.Now()
+		for n := range int(pathRate * pathTurn.Seconds()) {
+			time.Sleep(time.Until(began.Add(time.Duration(n) * time.Second / pathRate)))
+			wg.Go(func() {
+				at := time.Now()
+				err := r.call()
+				took := time.Since(at)
+				mu.Lock()
+				defer mu.Unlock()
+				if err != nil {
+					failed = err
+					return
+				}
+				// A minute bounds every request here.
+				_ = hist.RecordValue(int64(took))
+			})
+		}
+		wg.Wait()
+	})
+	r.cpu += used
+	r.calls += int(pathRate * pathTurn.Seconds())
+	r.p50 = append(r.p50, float64(hist.ValueAtQuantile(50))/1e6)
+	r.p99 = append(r.p99, float64(hist.ValueAtQuantile(99))/1e6)
+	return failed
+}
+
+func (r *pathRun) line() PathLine {
+	return PathLine{Name: r.name, P50Ms: median(r.p50), P99Ms: median(r.p99), CPUPerCall: r.cpu / float64(r.calls) * 1e6}
+}
+
+func median(v []float64) float64 {
+	v = slices.Clone(v)
+	slices.Sort(v)
+	return v[len(v)/2]
+}
--- a/cmd/pumice-bench/main.go
+++ b/cmd/pumice-bench/main.go
@@ -23,12 +23,17 @@
 	JSON bool `arg:"--json"`
 }
 
+type pathCmd struct {
+	JSON bool `arg:"--json"`
+}
+
 type pageCmd struct {
 	Slopes string `arg:"--slopes" default:"docs/capacity.json" help:"slopes of the last recorded run"`
 	Page   string `arg:"--page" default:"docs/CAPACITY.md" help:"page whose tables are written anew"`
 }
 
 type args struct {
+	Path     *pathCmd     `arg:"subcommand:path" help:"what entry and agent add to a one-token request"`
 	Ledger   *ledgerCmd   `arg:"subcommand:ledger" help:"the batch ledger against a naive one"`
 	Page     *pageCmd     `arg:"subcommand:page" help:"write the capacity page's tables from recorded slopes"`
 	Capacity *capacityCmd `arg:"subcommand:capacity" help:"slopes of state, bytes, CPU and memory for each role"`
@@ -49,6 +54,9 @@
 		if a.Ledger != nil {
 			return runLedger(ctx, a.Ledger)
 		}
+		if a.Path != nil {
+			return runPath(ctx, a.Path)
+		}
 		if a.Page != nil {
 			return bench.UpdatePage(a.Page.Slopes, a.Page.Page)
 		}
@@ -93,3 +101,18 @@
 	}
 	return nil
 }
+
+func runPath(ctx context.Context, cmd *pathCmd) error {
+	p, err := bench.RunPath(ctx)
+	if err != nil {
+		return err
+	}
+	if cmd.JSON {
+		return json.NewEncoder(os.Stdout).Encode(p)
+	}
+	for _, l := range p.Lines {
+		fmt.Printf("%-25s p50 %6.3f ms  p99 %6.3f ms  %4.0f us of processor a request, all processes\n", l.Name, l.P50Ms, l.P99Ms, l.CPUPerCall)
+	}
+	fmt.Printf("added at %d requests/s: p50 %.3f ms, p99 %.3f ms; noise between the direct runs %.3f ms\n", p.Rate, p.AddedP50Ms, p.AddedP99Ms, p.NoiseP50Ms)
+	return nil
+}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -22,6 +22,9 @@
 	KVBlocks        int           // blocks of KVBlockTokens, default 4096
 	CacheBlocks     int           // blocks of prompt prefixes kept, default 1024
 	LoadLag         time.Duration // age of load reports, default 500 ms
+	EventLag        time.Duration // age of cache events, default 200 ms
+	EventLoss       float64       // share of cache events that are lost
+	Seed            uint64        // of what is lost
 	CheckFence      bool          // refuse orders with an old fencing number
 	RestartDelay    time.Duration // time down after a crash, default 500 ms
 }
@@ -64,6 +67,9 @@
 	if s.LoadLag == 0 {
 		s.LoadLag = 500 * time.Millisecond
 	}
+	if s.EventLag == 0 {
+		s.EventLag = 200 * time.Millisecond
+	}
 	if s.RestartDelay == 0 {
 		s.RestartDelay = 500 * time.Millisecond
 	}
@@ -81,6 +87,7 @@
 	running []*sequence
 	freeKV  int
 	cache   *prefixCache
+	feed    *cacheFeed
 	models  map[string]bool
 	fence   uint64
 	flaky   map[string]int
@@ -108,13 +115,14 @@
 }
 
 type sequence struct {
-	req     engine.Request
-	made    uint32
-	blocks  int
-	out     chan chunkOrErr
-	dead    bool // cancelled, dropped at the next step
-	prompt  int
-	prefill bool // prompt not computed yet
+	req      engine.Request
+	made     uint32
+	blocks   int
+	out      chan chunkOrErr
+	dead     bool // cancelled, dropped at the next step
+	prompt   int
+	prefill  bool // prompt not computed yet
+	exported bool // its state was taken away, so nothing of it is wasted
 }
 
 type chunkOrErr struct {
@@ -129,11 +137,12 @@
 		set:    set,
 		wake:   make(chan struct{}, 1),
 		freeKV: set.KVBlocks,
-		cache:  newPrefixCache(set.CacheBlocks),
+		feed:   newCacheFeed(set.EventLag, set.EventLoss, set.Seed),
 		models: make(map[string]bool),
 		flaky:  make(map[string]int),
 		runs:   make(map[string]int),
 	}
+	e.cache = newPrefixCache(set.CacheBlocks, e.feed.note)
 	for _, m := range set.Models {
 		e.models[m] = true
 	}
@@ -289,7 +298,9 @@
 		if s.dead {
 			e.freeKV += s.blocks
 			e.stats.Cancelled++
-			e.stats.WastedTokens += uint64(s.made - s.req.ResumeFrom)
+			if !s.exported {
+				e.stats.WastedTokens += uint64(s.made - s.req.ResumeFrom)
+			}
 			s.out <- chunkOrErr{err: context.Canceled}
 			continue
 		}
@@ -369,7 +380,7 @@
 	e.running = nil
 	e.queue = nil
 	e.freeKV = e.set.KVBlocks
-	e.cache = newPrefixCache(e.set.CacheBlocks)
+	e.cache = newPrefixCache(e.set.CacheBlocks, e.feed.note)
 	e.stats.Crashes++
 	e.downTil = time.Now().Add(e.set.RestartDelay)
 }
--- a/standin/http.go
+++ b/standin/http.go
@@ -138,7 +138,7 @@
 
 // engineServer serves one engine over HTTP.
 type engineServer struct {
-	e engine.Engine
+	e *Engine
 
 	mu      sync.Mutex
 	streams map[string]engine.Stream
@@ -173,6 +173,23 @@
 		e.Crash()
 		httpx.WriteJSON(c, 200, struct{}{})
 	})
+	h.GET("/cache_events", func(_ context.Context, c *app.RequestContext) {
+		after, err := strconv.ParseUint(c.DefaultQuery("after", "0"), 10, 64)
+		if err != nil {
+			c.SetStatusCode(400)
+			return
+		}
+		httpx.WriteJSON(c, 200, e.CacheEvents(after))
+	})
+	h.POST("/v1/requests/:id/export", func(_ context.Context, c *app.RequestContext) {
+		kv, ok := e.ExportKV(c.Param("id"))
+		if !ok {
+			writeEngineError(c, engine.ErrRejected)
+			return
+		}
+		httpx.WriteJSON(c, 200, kv)
+	})
+	h.POST("/v1/import", s.importKV)
 	h.GET("/runs", func(_ context.Context, c *app.RequestContext) { httpx.WriteJSON(c, 200, e.AllRuns()) })
 	h.GET("/stats", func(_ context.Context, c *app.RequestContext) { httpx.WriteJSON(c, 200, e.Stats()) })
 }
@@ -192,13 +209,33 @@
 		writeEngineError(c, err)
 		return
 	}
+	s.serve(ctx, c, r.RequestID, st)
+}
+
+// importKV goes on with an exported request and streams the rest.
+func (s *engineServer) importKV(ctx context.Context, c *app.RequestContext) {
+	var kv KV
+	if json.Unmarshal(c.Request.Body(), &kv) != nil {
+		writeEngineError(c, engine.ErrRejected)
+		return
+	}
+	st, err := s.e.ImportKV(ctx, kv)
+	if err != nil {
+		writeEngineError(c, err)
+		return
+	}
+	s.serve(ctx, c, kv.Request.ID, st)
+}
+
+// serve streams a generation that can be cancelled by its id.
+func (s *engineServer) serve(ctx context.Context, c *app.RequestContext, id string, st engine.Stream) {
 	defer st.Cancel()
 	s.mu.Lock()
-	s.streams[r.RequestID] = st
+	s.streams[id] = st
 	s.mu.Unlock()
 	defer func() {
 		s.mu.Lock()
-		delete(s.streams, r.RequestID)
+		delete(s.streams, id)
 		s.mu.Unlock()
 	}()
 	s.pump(ctx, sse.NewWriter(c), st)
--- a/standin/prefix.go
+++ b/standin/prefix.go
@@ -11,10 +11,11 @@
 	limit int
 	order *list.List // front is the most recent
 	items map[uint64]*list.Element
+	note  func(prefix uint64, stored bool)
 }
 
-func newPrefixCache(limit int) *prefixCache {
-	return &prefixCache{limit: limit, order: list.New(), items: make(map[uint64]*list.Element)}
+func newPrefixCache(limit int, note func(prefix uint64, stored bool)) *prefixCache {
+	return &prefixCache{limit: limit, note: note, order: list.New(), items: make(map[uint64]*list.Element)}
 }
 
 // touch returns how many leading blocks of the prompt were cached, and caches all.
@@ -34,10 +35,12 @@
 		}
 		missed = true
 		c.items[h] = c.order.PushFront(h)
+		c.note(h, true)
 	}
 	for c.order.Len() > c.limit {
 		last := c.order.Back()
 		delete(c.items, last.Value.(uint64))
+		c.note(last.Value.(uint64), false)
 		c.order.Remove(last)
 	}
 	return hits
