Send frames that are ready together in one write

Cause: the profile of a one-token request spent 23 % in yamux's writes, two for each message, and the last piece and the end were two messages.

Change: the last piece and the end are told together, and what is ready is written at once; a new request is decided on without a detour over the loop.

--- a/agent/request.go
+++ b/agent/request.go
@@ -54,7 +54,7 @@
 		_ = st.Send(&wire.Frame{Id: s.GetId(), Kind: &wire.Frame_Failure{Failure: fail.ToWire()}})
 		return
 	}
-	a.wake()
+	a.decide()
 	a.pump(ctx, r, 0, st)
 }
 
@@ -176,12 +176,10 @@
 	}()
 	for {
 		frames, closed, changed := r.answer.From(seq)
-		for _, f := range frames {
-			if st.Send(f) != nil {
-				return
-			}
-			seq++
+		if len(frames) > 0 && st.SendFrames(frames) != nil {
+			return
 		}
+		seq += uint64(len(frames))
 		if closed && len(frames) == 0 {
 			return
 		}
@@ -298,8 +296,7 @@
 		r.answer.Fail(apierr.Unknown(apierr.CodeOutcomeUnknown, "service call failed: %v", err).ToWire())
 		return
 	}
-	r.answer.Add(string(reply), 0)
-	r.answer.End(&wire.End{Status: uint32(status), ContentType: contentType})
+	r.answer.End(string(reply), 0, &wire.End{Status: uint32(status), ContentType: contentType})
 }
 
 func (a *Agent) runModel(ctx context.Context, r *request) {
@@ -323,13 +320,11 @@
 			return
 		}
 		last = a.noteChunk(r.entry, last, r.answer.Tokens())
-		if c.Text != "" {
-			r.answer.Add(c.Text, c.Tokens)
-		}
 		if c.Finish != "" {
-			r.answer.End(&wire.End{FinishReason: c.Finish, PromptTokens: c.PromptTokens})
+			r.answer.End(c.Text, c.Tokens, &wire.End{FinishReason: c.Finish, PromptTokens: c.PromptTokens})
 			return
 		}
+		r.answer.Add(c.Text, c.Tokens)
 	}
 }
 
--- a/link/link.go
+++ b/link/link.go
@@ -150,6 +150,11 @@
 	return wire.Write(s.conn, m)
 }
 
+// SendFrames writes several frames at once.
+func (s *Stream) SendFrames(frames []*wire.Frame) error {
+	return wire.WriteAll(s.conn, frames)
+}
+
 // Recv reads the next message into m.
 func (s *Stream) Recv(m wireMessage) error {
 	return s.rd.Read(m)
--- a/online/answer.go
+++ b/online/answer.go
@@ -36,23 +36,33 @@
 	if a.closed {
 		return
 	}
-	// A hash in memory takes every write.
-	_, _ = a.digest.WriteString(text)
-	a.tokens += tokens
-	a.put(&wire.Frame{Kind: &wire.Frame_Piece{Piece: &wire.Piece{Text: []byte(text), Tokens: tokens}}})
+	a.piece(text, tokens)
+	a.notify()
 }
 
-// End closes a whole answer.
-func (a *Answer) End(end *wire.End) {
+// End appends the last text, if any, and closes a whole answer. Both are told
+// together, so that they leave in one write.
+func (a *Answer) End(text string, tokens uint32, end *wire.End) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.closed {
 		return
 	}
+	if text != "" {
+		a.piece(text, tokens)
+	}
 	end.Count = uint64(len(a.frames))
 	end.Digest = a.digest.Sum64()
 	a.closed = true
 	a.put(&wire.Frame{Kind: &wire.Frame_End{End: end}})
+	a.notify()
+}
+
+func (a *Answer) piece(text string, tokens uint32) {
+	// A hash in memory takes every write.
+	_, _ = a.digest.WriteString(text)
+	a.tokens += tokens
+	a.put(&wire.Frame{Kind: &wire.Frame_Piece{Piece: &wire.Piece{Text: []byte(text), Tokens: tokens}}})
 }
 
 // Fail closes an answer that will not be whole.
@@ -64,12 +74,17 @@
 	}
 	a.closed = true
 	a.put(&wire.Frame{Kind: &wire.Frame_Failure{Failure: f}})
+	a.notify()
 }
 
 func (a *Answer) put(f *wire.Frame) {
 	f.Id = a.id
 	f.Seq = uint64(len(a.frames))
 	a.frames = append(a.frames, f)
+}
+
+// notify wakes the readers.
+func (a *Answer) notify() {
 	close(a.changed)
 	a.changed = make(chan struct{})
 }
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -48,6 +48,23 @@
 	return err
 }
 
+// WriteAll writes several messages to w in one call. A message for itself costs
+// yamux two writes on the connection.
+func WriteAll[M proto.Message](w io.Writer, ms []M) error {
+	size := 0
+	for _, m := range ms {
+		size += proto.Size(m) + lengthPrefixBytes
+	}
+	sink := sliceWriter{buf: make([]byte, 0, size)}
+	for _, m := range ms {
+		if _, err := protodelim.MarshalTo(&sink, m); err != nil {
+			return err
+		}
+	}
+	_, err := w.Write(sink.buf)
+	return err
+}
+
 // lengthPrefixBytes is the largest length prefix of a message within limits.
 const lengthPrefixBytes = 5
 
