--- a/bench/capacity.go
+++ b/bench/capacity.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/binary"
 	"fmt"
 	"net"
 	"runtime"
@@ -39,7 +40,7 @@
 func RunCapacity(ctx context.Context) (Capacity, error) {
 	c := Capacity{Machine: fmt.Sprintf("%s, %d cores, %s", runtime.GOARCH, runtime.NumCPU(), runtime.Version())}
 	for _, part := range []func(context.Context) ([]Slope, error){
-		sessionSlopes, pollSlopes, foldSlopes, configSlopes, onlineSlopes,
+		sessionSlopes, pollSlopes, foldSlopes, jobSlopes, partitionSlopes, configSlopes, onlineSlopes,
 	} {
 		s, err := part(ctx)
 		if err != nil {
@@ -194,6 +195,69 @@
 	}, nil
 }
 
+// jobSlopes measures what a job itself takes, whatever its items.
+func jobSlopes(context.Context) ([]Slope, error) {
+	var memory, snap []Point
+	for _, jobs := range []int{500, 1000, 2000, 4000} {
+		before := heap()
+		f := newFoldRun()
+		for n := range jobs {
+			f.smallJob(n)
+		}
+		memory = append(memory, Point{float64(jobs), heap() - before})
+		bytes := 0
+		for _, p := range f.part.Snapshot(1 << 20) {
+			bytes += len(p.GetData())
+		}
+		snap = append(snap, Point{float64(jobs), float64(bytes)})
+		runtime.KeepAlive(f)
+	}
+	return []Slope{
+		Fit("job_memory", "bytes of memory for each completed, readable job of one item with its file", memory),
+		Fit("job_snapshot_bytes", "snapshot bytes for each such job", snap),
+	}, nil
+}
+
+func (f *foldRun) smallJob(n int) {
+	id := binary.BigEndian.AppendUint64(make([]byte, 8), uint64(n))
+	f.apply(&wire.Entry{Kind: &wire.Entry_Chunk{Chunk: &wire.PutChunk{Workspace: "w", File: id, Lines: make([][]byte, 1)}}})
+	f.apply(&wire.Entry{Kind: &wire.Entry_Seal{Seal: &wire.SealFile{Workspace: "w", File: id, Chunks: 1, Lines: 1}}})
+	f.apply(&wire.Entry{Kind: &wire.Entry_Commit{Commit: &wire.CommitJob{Job: id, File: id, Workspace: "w", Model: "m", KeepMs: time.Hour.Milliseconds()}}})
+	f.apply(&wire.Entry{Kind: &wire.Entry_Results{Results: &wire.Results{Job: id, Outcomes: []*wire.Outcome{{Ok: true}}}}})
+}
+
+// partitionSlopes measures idle partition owners, without agents, on a log in
+// the same process.
+func partitionSlopes(ctx context.Context) ([]Slope, error) {
+	var used, memory []Point
+	for _, n := range []int{16, 32, 64, 128} {
+		octx, cancel := context.WithCancel(ctx)
+		log := standin.NewLog(standin.LogSettings{})
+		before := heap()
+		owners := make([]*ledger.Owner, n)
+		for p := range owners {
+			owners[p] = ledger.NewOwner(ledger.Config{Node: "bench", Log: log, Partitions: uint32(n)}, uint32(p))
+			go func() { _ = owners[p].Run(octx) }()
+		}
+		for _, o := range owners {
+			for !o.Ready() && octx.Err() == nil {
+				time.Sleep(time.Millisecond)
+			}
+		}
+		memory = append(memory, Point{float64(n), heap() - before})
+		share := spent(func() { time.Sleep(idleFor) }) / idleFor.Seconds()
+		used = append(used, Point{float64(n), share})
+		cancel()
+		for _, o := range owners {
+			<-o.Done()
+		}
+	}
+	return []Slope{
+		Fit("partition_cpu", "core share of an idle partition owner", used),
+		Fit("partition_memory", "bytes of memory of an idle partition owner", memory),
+	}, ctx.Err()
+}
+
 // Sizes of the fold runs.
 const (
 	foldItems      = 50000
--- a/bench/page.go
+++ b/bench/page.go
@@ -142,6 +142,9 @@
 	return []row{
 		{"items a second", "320 M / 86,400 s / 64 partitions", perOwner / secondsADay, "items/s", 0},
 		{"jobs kept", "25,000 x 3 days / 64", jobs * letterKeepDays, "jobs", 0},
+		{"memory of jobs kept", "jobs x job_memory", jobs * letterKeepDays * c.per("job_memory"), "bytes", boundMemory},
+		{"processor while idle", "partition_cpu", c.per("partition_cpu"), "core", boundCPU},
+		{"memory while idle", "partition_memory", c.per("partition_memory"), "bytes", boundMemory},
 		{"memory of a day's items", "5 M x item_done_memory", perOwner * c.per("item_done_memory"), "bytes", boundMemory},
 		{"memory of 3 days' items", "15 M x item_done_memory", perOwner * letterKeepDays * c.per("item_done_memory"), "bytes", boundMemory},
 		{"processor", "58 items/s x item_cpu", perOwner / secondsADay * c.per("item_cpu"), "core", boundCPU},
--- a/entry/ledger_fault_test.go
+++ b/entry/ledger_fault_test.go
@@ -455,6 +455,43 @@
 	})
 }
 
+// Symptom: a job's items or results are gone although the log kept them long
+// enough for an owner to act. Sequence: the log keeps few records, so that
+// everything old is trimmed while jobs run and results are read; owners are lost
+// in between. Cause guarded against: snapshots and needed records that are not
+// carried forward before retention takes them.
+func TestLedgerOutlivesRetention(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		w := newWorld(worldSettings{
+			entries: 2, agents: 2, partitions: 1, snapshotEvery: 30,
+			log: standin.LogSettings{Retention: 40 * time.Second}, retention: 40 * time.Second,
+		})
+		defer w.close()
+		if err := await(time.Minute, func() error { return w.configure(w.ctx) }); err != nil {
+			t.Fatal(err)
+		}
+		var jobs []*worldJob
+		for n := range 12 {
+			j := &worldJob{tag: fmt.Sprintf("kept%d", n), items: 20, poison: -1, killer: -1}
+			if err := await(time.Minute, func() error { return w.submit(j, n, 5*time.Second) }); err != nil {
+				t.Fatal(err)
+			}
+			jobs = append(jobs, j)
+			time.Sleep(15 * time.Second)
+			if n%4 == 3 {
+				w.killEntry(entryName(n / 4 % 2))
+				time.Sleep(5 * time.Second)
+				w.startEntry(entryName(n / 4 % 2))
+			}
+		}
+		for _, j := range jobs {
+			if err := w.checkEnd(j); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
+
 func storyText(steps []step) string {
 	var b strings.Builder
 	for _, s := range steps {
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -49,6 +49,7 @@
 	log             standin.LogSettings
 	snapshotEvery   uint64
 	hostLag         time.Duration
+	retention       time.Duration // as the ledger knows it
 }
 
 type worldEntry struct {
@@ -135,7 +136,7 @@
 		HostsEvery: 200 * time.Millisecond,
 		Logger:     worldLogger(),
 		Ledger: ledger.Config{
-			Partitions: w.set.partitions, ResultsEvery: 100 * time.Millisecond, SnapshotEvery: w.set.snapshotEvery,
+			Partitions: w.set.partitions, ResultsEvery: 100 * time.Millisecond, SnapshotEvery: w.set.snapshotEvery, Retention: w.set.retention,
 			Limits: batch.Limits{MaxAttempts: 4, MaxTargetLoss: 2, BackoffBase: 50 * time.Millisecond, BackoffMax: time.Second},
 		},
 	})
--- a/ledger/maintain.go
+++ b/ledger/maintain.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pumiceford/batch"
+	"pumiceford/logging"
 	"pumiceford/platform"
 	"pumiceford/wire"
 
@@ -86,9 +87,12 @@
 	slices.SortFunc(need.Spans, func(a, b batch.CarrySpan) int { return compareOffsets(a.Offset, b.Offset) })
 	for _, c := range need.Chunks {
 		old, err := o.carryChunk(ctx, c, horizon)
-		if err != nil || !old {
+		if err != nil {
 			return err
 		}
+		if !old {
+			break
+		}
 	}
 	for _, s := range need.Spans {
 		old, err := o.carrySpan(ctx, s, horizon)
@@ -117,6 +121,15 @@
 	if errors.Is(err, platform.ErrUnavailable) {
 		return nil, false, nil
 	}
+	var trimmed *platform.TrimmedError
+	if errors.As(err, &trimmed) {
+		// Nothing brings it back. Stopping the partition for it, again and again,
+		// would take everything else with it: the snapshot after this would never
+		// be written and all records would be trimmed in the end.
+		o.cfg.Metrics.Count("record_lost")
+		o.log.Error("needed record was trimmed", logging.F("partition", o.number), logging.F("offset", offset))
+		return nil, true, nil
+	}
 	if err != nil || len(page.Records) == 0 {
 		return nil, false, err
 	}
@@ -143,6 +156,9 @@
 	if err != nil || !old {
 		return false, err
 	}
+	if data == nil {
+		return true, nil
+	}
 	carry := &wire.CarryResults{
 		Job:       append([]byte(nil), s.Job[:]...),
 		OldOffset: s.Offset,
--- a/ledger/owner.go
+++ b/ledger/owner.go
@@ -406,7 +406,10 @@
 	o.epoch = epoch
 	o.tookOver = time.Now()
 	o.snapAt = o.part.Next()
-	o.snapTime = time.Now()
+	// The first turn writes a snapshot and repeats old records. Nobody did so
+	// since the last owner was lost, and records near their end cannot wait for
+	// another interval.
+	o.snapTime = time.Time{}
 	o.disp = batch.NewDispatcher(o.cfg.Limits)
 	o.part.Jobs(func(j *batch.Job) bool {
 		if j.State() == batch.JobRunning {
