--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -131,7 +131,7 @@
 	host := w.net.up(name)
 	e := New(Config{
 		Name: name, DataCentre: "caerdydd-a", Incarnation: journal.NewIncarnation(),
-		Log: &gatedLog{log: w.log, host: host}, HostList: w.hosts, Link: w.linkConfig(host),
+		Log: &gatedLog{log: w.log, host: host}, HostList: &gatedHosts{list: w.hosts, host: host}, Link: w.linkConfig(host),
 		Bootstrap:  config.Operator{Name: "dev", Scope: config.ScopeFleet},
 		HostsEvery: 200 * time.Millisecond,
 		Logger:     worldLogger(),
@@ -215,6 +215,17 @@
 	return p, err
 }
 
+// gatedHosts does not answer while its host is paused.
+type gatedHosts struct {
+	list platform.HostList
+	host *pipeHost
+}
+
+func (g *gatedHosts) Hosts(ctx context.Context) ([]platform.Host, error) {
+	g.host.gate()
+	return g.list.Hosts(ctx)
+}
+
 // pipeNet connects hosts by pipes.
 type pipeNet struct {
 	mu    sync.Mutex
--- a/ledger/ops.go
+++ b/ledger/ops.go
@@ -20,6 +20,12 @@
 }
 
 func (o *Owner) serve(ctx context.Context, req *wire.PeerRequest) (*wire.PeerReply, error) {
+	if !o.Ready() {
+		return nil, notOwner()
+	}
+	if err := o.freshen(ctx); err != nil {
+		return nil, err
+	}
 	if !o.Ready() {
 		return nil, notOwner()
 	}
--- a/ledger/owner.go
+++ b/ledger/owner.go
@@ -150,7 +150,10 @@
 	closed       bool
 	snapAt       uint64
 	snapTime     time.Time
-	followed     time.Time
+	followed     time.Time // when the stream was last read to its tail
+	followTried  time.Time
+	askedFresh   bool      // a caller waits for the stream to be read
+	answersFrom  time.Time // end of the lease of the owner before
 
 	chunks *chunkCache
 	signal chan struct{}
@@ -390,6 +393,7 @@
 func (o *Owner) takeOver(ctx context.Context) error {
 	o.mu.Lock()
 	epoch := o.part.Epoch() + 1
+	before := o.part.Owner()
 	o.mu.Unlock()
 	claim := &wire.Entry{Kind: &wire.Entry_Takeover{Takeover: &wire.Takeover{
 		Owner:       o.cfg.Node,
@@ -405,6 +409,10 @@
 	}
 	o.epoch = epoch
 	o.tookOver = time.Now()
+	o.followed = o.tookOver
+	if before != "" {
+		o.answersFrom = o.tookOver.Add(freshFor)
+	}
 	o.snapAt = o.part.Next()
 	// The first turn writes a snapshot and repeats old records. Nobody did so
 	// since the last owner was lost, and records near their end cannot wait for
@@ -501,9 +509,10 @@
 // follow reads the stream now and then, so that a superseded owner notices.
 func (o *Owner) follow(ctx context.Context) error {
 	o.mu.Lock()
-	due := time.Since(o.followed) >= followEvery
+	due := time.Since(o.followTried) >= followEvery || o.askedFresh
 	if due {
-		o.followed = time.Now()
+		o.followTried = time.Now()
+		o.askedFresh = false
 	}
 	drained := o.draining && len(o.waiting) == 0 && len(o.results) == 0
 	o.mu.Unlock()
@@ -513,17 +522,54 @@
 	if !due {
 		return nil
 	}
-	if _, err := o.stream.Poll(ctx, 0); err != nil && !errors.Is(err, platform.ErrUnavailable) {
+	began := time.Now()
+	err := o.stream.Catchup(ctx)
+	if err != nil && !errors.Is(err, platform.ErrUnavailable) {
 		return err
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if err == nil {
+		o.followed = began
+	}
 	if !o.owned() {
 		return errSuperseded
 	}
 	return nil
 }
 
+// freshFor is how long after reading the stream to its tail an owner answers
+// from memory. It is the lease of its answers: an owner that took over from one
+// that did not release answers nothing for as long, so that the two never
+// contradict each other, also when the first was paused and resumes.
+const freshFor = 500 * time.Millisecond
+
+// freshPatience bounds the wait for such a read.
+const freshPatience = 2 * time.Second
+
+// freshen waits until the owner has read its stream lately. An owner that was
+// paused may be superseded without knowing; its answers would show a job as it
+// was before. While the log does not answer there is nothing to wait for, and
+// the last known state is what callers get.
+func (o *Owner) freshen(ctx context.Context) error {
+	until := time.Now().Add(freshPatience)
+	for {
+		o.mu.Lock()
+		now := time.Now()
+		fresh := now.Sub(o.followed) <= freshFor && !now.Before(o.answersFrom)
+		o.askedFresh = !fresh
+		o.mu.Unlock()
+		if fresh || (o.stream.Failing() && !now.Before(o.answersFrom)) {
+			return nil
+		}
+		if ctx.Err() != nil || time.Now().After(until) {
+			return notOwner()
+		}
+		o.wake()
+		pause(ctx, o.cfg.CommitEvery)
+	}
+}
+
 // Release hands the partition over on a planned stop: nothing new is granted,
 // what was computed is made durable, and the release record lets the next owner
 // start at once.
