Split the large files, share the pause and the defaults; give each e2e run its ports

Two runs of the tests over processes at once met on ports that both found free, and one run gave a port out twice.

Change: files by job, internal/wait, internal/defaults, the standard library's comparisons; each run has a loopback address and gives a port out once.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -13,6 +13,7 @@
 	"pumiceford/admission"
 	"pumiceford/config"
 	"pumiceford/engine"
+	"pumiceford/internal/defaults"
 	"pumiceford/journal"
 	"pumiceford/link"
 	"pumiceford/logging"
@@ -73,27 +74,19 @@
 const MaxTimeout = 10 * time.Minute
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.AnswerKeep, defaultAnswerKeep)
-	setDefault(&c.KeyedAnswerKeep, defaultKeyedAnswerKeep)
-	setDefault(&c.TombstoneKeep, defaultTombstoneKeep)
-	setDefault(&c.OrphanAfter, defaultOrphanAfter)
-	setDefault(&c.ReserveFor, defaultReserveFor)
-	setDefault(&c.LeaseFor, defaultLeaseFor)
-	if c.MaxHeldBytes == 0 {
-		c.MaxHeldBytes = defaultMaxHeldBytes
-	}
+	defaults.Set(&c.AnswerKeep, defaultAnswerKeep)
+	defaults.Set(&c.KeyedAnswerKeep, defaultKeyedAnswerKeep)
+	defaults.Set(&c.TombstoneKeep, defaultTombstoneKeep)
+	defaults.Set(&c.OrphanAfter, defaultOrphanAfter)
+	defaults.Set(&c.ReserveFor, defaultReserveFor)
+	defaults.Set(&c.LeaseFor, defaultLeaseFor)
+	defaults.Set(&c.MaxHeldBytes, defaultMaxHeldBytes)
 	if c.Metrics == nil {
 		c.Metrics = metrics.New(c.Name)
 	}
 	return c
 }
 
-func setDefault(d *time.Duration, value time.Duration) {
-	if *d == 0 {
-		*d = value
-	}
-}
-
 // Agent is one agent. Lock order: Agent.mu, then the locks of Answer and of the
 // config follower. No call to
 // the engine, the network or a channel that can block is made under Agent.mu.
--- a/client/client.go
+++ b/client/client.go
@@ -18,6 +18,7 @@
 
 	"pumiceford/apierr"
 	"pumiceford/httpx"
+	"pumiceford/internal/wait"
 	"pumiceford/wire"
 )
 
@@ -290,12 +291,8 @@
 		if err != nil && !temporary(err) {
 			return b, err
 		}
-		timer := time.NewTimer(every)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return b, ctx.Err()
-		case <-timer.C:
+		if err := wait.For(ctx, every); err != nil {
+			return b, err
 		}
 	}
 }
--- a/config/fold.go
+++ b/config/fold.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -346,20 +347,10 @@
 	for _, m := range s.tables.Models {
 		out = append(out, m)
 	}
-	slices.SortFunc(out, func(a, b Model) int { return compareStrings(a.Name, b.Name) })
+	slices.SortFunc(out, func(a, b Model) int { return strings.Compare(a.Name, b.Name) })
 	return out
 }
 
-func compareStrings(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // Host returns what operators said of a host.
 func (s *State) Host(name string) Host {
 	h := s.tables.Hosts[name]
--- a/config/follower.go
+++ b/config/follower.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"pumiceford/apierr"
+	"pumiceford/internal/wait"
 	"pumiceford/journal"
 	"pumiceford/logging"
 	"pumiceford/platform"
@@ -142,7 +143,7 @@
 			f.recoverTrimmed(ctx, trimmed)
 		default:
 			f.askPeers(ctx)
-			pause(ctx, peerPause)
+			_ = wait.For(ctx, peerPause)
 		}
 	}
 }
@@ -150,15 +151,6 @@
 // peerPause is the wait between rounds while the log does not answer.
 const peerPause = 500 * time.Millisecond
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // poll reads from the log. The read waits without holding the writing semaphore, so that a
 // writer does not wait behind it.
 func (f *Follower) poll(ctx context.Context) error {
@@ -248,7 +240,7 @@
 	data, err := findSnapshot(ctx, f.log, trimmed)
 	if err != nil || data == nil {
 		f.askPeers(ctx)
-		pause(ctx, peerPause)
+		_ = wait.For(ctx, peerPause)
 		return
 	}
 	f.mu.Lock()
--- a/dev/check.go
+++ b/dev/check.go
@@ -14,6 +14,7 @@
 	"pumiceford/client"
 	"pumiceford/config"
 	"pumiceford/entry"
+	"pumiceford/internal/wait"
 	"pumiceford/standin"
 )
 
@@ -271,7 +272,7 @@
 	}
 	before := b.RequestCounts.Completed
 	admitted := f.admitted()
-	if err := pause(ctx, time.Second); err != nil {
+	if err := wait.For(ctx, time.Second); err != nil {
 		return "", err
 	}
 	if b, err = c.Batch(ctx, b.ID); err != nil {
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -18,6 +18,8 @@
 	"pumiceford/config"
 	"pumiceford/daemon"
 	"pumiceford/entry"
+	"pumiceford/internal/defaults"
+	"pumiceford/internal/wait"
 	"pumiceford/platform"
 	"pumiceford/settings"
 	"pumiceford/standin"
@@ -42,24 +44,12 @@
 }
 
 func (o Options) withDefaults() Options {
-	if o.Entries == 0 {
-		o.Entries = 2
-	}
-	if o.Agents == 0 {
-		o.Agents = 4
-	}
-	if o.Partitions == 0 {
-		o.Partitions = 8
-	}
-	if o.Seats == 0 {
-		o.Seats = 16
-	}
-	if o.Step == 0 {
-		o.Step = 2 * time.Millisecond
-	}
-	if o.LogLevel == "" {
-		o.LogLevel = "error"
-	}
+	defaults.Set(&o.Entries, 2)
+	defaults.Set(&o.Agents, 4)
+	defaults.Set(&o.Partitions, 8)
+	defaults.Set(&o.Seats, 16)
+	defaults.Set(&o.Step, 2*time.Millisecond)
+	defaults.Set(&o.LogLevel, "error")
 	return o
 }
 
@@ -198,7 +188,7 @@
 		return proposed, err
 	}
 	for !plan.InForce && len(plan.Missing) == 0 {
-		if err := pause(ctx, 50*time.Millisecond); err != nil {
+		if err := wait.For(ctx, 50*time.Millisecond); err != nil {
 			return plan, apierr.Executed(apierr.CodeDeadline, "accepted but not in force on %v", plan.Laggards)
 		}
 		plan = entry.PlanReply{}
@@ -218,23 +208,12 @@
 		}
 		code := apierr.From(err).Code
 		starting := code == apierr.CodeNotRun || code == apierr.CodeNoTarget || code == apierr.CodeLogDown || code == apierr.CodeUnauthorized || code == apierr.CodeOutcomeUnknown
-		if !starting || pause(ctx, 50*time.Millisecond) != nil {
+		if !starting || wait.For(ctx, 50*time.Millisecond) != nil {
 			return err
 		}
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 // Hints returns what a person may try against the fleet.
 func (f *Fleet) Hints() string {
 	return fmt.Sprintf(`callers    %s  %s
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -61,14 +61,32 @@
 	plat    string
 }
 
+// runHost is a loopback address of this test run alone. Ports are found free
+// before the processes bind them; on a shared address another run, or a client's
+// own port, could take one in between.
+func runHost() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>15&0x7f, pid>>7&0xff, 1+pid&0x7f)
+}
+
+// handedOut holds the addresses given to processes: a port that was found free
+// may be found free again before its process binds it.
+var handedOut = make(map[string]bool)
+
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for {
+		ln, err := net.Listen("tcp", runHost()+":0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		addr := ln.Addr().String()
+		_ = ln.Close()
+		if !handedOut[addr] {
+			handedOut[addr] = true
+			return addr
+		}
 	}
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String()
 }
 
 // newFleet starts stand-ins, two entries and three agents.
--- /dev/null
+++ b/entry/api_files.go
@@ -0,0 +1,311 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"pumiceford/apierr"
+	"pumiceford/batch"
+	"pumiceford/config"
+	"pumiceford/httpx"
+	"pumiceford/wire"
+)
+
+// place is where an object lives: its partition and its id there.
+type place struct {
+	partition uint32
+	id        []byte
+}
+
+// Prefixes of ids that callers see. Output and error files are named after
+// their batch.
+const (
+	prefixFile   = "file-"
+	prefixBatch  = "batch_"
+	prefixOutput = "file-out-"
+	prefixErrors = "file-err-"
+)
+
+func (p place) String() string {
+	return fmt.Sprintf("%04x%s", p.partition, hex.EncodeToString(p.id))
+}
+
+const placeHexLen = 4 + 32
+
+// parsePlace reads an id. A malformed one is not found rather than bad: to the
+// caller it is just an id that does not exist.
+func (e *Entry) parsePlace(prefix, s string) (place, error) {
+	missing := apierr.New(apierr.CodeNotFound, "no such id")
+	rest, ok := strings.CutPrefix(s, prefix)
+	if !ok || len(rest) != placeHexLen {
+		return place{}, missing
+	}
+	number, err := strconv.ParseUint(rest[:4], 16, 32)
+	if err != nil || uint32(number) >= e.cfg.Ledger.Partitions {
+		return place{}, missing
+	}
+	id, err := hex.DecodeString(rest[4:])
+	if err != nil {
+		return place{}, missing
+	}
+	return place{partition: uint32(number), id: id}, nil
+}
+
+type fileReply struct {
+	ID        string `json:"id"`
+	Object    string `json:"object"`
+	Bytes     uint64 `json:"bytes"`
+	CreatedAt int64  `json:"created_at"`
+	Filename  string `json:"filename"`
+	Purpose   string `json:"purpose"`
+	Status    string `json:"status"`
+}
+
+func newFileReply(id string, size uint64, name, purpose string) fileReply {
+	return fileReply{ID: id, Object: "file", Bytes: size, CreatedAt: time.Now().Unix(), Filename: name, Purpose: purpose, Status: "processed"}
+}
+
+func (e *Entry) serveUpload(ctx context.Context, c *app.RequestContext, ws config.Workspace) error {
+	if p := string(c.FormValue("purpose")); p != "batch" {
+		return apierr.New(apierr.CodeBadRequest, "purpose must be \"batch\"")
+	}
+	header, err := c.FormFile("file")
+	if err != nil {
+		return apierr.New(apierr.CodeBadRequest, "file: %v", err)
+	}
+	src, err := header.Open()
+	if err != nil {
+		return apierr.New(apierr.CodeBadRequest, "file: %v", err)
+	}
+	defer func() { _ = src.Close() }()
+	data, err := io.ReadAll(src)
+	if err != nil {
+		return apierr.New(apierr.CodeBadRequest, "file: %v", err)
+	}
+	at, err := e.storeFile(ctx, ws.Name, header.Filename, data)
+	if err != nil {
+		return err
+	}
+	httpx.WriteJSON(c, 200, newFileReply(prefixFile+at.String(), uint64(len(data)), header.Filename, "batch"))
+	return nil
+}
+
+// splitLines checks every line of a batch file. A failure names the line.
+func (e *Entry) splitLines(data []byte) ([][]byte, string, error) {
+	var lines [][]byte
+	seen := make(map[string]bool)
+	model := ""
+	for n, line := range bytes.Split(data, []byte("\n")) {
+		line = bytes.TrimSpace(line)
+		if len(line) == 0 {
+			continue
+		}
+		item, err := batch.ParseItem(line)
+		if err != nil {
+			fail := *apierr.From(err)
+			fail.Message = fmt.Sprintf("line %d: %s", n+1, fail.Message)
+			return nil, "", &fail
+		}
+		if seen[item.CustomID] {
+			return nil, "", apierr.New(apierr.CodeBadRequest, "line %d: custom_id %q is there twice", n+1, item.CustomID)
+		}
+		seen[item.CustomID] = true
+		if model == "" {
+			model = item.Model
+		}
+		if item.Model != model {
+			return nil, "", apierr.New(apierr.CodeBadRequest, "line %d: all lines must name the same model", n+1)
+		}
+		lines = append(lines, line)
+		if len(lines) > MaxFileItems {
+			return nil, "", apierr.New(apierr.CodeTooLarge, "a file holds at most %d items", MaxFileItems)
+		}
+	}
+	if len(lines) == 0 {
+		return nil, "", apierr.New(apierr.CodeBadRequest, "the file is empty")
+	}
+	if !e.knowsModel(model) {
+		return nil, "", apierr.New(apierr.CodeUnknownModel, "no such model: %s", model)
+	}
+	return lines, model, nil
+}
+
+// storeFile makes a file durable in the partition that its content names.
+func (e *Entry) storeFile(ctx context.Context, workspace, name string, data []byte) (place, error) {
+	lines, _, err := e.splitLines(data)
+	if err != nil {
+		return place{}, err
+	}
+	id := Digest16([]byte("file"), []byte(workspace), data)
+	at := place{partition: e.partitionOf(id), id: id}
+	if err := e.putLines(ctx, at, workspace, name, lines, uint64(len(data))); err != nil {
+		return place{}, err
+	}
+	return at, nil
+}
+
+func (e *Entry) putLines(ctx context.Context, at place, workspace, name string, lines [][]byte, size uint64) error {
+	var number uint32
+	for rest := lines; len(rest) > 0; number++ {
+		n, bytes := 0, 0
+		for n < len(rest) && (n == 0 || bytes+len(rest[n]) <= chunkBytes) {
+			bytes += len(rest[n])
+			n++
+		}
+		_, err := e.Ask(ctx, &wire.PeerRequest{Partition: at.partition, Kind: &wire.PeerRequest_PutChunk{PutChunk: &wire.PutChunk{
+			Workspace: workspace, File: at.id, Number: number, Lines: rest[:n],
+		}}})
+		if err != nil {
+			return err
+		}
+		rest = rest[n:]
+	}
+	_, err := e.Ask(ctx, &wire.PeerRequest{Partition: at.partition, Kind: &wire.PeerRequest_SealFile{SealFile: &wire.SealFile{
+		Workspace: workspace, File: at.id, Chunks: number, Lines: uint32(len(lines)), Bytes: size, Name: name,
+	}}})
+	return err
+}
+
+func (e *Entry) filePage(ctx context.Context, at place, workspace string, chunk uint32) (*wire.FilePage, error) {
+	reply, err := e.Ask(ctx, &wire.PeerRequest{Partition: at.partition, Kind: &wire.PeerRequest_ReadFile{ReadFile: &wire.ReadFile{
+		Workspace: workspace, File: at.id, Chunk: chunk,
+	}}})
+	return reply.GetFile(), err
+}
+
+func (e *Entry) serveFile(ctx context.Context, c *app.RequestContext, ws config.Workspace) error {
+	id := c.Param("id")
+	if strings.HasPrefix(id, prefixOutput) || strings.HasPrefix(id, prefixErrors) {
+		httpx.WriteJSON(c, 200, newFileReply(id, 0, id+".jsonl", "batch_output"))
+		return nil
+	}
+	at, err := e.parsePlace(prefixFile, id)
+	if err != nil {
+		return err
+	}
+	page, err := e.filePage(ctx, at, ws.Name, 0)
+	if err != nil {
+		return err
+	}
+	httpx.WriteJSON(c, 200, newFileReply(id, page.GetBytes(), page.GetName(), "batch"))
+	return nil
+}
+
+func (e *Entry) serveContent(ctx context.Context, c *app.RequestContext, ws config.Workspace) error {
+	id := c.Param("id")
+	var body []byte
+	var err error
+	switch {
+	case strings.HasPrefix(id, prefixOutput):
+		body, err = e.resultsFile(ctx, ws, prefixOutput, id)
+	case strings.HasPrefix(id, prefixErrors):
+		body, err = e.resultsFile(ctx, ws, prefixErrors, id)
+	default:
+		body, err = e.inputFile(ctx, ws, id)
+	}
+	if err != nil {
+		return err
+	}
+	c.Data(200, "application/jsonl", body)
+	return nil
+}
+
+func (e *Entry) inputFile(ctx context.Context, ws config.Workspace, id string) ([]byte, error) {
+	at, err := e.parsePlace(prefixFile, id)
+	if err != nil {
+		return nil, err
+	}
+	lines, err := e.fileLines(ctx, at, ws.Name)
+	if err != nil {
+		return nil, err
+	}
+	return append(bytes.Join(lines, []byte("\n")), '\n'), nil
+}
+
+func (e *Entry) fileLines(ctx context.Context, at place, workspace string) ([][]byte, error) {
+	var lines [][]byte
+	for n := uint32(0); ; n++ {
+		page, err := e.filePage(ctx, at, workspace, n)
+		if err != nil {
+			return nil, err
+		}
+		lines = append(lines, page.GetLines()...)
+		if n+1 >= page.GetChunks() {
+			return lines, nil
+		}
+	}
+}
+
+// batchLine is one line of an output or error file.
+type batchLine struct {
+	ID       string         `json:"id"`
+	CustomID string         `json:"custom_id"`
+	Response *batchResponse `json:"response"`
+	Error    *batchError    `json:"error"`
+}
+
+type batchResponse struct {
+	StatusCode int             `json:"status_code"`
+	RequestID  string          `json:"request_id"`
+	Body       completionReply `json:"body"`
+}
+
+type batchError struct {
+	Code    string `json:"code"`
+	Message string `json:"message"`
+}
+
+// resultsFile writes the succeeded or the other items of a job, in the caller's
+// order. It can be read while the job runs.
+func (e *Entry) resultsFile(ctx context.Context, ws config.Workspace, prefix, id string) ([]byte, error) {
+	at, err := e.parsePlace(prefix, id)
+	if err != nil {
+		return nil, err
+	}
+	job, err := e.job(ctx, ws, at)
+	if err != nil {
+		return nil, err
+	}
+	var out bytes.Buffer
+	for from := uint32(0); ; {
+		reply, err := e.Ask(ctx, &wire.PeerRequest{Partition: at.partition, Kind: &wire.PeerRequest_ReadResults{ReadResults: &wire.ReadResults{
+			Workspace: ws.Name, Job: at.id, From: from, Limit: resultsPage,
+		}}})
+		if err != nil {
+			return nil, err
+		}
+		for _, line := range reply.GetResults().GetLines() {
+			if (line.GetState() == "succeeded") == (prefix == prefixOutput) {
+				writeLine(&out, at, job, line)
+			}
+		}
+		if !reply.GetResults().GetMore() {
+			return out.Bytes(), nil
+		}
+		from = reply.GetResults().GetNext()
+	}
+}
+
+func writeLine(out *bytes.Buffer, at place, job *wire.JobInfo, line *wire.ResultLine) {
+	id := fmt.Sprintf("%s-%d", at, line.GetIndex())
+	l := batchLine{ID: "batch_req_" + id, CustomID: line.GetCustomId()}
+	if line.GetState() == "succeeded" {
+		w := &completionWriter{chat: strings.Contains(job.GetEndpoint(), "chat"), model: job.GetModel(), id: id}
+		l.Response = &batchResponse{StatusCode: 200, RequestID: id, Body: w.batchReply(line)}
+	} else {
+		l.Error = &batchError{Code: line.GetState(), Message: line.GetReason()}
+	}
+	// Strings in results are UTF-8 or are replaced by the encoder; it cannot fail.
+	data, _ := json.Marshal(l)
+	out.Write(data)
+	out.WriteByte('\n')
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,6 +14,8 @@
 	"golang.org/x/time/rate"
 
 	"pumiceford/config"
+	"pumiceford/internal/defaults"
+	"pumiceford/internal/wait"
 	"pumiceford/journal"
 	"pumiceford/ledger"
 	"pumiceford/link"
@@ -98,18 +100,10 @@
 
 // New returns an Entry. Run starts it.
 func New(cfg Config) *Entry {
-	if cfg.HostsEvery == 0 {
-		cfg.HostsEvery = defaultHostsEvery
-	}
-	if cfg.ReattachFor == 0 {
-		cfg.ReattachFor = defaultReattachFor
-	}
-	if cfg.ResumeAfter == 0 {
-		cfg.ResumeAfter = defaultResumeAfter
-	}
-	if cfg.AgentsPerEntry == 0 {
-		cfg.AgentsPerEntry = defaultAgentsPerEntry
-	}
+	defaults.Set(&cfg.HostsEvery, defaultHostsEvery)
+	defaults.Set(&cfg.ReattachFor, defaultReattachFor)
+	defaults.Set(&cfg.ResumeAfter, defaultResumeAfter)
+	defaults.Set(&cfg.AgentsPerEntry, defaultAgentsPerEntry)
 	if cfg.Metrics == nil {
 		cfg.Metrics = metrics.New(cfg.Name)
 	}
@@ -131,7 +125,7 @@
 	e.cfg.Ledger.Node = cfg.Name
 	e.cfg.Ledger.Log = cfg.Log
 	e.cfg.Ledger.Share = e.share
-	e.cfg.Ledger.Log2 = cfg.Logger
+	e.cfg.Ledger.Logger = cfg.Logger
 	e.cfg.Ledger.Metrics = cfg.Metrics
 	e.manager = ledger.NewManager(e.cfg.Ledger, e.feedAgents)
 	e.cfg.Link.Node = cfg.Name
@@ -170,7 +164,7 @@
 	e.mu.Lock()
 	e.leaving = true
 	e.mu.Unlock()
-	sleep(ctx, balancer)
+	_ = wait.For(ctx, balancer)
 	tick := time.NewTicker(20 * time.Millisecond)
 	defer tick.Stop()
 	for e.activeRequests() > 0 && ctx.Err() == nil {
@@ -181,15 +175,6 @@
 	return cut
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func (e *Entry) activeRequests() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/entry/hosts.go
+++ b/entry/hosts.go
@@ -6,6 +6,7 @@
 
 	"pumiceford/apierr"
 	"pumiceford/config"
+	"pumiceford/internal/wait"
 	"pumiceford/ledger"
 	"pumiceford/link"
 	"pumiceford/logging"
@@ -167,7 +168,7 @@
 		if o.Ready() {
 			e.feedOnce(ctx, o, name, n)
 		}
-		sleep(ctx, redialPause)
+		_ = wait.For(ctx, redialPause)
 	}
 }
 
@@ -238,7 +239,7 @@
 		if !again {
 			return nil, err
 		}
-		sleep(ctx, ownerRetryPause)
+		_ = wait.For(ctx, ownerRetryPause)
 	}
 }
 
--- a/entry/online.go
+++ b/entry/online.go
@@ -9,6 +9,7 @@
 	"github.com/google/uuid"
 
 	"pumiceford/apierr"
+	"pumiceford/internal/wait"
 	"pumiceford/link"
 	"pumiceford/online"
 	"pumiceford/routing"
@@ -142,7 +143,7 @@
 // jitter waits a random time, so that retries of many requests do not meet.
 func jitter(ctx context.Context, n int) {
 	limit := retryBase << n
-	sleep(ctx, time.Duration(rand.Int64N(int64(limit))))
+	_ = wait.For(ctx, time.Duration(rand.Int64N(int64(limit))))
 }
 
 // mayTryElsewhere says whether a failure lets the request go to another agent.
@@ -271,7 +272,7 @@
 			return nil, errors.Mark(apierr.Unknown(apierr.CodeOutcomeUnknown, "target not reached"), errAgentGone)
 		}
 		if !lostAt.IsZero() && a.asm.Next() == before {
-			sleep(ctx, reattachPause)
+			_ = wait.For(ctx, reattachPause)
 		}
 		call = &wire.Call{Kind: &wire.Call_Attach{Attach: &wire.Attach{Id: a.id, FromSeq: a.asm.Next()}}}
 	}
--- a/journal/writer.go
+++ b/journal/writer.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
+	"pumiceford/internal/wait"
 	"pumiceford/platform"
 	"pumiceford/wire"
 )
@@ -210,12 +211,5 @@
 	if errors.As(cause, &throttled) && throttled.RetryAfter > 0 {
 		d = throttled.RetryAfter
 	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
+	return wait.For(ctx, d)
 }
--- a/ledger/maintain.go
+++ b/ledger/maintain.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -83,8 +84,8 @@
 	need := o.part.CarryBelow(o.part.Next())
 	o.mu.Unlock()
 	horizon := time.Now().Add(-o.cfg.Retention / carryShare)
-	slices.SortFunc(need.Chunks, func(a, b batch.CarryChunk) int { return compareOffsets(a.Offset, b.Offset) })
-	slices.SortFunc(need.Spans, func(a, b batch.CarrySpan) int { return compareOffsets(a.Offset, b.Offset) })
+	slices.SortFunc(need.Chunks, func(a, b batch.CarryChunk) int { return cmp.Compare(a.Offset, b.Offset) })
+	slices.SortFunc(need.Spans, func(a, b batch.CarrySpan) int { return cmp.Compare(a.Offset, b.Offset) })
 	for _, c := range need.Chunks {
 		old, err := o.carryChunk(ctx, c, horizon)
 		if err != nil {
@@ -103,16 +104,6 @@
 	return nil
 }
 
-func compareOffsets(a, b uint64) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // oldRecord returns a record's data when it is older than horizon.
 func (o *Owner) oldRecord(ctx context.Context, offset uint64, horizon time.Time) ([]byte, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, logReadTimeout)
--- a/ledger/manager.go
+++ b/ledger/manager.go
@@ -42,7 +42,7 @@
 	cfg = cfg.withDefaults()
 	return &Manager{
 		cfg:     cfg,
-		log:     cfg.Log2.Part("ledger"),
+		log:     cfg.Logger.Part("ledger"),
 		owners:  make(map[uint32]*running),
 		since:   make(map[uint32]time.Time),
 		onOwner: onOwner,
--- a/link/link.go
+++ b/link/link.go
@@ -20,6 +20,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/yamux"
 
+	"pumiceford/internal/defaults"
 	"pumiceford/journal"
 	"pumiceford/wire"
 )
@@ -103,18 +104,10 @@
 var ErrClosed = errors.New("link closed")
 
 func (c Config) withDefaults() Config {
-	if c.HeartbeatEvery == 0 {
-		c.HeartbeatEvery = DefaultHeartbeatEvery
-	}
-	if c.IdleEvery == 0 {
-		c.IdleEvery = DefaultIdleEvery
-	}
-	if c.SilentAfter == 0 {
-		c.SilentAfter = DefaultSilentAfter
-	}
-	if c.DialTimeout == 0 {
-		c.DialTimeout = DefaultDialTimeout
-	}
+	defaults.Set(&c.HeartbeatEvery, DefaultHeartbeatEvery)
+	defaults.Set(&c.IdleEvery, DefaultIdleEvery)
+	defaults.Set(&c.SilentAfter, DefaultSilentAfter)
+	defaults.Set(&c.DialTimeout, DefaultDialTimeout)
 	if c.Dial == nil {
 		c.Dial = dialTCP
 	}
--- a/link/peer.go
+++ b/link/peer.go
@@ -6,6 +6,7 @@
 
 	"github.com/hashicorp/yamux"
 
+	"pumiceford/internal/wait"
 	"pumiceford/wire"
 )
 
@@ -70,7 +71,7 @@
 		s, err := p.session(ctx, class)
 		if err != nil {
 			p.cfg.OnLost(p.addr)
-			sleep(ctx, pause)
+			_ = wait.For(ctx, pause)
 			continue
 		}
 		select {
@@ -81,15 +82,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func (p *Peer) session(ctx context.Context, class Class) (*session, error) {
 	sl := p.slots[class]
 	select {
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"pumiceford/internal/defaults"
 )
 
 // Settings shape a Router.
@@ -34,24 +36,12 @@
 }
 
 func (s Settings) withDefaults() Settings {
-	if s.StatusFor == 0 {
-		s.StatusFor = 6 * time.Second
-	}
-	if s.LoadFactor == 0 {
-		s.LoadFactor = 1.25
-	}
-	if s.EjectAfter == 0 {
-		s.EjectAfter = 3
-	}
-	if s.EjectFor == 0 {
-		s.EjectFor = time.Second
-	}
-	if s.EjectShare == 0 {
-		s.EjectShare = 1.0 / 3
-	}
-	if s.SpillAt == 0 {
-		s.SpillAt = 0.8
-	}
+	defaults.Set(&s.StatusFor, 6*time.Second)
+	defaults.Set(&s.LoadFactor, 1.25)
+	defaults.Set(&s.EjectAfter, 3)
+	defaults.Set(&s.EjectFor, time.Second)
+	defaults.Set(&s.EjectShare, 1.0/3)
+	defaults.Set(&s.SpillAt, 0.8)
 	return s
 }
 
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"pumiceford/engine"
+	"pumiceford/internal/defaults"
 )
 
 // EngineSettings shape an Engine.
@@ -46,33 +47,15 @@
 const flakyFailures = 2
 
 func (s EngineSettings) withDefaults() EngineSettings {
-	if s.StepBase == 0 {
-		s.StepBase = 2 * time.Millisecond
-	}
-	if s.StepPerSeq == 0 {
-		s.StepPerSeq = 30 * time.Microsecond
-	}
-	if s.PrefillPerToken == 0 {
-		s.PrefillPerToken = 8 * time.Microsecond
-	}
-	if s.MaxRunning == 0 {
-		s.MaxRunning = 32
-	}
-	if s.KVBlocks == 0 {
-		s.KVBlocks = 4096
-	}
-	if s.CacheBlocks == 0 {
-		s.CacheBlocks = 1024
-	}
-	if s.LoadLag == 0 {
-		s.LoadLag = 500 * time.Millisecond
-	}
-	if s.EventLag == 0 {
-		s.EventLag = 200 * time.Millisecond
-	}
-	if s.RestartDelay == 0 {
-		s.RestartDelay = 500 * time.Millisecond
-	}
+	defaults.Set(&s.StepBase, 2*time.Millisecond)
+	defaults.Set(&s.StepPerSeq, 30*time.Microsecond)
+	defaults.Set(&s.PrefillPerToken, 8*time.Microsecond)
+	defaults.Set(&s.MaxRunning, 32)
+	defaults.Set(&s.KVBlocks, 4096)
+	defaults.Set(&s.CacheBlocks, 1024)
+	defaults.Set(&s.LoadLag, 500*time.Millisecond)
+	defaults.Set(&s.EventLag, 200*time.Millisecond)
+	defaults.Set(&s.RestartDelay, 500*time.Millisecond)
 	return s
 }
 
