Remove what nothing calls; show how many partitions a node runs

Cause: seven exported functions had no caller left, and the gauge of sizes was never set.

Change: removed; the gauge pumice_state{kind="partitions_run"} is set.

--- a/batch/dispatcher.go
+++ b/batch/dispatcher.go
@@ -470,27 +470,6 @@
 	return !flying
 }
 
-// Holds reports whether an agent holds an item of a job.
-func (d *Dispatcher) Holds(agent string, job JobID) bool {
-	for key := range d.byAgent[agent] {
-		if key.Job == job {
-			return true
-		}
-	}
-	return false
-}
-
-// AgentOf returns the agent that an item is granted to.
-func (d *Dispatcher) AgentOf(key ItemKey) (string, bool) {
-	fl, ok := d.inFlight[key]
-	return fl.agent, ok
-}
-
-// InFlight returns how many items are granted.
-func (d *Dispatcher) InFlight() int {
-	return len(d.inFlight)
-}
-
 // Backlog returns how many items wait, delayed ones included.
 func (d *Dispatcher) Backlog() int {
 	n := 0
--- a/batch/partition.go
+++ b/batch/partition.go
@@ -108,9 +108,6 @@
 	return !p.released && p.ownerInc == inc
 }
 
-// LogTime returns the log's time of the last record applied.
-func (p *Partition) LogTime() time.Time { return p.logTime }
-
 // Job returns a job, nil when there is none.
 func (p *Partition) Job(id JobID) *Job { return p.jobs[id] }
 
--- a/batch/snapshot.go
+++ b/batch/snapshot.go
@@ -180,25 +180,6 @@
 	return nil
 }
 
-// OldestNeeded returns the lowest offset that must not be trimmed yet: a chunk
-// of a file in use or a readable result. It reports false when nothing is.
-func (p *Partition) OldestNeeded() (uint64, bool) {
-	oldest := ^uint64(0)
-	for _, f := range p.files {
-		for _, c := range f.chunks {
-			if c.known {
-				oldest = min(oldest, c.offset)
-			}
-		}
-	}
-	for _, j := range p.jobs {
-		for _, s := range j.spans {
-			oldest = min(oldest, s.offset)
-		}
-	}
-	return oldest, oldest != ^uint64(0)
-}
-
 // Carry lists the state whose records lie below an offset and must be repeated
 // before the log trims them.
 type Carry struct {
--- a/journal/journal.go
+++ b/journal/journal.go
@@ -84,11 +84,6 @@
 	delete(d.marks, oldest)
 }
 
-// Highest returns the highest sequence seen of inc, 0 when none.
-func (d *Dedupe) Highest(inc Incarnation) uint64 {
-	return d.marks[inc].seq
-}
-
 // Snapshot returns the state for a partition snapshot.
 func (d *Dedupe) Snapshot() []*wire.WriterState {
 	out := make([]*wire.WriterState, 0, len(d.marks))
--- a/ledger/manager.go
+++ b/ledger/manager.go
@@ -118,6 +118,7 @@
 		for p := uint32(0); p < m.cfg.Partitions; p++ {
 			m.manage(ctx, p)
 		}
+		m.cfg.Metrics.Gauge("partitions_run", float64(len(m.Owners())))
 		select {
 		case <-ctx.Done():
 			return
--- a/online/answer.go
+++ b/online/answer.go
@@ -100,13 +100,6 @@
 	return frames, a.closed, a.changed
 }
 
-// Closed reports whether the answer ended.
-func (a *Answer) Closed() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.closed
-}
-
 // Tokens returns how many tokens the answer has.
 func (a *Answer) Tokens() uint32 {
 	a.mu.Lock()
