Look at files of a partition only under its lock

Cause: the race detector found a caller's resend reading a file's 'sealed' mark while the writer folded the seal; it had the file outside Owner.mu.

Change: callers get the answer, not the file.

--- a/ledger/ops.go
+++ b/ledger/ops.go
@@ -99,25 +99,24 @@
 	return ok || f.Sealed
 }
 
-func (o *Owner) fileOf(workspace string, file []byte) *batch.File {
+// sealed reports whether a workspace has a whole file of this id. The file itself
+// changes with the fold and is only looked at under Owner.mu.
+func (o *Owner) sealed(workspace string, file []byte) bool {
 	id := fileID(file)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	f := o.part.File(id)
-	if f == nil || f.Workspace != workspace {
-		return nil
-	}
-	return f
+	return f != nil && f.Workspace == workspace && f.Sealed
 }
 
 func (o *Owner) sealFile(ctx context.Context, s *wire.SealFile) (*wire.PeerReply, error) {
-	if f := o.fileOf(s.GetWorkspace(), s.GetFile()); f != nil && f.Sealed {
+	if o.sealed(s.GetWorkspace(), s.GetFile()) {
 		return &wire.PeerReply{}, nil
 	}
 	if err := o.commit(ctx, &wire.Entry{Kind: &wire.Entry_Seal{Seal: s}}); err != nil {
 		return nil, err
 	}
-	if f := o.fileOf(s.GetWorkspace(), s.GetFile()); f == nil || !f.Sealed {
+	if !o.sealed(s.GetWorkspace(), s.GetFile()) {
 		return nil, apierr.New(apierr.CodeBadRequest, "chunks of the file are missing")
 	}
 	return &wire.PeerReply{}, nil
@@ -131,7 +130,7 @@
 		return nil, apierr.New(apierr.CodeBadRequest, "bad job id")
 	}
 	if o.job(id) == nil {
-		if f := o.fileOf(c.GetWorkspace(), c.GetFile()); f == nil || !f.Sealed {
+		if !o.sealed(c.GetWorkspace(), c.GetFile()) {
 			return nil, apierr.New(apierr.CodeNotFound, "no such file")
 		}
 		if err := o.commit(ctx, &wire.Entry{Kind: &wire.Entry_Commit{Commit: c}}); err != nil {
@@ -388,11 +387,15 @@
 }
 
 func (o *Owner) readFile(ctx context.Context, r *wire.ReadFile) (*wire.PeerReply, error) {
-	f := o.fileOf(r.GetWorkspace(), r.GetFile())
-	if f == nil || !f.Sealed {
+	if !o.sealed(r.GetWorkspace(), r.GetFile()) {
 		return nil, apierr.New(apierr.CodeNotFound, "no such file")
 	}
 	o.mu.Lock()
+	f := o.part.File(fileID(r.GetFile()))
+	if f == nil {
+		o.mu.Unlock()
+		return nil, apierr.New(apierr.CodeNotFound, "no such file")
+	}
 	page := &wire.FilePage{Chunks: f.Chunks(), TotalLines: f.Lines, Bytes: f.Bytes, Name: f.Name}
 	off, ok := f.ChunkOffset(r.GetChunk())
 	o.mu.Unlock()
