Draw the steps of all stories by one function

Cause: three tests drew the same steps with other kinds and bounds.

Change: drawSteps takes the kinds, the last host and the most steps; ranges, kinds and assertions are as they were.

--- a/entry/history_test.go
+++ b/entry/history_test.go
@@ -153,6 +153,8 @@
 	return place{partition: e.partitionOf(file), id: Digest16([]byte("job"), []byte(worldWorkspace.Name), digest)}
 }
 
+var historyKinds = []string{"freeze entry", "resume entry", "kill entry", "restart entry", "lose answers", "drop appends", "silence", "crash engine"}
+
 // Symptom: a caller sees a job that comes and goes, counts that shrink, or items
 // that complete after a cancel. Sequence: callers submit, read and cancel one job
 // through both entries at once while hosts and the log fail. Cause guarded
@@ -160,14 +162,7 @@
 // superseded without knowing.
 func TestJobHistoriesAreLinearizable(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		steps := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
-			return step{
-				Kind:  rapid.SampledFrom([]string{"freeze entry", "resume entry", "kill entry", "restart entry", "lose answers", "drop appends", "silence", "crash engine"}).Draw(t, "kind"),
-				A:     rapid.IntRange(0, 1).Draw(t, "a"),
-				B:     rapid.IntRange(0, 9).Draw(t, "b"),
-				After: drawDelay(t),
-			}
-		}), 1, 10).Draw(rt, "faults")
+		steps := drawSteps(rt, historyKinds, 1, 10)
 		kinds := rapid.SliceOfN(rapid.SampledFrom([]string{"submit", "read", "read", "read", "cancel"}), 4, 14).Draw(rt, "calls")
 		if err := runHistory(t, steps, kinds); err != nil {
 			rt.Fatalf("%v\n%s", err, storyText(steps))
--- a/entry/ledger_fault_test.go
+++ b/entry/ledger_fault_test.go
@@ -277,15 +277,16 @@
 	return time.Duration(rapid.IntRange(1, most).Draw(t, "after ms")) * time.Millisecond
 }
 
-func drawSteps(t *rapid.T) []step {
+// drawSteps draws up to most steps of the given kinds on hosts 0 to last.
+func drawSteps(t *rapid.T, kinds []string, last, most int) []step {
 	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
 		return step{
-			Kind:  rapid.SampledFrom(stepKinds).Draw(t, "kind"),
-			A:     rapid.IntRange(0, 2).Draw(t, "a"),
+			Kind:  rapid.SampledFrom(kinds).Draw(t, "kind"),
+			A:     rapid.IntRange(0, last).Draw(t, "a"),
 			B:     rapid.IntRange(0, 9).Draw(t, "b"),
 			After: drawDelay(t),
 		}
-	}), 1, 25).Draw(t, "steps")
+	}), 1, most).Draw(t, "steps")
 }
 
 // play carries out one step. Submits and cancels run beside the faults.
@@ -448,7 +449,7 @@
 // killers in any order.
 func TestLedgerStories(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		steps := drawSteps(rt)
+		steps := drawSteps(rt, stepKinds, 2, 25)
 		if err := runLedgerStory(t, steps, false); err != nil {
 			rt.Fatalf("%v\n%s", err, storyText(steps))
 		}
--- a/entry/online_fault_test.go
+++ b/entry/online_fault_test.go
@@ -203,14 +203,7 @@
 // other entry, log outages.
 func TestOnlineStories(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		steps := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
-			return step{
-				Kind:  rapid.SampledFrom(onlineKinds).Draw(t, "kind"),
-				A:     rapid.IntRange(0, 2).Draw(t, "a"),
-				B:     rapid.IntRange(0, 9).Draw(t, "b"),
-				After: drawDelay(t),
-			}
-		}), 1, 25).Draw(rt, "steps")
+		steps := drawSteps(rt, onlineKinds, 2, 25)
 		if err := runOnlineStory(t, steps); err != nil {
 			rt.Fatalf("%v\n%s", err, storyText(steps))
 		}
