--- a/agent/agent.go
+++ b/agent/agent.go
@@ -14,11 +14,11 @@
 	"pumiceford/config"
 	"pumiceford/engine"
 	"pumiceford/internal/defaults"
-	"pumiceford/journal"
 	"pumiceford/link"
 	"pumiceford/logging"
 	"pumiceford/metrics"
 	"pumiceford/online"
+	"pumiceford/oplog"
 	"pumiceford/wire"
 )
 
@@ -32,7 +32,7 @@
 type Config struct {
 	Name        string
 	DataCentre  string
-	Incarnation journal.Incarnation
+	Incarnation oplog.Incarnation
 	Engine      engine.Engine      // nil when only plain services stand here
 	Services    map[string]Service // by name
 	Admission   admission.Settings
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -8,7 +8,7 @@
 
 	"pumiceford/admission"
 	"pumiceford/apierr"
-	"pumiceford/journal"
+	"pumiceford/oplog"
 	"pumiceford/standin"
 	"pumiceford/wire"
 )
@@ -17,7 +17,7 @@
 
 func testAgent(ctx context.Context) (*Agent, *standin.Engine) {
 	e := standin.NewEngine(ctx, standin.EngineSettings{Models: []string{testModel}, MaxRunning: 2})
-	a := New(ctx, Config{Name: "a", Incarnation: journal.NewIncarnation(), Engine: e, Admission: admission.Settings{Seats: 2, Harm: 0.1}})
+	a := New(ctx, Config{Name: "a", Incarnation: oplog.NewIncarnation(), Engine: e, Admission: admission.Settings{Seats: 2, Harm: 0.1}})
 	return a, e
 }
 
@@ -66,7 +66,7 @@
 func TestStartForAnEarlierIncarnation(t *testing.T) {
 	inBubble(t, func(t *testing.T, a *Agent, _ *standin.Engine) {
 		s := testStart(a)
-		other := journal.NewIncarnation()
+		other := oplog.NewIncarnation()
 		s.AgentIncarnation = other[:]
 		if _, err := a.admit(s); err == nil || err.Code != apierr.CodeWrongIncarnation || err.Ran != wire.Ran_RAN_NO {
 			t.Fatalf("start for another incarnation: %v", err)
--- a/agent/configpeer.go
+++ b/agent/configpeer.go
@@ -7,23 +7,23 @@
 	"time"
 
 	"pumiceford/config"
+	"pumiceford/infra"
 	"pumiceford/link"
-	"pumiceford/platform"
 	"pumiceford/wire"
 )
 
 // ConfigPeers asks entries for configuration while the platform's log does not
 // answer. It remembers the last host list, which may be away as well.
 type ConfigPeers struct {
-	hosts platform.HostList
+	hosts infra.HostList
 	link  link.Config
 
 	mu   sync.Mutex
-	last []platform.Host
+	last []infra.Host
 }
 
 // NewConfigPeers returns a ConfigPeers.
-func NewConfigPeers(hosts platform.HostList, cfg link.Config) *ConfigPeers {
+func NewConfigPeers(hosts infra.HostList, cfg link.Config) *ConfigPeers {
 	return &ConfigPeers{hosts: hosts, link: cfg}
 }
 
@@ -49,10 +49,10 @@
 	}
 }
 
-func (p *ConfigPeers) remember(list []platform.Host) {
-	var entries []platform.Host
+func (p *ConfigPeers) remember(list []infra.Host) {
+	var entries []infra.Host
 	for _, h := range list {
-		if h.Role == platform.RoleEntry {
+		if h.Role == infra.RoleEntry {
 			entries = append(entries, h)
 		}
 	}
@@ -64,7 +64,7 @@
 // Fetch implements config.FetchFunc: of a few entries the one that is furthest.
 func (p *ConfigPeers) Fetch(ctx context.Context, from uint64) (*wire.ConfigRecords, error) {
 	p.mu.Lock()
-	entries := append([]platform.Host(nil), p.last...)
+	entries := append([]infra.Host(nil), p.last...)
 	p.mu.Unlock()
 	rand.Shuffle(len(entries), func(i, j int) { entries[i], entries[j] = entries[j], entries[i] })
 	best := &wire.ConfigRecords{}
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -9,14 +9,14 @@
 
 	"pumiceford/config"
 	"pumiceford/engine"
+	"pumiceford/infra"
 	"pumiceford/logging"
-	"pumiceford/platform"
 	"pumiceford/routing"
 )
 
 // Follow keeps the agent in step with the configuration: drains, the harm that
 // its deployment tolerates, and the models that it serves.
-func (a *Agent) Follow(ctx context.Context, f *config.Follower, deployment string, hosts platform.HostList, weights platform.WeightStore) {
+func (a *Agent) Follow(ctx context.Context, f *config.Follower, deployment string, hosts infra.HostList, weights infra.WeightStore) {
 	o := &orderer{a: a, follower: f, hosts: hosts, weights: weights, done: make(map[string]uint64), log: a.cfg.Log.Part("orders")}
 	for ctx.Err() == nil {
 		changed := f.Changed()
@@ -60,8 +60,8 @@
 type orderer struct {
 	a        *Agent
 	follower *config.Follower
-	hosts    platform.HostList
-	weights  platform.WeightStore
+	hosts    infra.HostList
+	weights  infra.WeightStore
 	done     map[string]uint64 // model -> fence of the order that was carried out
 	log      logging.Logger
 }
@@ -143,7 +143,7 @@
 	}
 	var agents []string
 	for _, h := range list {
-		if h.Role == platform.RoleAgent {
+		if h.Role == infra.RoleAgent {
 			agents = append(agents, h.Name)
 		}
 	}
--- a/agent/request.go
+++ b/agent/request.go
@@ -10,9 +10,9 @@
 	"pumiceford/admission"
 	"pumiceford/apierr"
 	"pumiceford/engine"
-	"pumiceford/journal"
 	"pumiceford/link"
 	"pumiceford/online"
+	"pumiceford/oplog"
 	"pumiceford/wire"
 )
 
@@ -63,7 +63,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	id := string(s.GetId())
-	if inc, ok := journal.IncarnationFrom(s.GetAgentIncarnation()); !ok || inc != a.cfg.Incarnation {
+	if inc, ok := oplog.IncarnationFrom(s.GetAgentIncarnation()); !ok || inc != a.cfg.Incarnation {
 		// A start meant for an earlier run of this process may have been started
 		// there. Accepting it here could run it twice.
 		return nil, apierr.New(apierr.CodeWrongIncarnation, "this agent was restarted")
@@ -215,7 +215,7 @@
 func (a *Agent) revoke(rv *wire.Revoke) wire.Ran {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	inc, ok := journal.IncarnationFrom(rv.GetAgentIncarnation())
+	inc, ok := oplog.IncarnationFrom(rv.GetAgentIncarnation())
 	if !ok || inc != a.cfg.Incarnation {
 		return wire.Ran_RAN_UNKNOWN
 	}
--- a/batch/fuzz_test.go
+++ b/batch/fuzz_test.go
@@ -5,7 +5,7 @@
 	"testing"
 
 	"pumiceford/apierr"
-	"pumiceford/platform"
+	"pumiceford/infra"
 )
 
 func FuzzParseItem(f *testing.F) {
@@ -30,13 +30,13 @@
 	f.Add([]byte(""), []byte("\x0a\x10aaaaaaaaaaaaaaaa\x10\x01\x18\x01"))
 	f.Fuzz(func(t *testing.T, a, b []byte) {
 		p := NewPartition(0)
-		p.Apply(platform.Record{Offset: 0, Data: a})
-		p.Apply(platform.Record{Offset: 1, Data: b})
+		p.Apply(infra.Record{Offset: 0, Data: a})
+		p.Apply(infra.Record{Offset: 1, Data: b})
 		if p.Next() != 2 {
 			t.Fatalf("next is %d", p.Next())
 		}
 		if _, err := Restore(0, a); err == nil {
-			NewFinder().Add(platform.Record{Data: a})
+			NewFinder().Add(infra.Record{Data: a})
 		}
 	})
 }
--- a/batch/partition.go
+++ b/batch/partition.go
@@ -9,8 +9,8 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"pumiceford/journal"
-	"pumiceford/platform"
+	"pumiceford/infra"
+	"pumiceford/oplog"
 	"pumiceford/wire"
 )
 
@@ -65,11 +65,11 @@
 // Partition is the fold of one batch stream.
 type Partition struct {
 	Number   uint32
-	dedupe   *journal.Dedupe
+	dedupe   *oplog.Dedupe
 	next     uint64
 	epoch    uint64
 	owner    string
-	ownerInc journal.Incarnation
+	ownerInc oplog.Incarnation
 	released bool
 	files    map[FileID]*File
 	jobs     map[JobID]*Job
@@ -81,7 +81,7 @@
 func NewPartition(number uint32) *Partition {
 	return &Partition{
 		Number:   number,
-		dedupe:   journal.NewDedupe(),
+		dedupe:   oplog.NewDedupe(),
 		files:    make(map[FileID]*File),
 		jobs:     make(map[JobID]*Job),
 		keys:     make(map[KeyID]*wire.RecordKey),
@@ -104,7 +104,7 @@
 }
 
 // OwnedBy reports whether inc owns the partition at the current offset.
-func (p *Partition) OwnedBy(inc journal.Incarnation) bool {
+func (p *Partition) OwnedBy(inc oplog.Incarnation) bool {
 	return !p.released && p.ownerInc == inc
 }
 
@@ -146,13 +146,13 @@
 
 // Apply folds one record. Records that are not valid at their offset change
 // nothing: copies, records of a superseded owner, and foreign bytes.
-func (p *Partition) Apply(rec platform.Record) []Event {
+func (p *Partition) Apply(rec infra.Record) []Event {
 	if rec.Offset < p.next {
 		return nil
 	}
 	p.next = rec.Offset + 1
 	p.logTime = rec.Time
-	env, inc, ok := journal.Decode(rec.Data)
+	env, inc, ok := oplog.Decode(rec.Data)
 	if !ok || !p.dedupe.Fresh(inc, env.GetSeq(), rec.Offset) {
 		return nil
 	}
@@ -174,7 +174,7 @@
 	return events
 }
 
-func (p *Partition) takeover(epoch uint64, inc journal.Incarnation, t *wire.Takeover) []Event {
+func (p *Partition) takeover(epoch uint64, inc oplog.Incarnation, t *wire.Takeover) []Event {
 	if epoch != p.epoch+1 {
 		return nil
 	}
@@ -186,7 +186,7 @@
 	return []Event{{Kind: OwnerChanged}}
 }
 
-func (p *Partition) applyEntry(rec platform.Record, entry *wire.Entry) []Event {
+func (p *Partition) applyEntry(rec infra.Record, entry *wire.Entry) []Event {
 	switch k := entry.GetKind().(type) {
 	case *wire.Entry_Release:
 		p.released = true
@@ -420,7 +420,7 @@
 // OutcomesIn returns the outcomes of a job that the record holds. The record
 // must be one that SpansFor named.
 func OutcomesIn(data []byte, job JobID) []*wire.Outcome {
-	env, _, ok := journal.Decode(data)
+	env, _, ok := oplog.Decode(data)
 	if !ok {
 		return nil
 	}
@@ -438,7 +438,7 @@
 
 // ChunkIn returns the chunk of a file that the record holds.
 func ChunkIn(data []byte, file FileID, number uint32) *wire.PutChunk {
-	env, _, ok := journal.Decode(data)
+	env, _, ok := oplog.Decode(data)
 	if !ok {
 		return nil
 	}
--- a/batch/partition_test.go
+++ b/batch/partition_test.go
@@ -10,8 +10,8 @@
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
-	"pumiceford/journal"
-	"pumiceford/platform"
+	"pumiceford/infra"
+	"pumiceford/oplog"
 	"pumiceford/wire"
 )
 
@@ -23,7 +23,7 @@
 }
 
 type naiveRecord struct {
-	inc   journal.Incarnation
+	inc   oplog.Incarnation
 	seq   uint64
 	epoch uint64
 	entry *wire.Entry
@@ -31,7 +31,7 @@
 
 type naiveState struct {
 	epoch     uint64
-	owner     journal.Incarnation
+	owner     oplog.Incarnation
 	held      bool
 	accepted  map[string]bool
 	cancelled map[string]bool
@@ -42,7 +42,7 @@
 
 func (n *naiveLedger) read() naiveState {
 	s := naiveState{accepted: map[string]bool{}, cancelled: map[string]bool{}, outcome: map[string]string{}, started: map[string]bool{}, total: map[string]int{}}
-	seen := map[journal.Incarnation]uint64{}
+	seen := map[oplog.Incarnation]uint64{}
 	for _, r := range n.records {
 		if r.seq <= seen[r.inc] {
 			continue
@@ -128,7 +128,7 @@
 // by record, over snapshots, and by the naive ledger.
 type ledgerMachine struct {
 	naive  naiveLedger
-	log    []platform.Record
+	log    []infra.Record
 	fold   *Partition
 	seqs   [testWriters]uint64
 	epochs [testWriters]uint64 // epoch of each writer's last takeover
@@ -139,9 +139,9 @@
 	if err != nil {
 		panic(err)
 	}
-	rec := platform.Record{Offset: uint64(len(m.log)), Time: time.Unix(1000, 0), Data: data}
+	rec := infra.Record{Offset: uint64(len(m.log)), Time: time.Unix(1000, 0), Data: data}
 	m.log = append(m.log, rec)
-	inc, _ := journal.IncarnationFrom(env.GetIncarnation())
+	inc, _ := oplog.IncarnationFrom(env.GetIncarnation())
 	for _, e := range env.GetEntries() {
 		m.naive.records = append(m.naive.records, naiveRecord{inc: inc, seq: env.GetSeq(), epoch: env.GetEpoch(), entry: e})
 	}
@@ -214,7 +214,7 @@
 	if len(m.log) == 0 {
 		t.Skip("nothing to copy")
 	}
-	env, _, _ := journal.Decode(m.log[rapid.IntRange(0, len(m.log)-1).Draw(t, "record")].Data)
+	env, _, _ := oplog.Decode(m.log[rapid.IntRange(0, len(m.log)-1).Draw(t, "record")].Data)
 	m.append(env)
 }
 
@@ -229,7 +229,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		finder.Add(platform.Record{Offset: uint64(n), Data: data})
+		finder.Add(infra.Record{Offset: uint64(n), Data: data})
 	}
 	data, next, ok := finder.Snapshot()
 	if !ok || next != m.fold.Next() {
--- a/batch/snapshot.go
+++ b/batch/snapshot.go
@@ -6,8 +6,8 @@
 	"github.com/RoaringBitmap/roaring/v2"
 	"google.golang.org/protobuf/proto"
 
-	"pumiceford/journal"
-	"pumiceford/platform"
+	"pumiceford/infra"
+	"pumiceford/oplog"
 	"pumiceford/wire"
 )
 
@@ -110,7 +110,7 @@
 	p.epoch = s.GetEpoch()
 	p.owner = s.GetOwner()
 	p.released = s.GetOwner() == ""
-	p.ownerInc, _ = journal.IncarnationFrom(s.GetOwnerIncarnation())
+	p.ownerInc, _ = oplog.IncarnationFrom(s.GetOwnerIncarnation())
 	p.dedupe.Restore(s.GetWriters())
 	for _, f := range s.GetFiles() {
 		p.restoreFile(f)
@@ -236,7 +236,7 @@
 }
 
 type finderKey struct {
-	inc   journal.Incarnation
+	inc   oplog.Incarnation
 	epoch uint64
 	id    uint64
 }
@@ -247,8 +247,8 @@
 }
 
 // Add looks at one record.
-func (f *Finder) Add(rec platform.Record) {
-	env, inc, ok := journal.Decode(rec.Data)
+func (f *Finder) Add(rec infra.Record) {
+	env, inc, ok := oplog.Decode(rec.Data)
 	if !ok {
 		return
 	}
--- a/bench/capacity.go
+++ b/bench/capacity.go
@@ -10,9 +10,9 @@
 
 	"pumiceford/config"
 	"pumiceford/httpx"
+	"pumiceford/infra"
+	"pumiceford/infra/infrahttp"
 	"pumiceford/link"
-	"pumiceford/platform"
-	"pumiceford/platform/platformhttp"
 	"pumiceford/standin"
 	"pumiceford/wire"
 )
@@ -160,7 +160,7 @@
 	h := httpx.NewServer(countingListener{ln, &count}, standin.MaxBody)
 	standin.RoutePlatform(h, standin.NewLog(standin.LogSettings{}), list, &standin.Weights{})
 	go func() { _ = httpx.Serve(ctx, h) }()
-	cl, err := platformhttp.New("http://" + ln.Addr().String())
+	cl, err := infrahttp.New("http://" + ln.Addr().String())
 	if err != nil {
 		return nil, err
 	}
@@ -192,14 +192,14 @@
 }
 
 // fleetHosts is a host list of the letter's size.
-func fleetHosts() []platform.Host {
-	var out []platform.Host
+func fleetHosts() []infra.Host {
+	var out []infra.Host
 	for n := range LetterEntries + LetterAgents {
-		role := platform.RoleAgent
+		role := infra.RoleAgent
 		if n < LetterEntries {
-			role = platform.RoleEntry
+			role = infra.RoleEntry
 		}
-		out = append(out, platform.Host{Name: fmt.Sprintf("%s-%04d", role, n), Role: role, Addr: fmt.Sprintf("10.0.%d.%d:9000", n/250, n%250), DataCentre: "kakkanad-a"})
+		out = append(out, infra.Host{Name: fmt.Sprintf("%s-%04d", role, n), Role: role, Addr: fmt.Sprintf("10.0.%d.%d:9000", n/250, n%250), DataCentre: "kakkanad-a"})
 	}
 	return out
 }
--- a/bench/capacity_online.go
+++ b/bench/capacity_online.go
@@ -12,10 +12,10 @@
 	"pumiceford/agent"
 	"pumiceford/engine"
 	"pumiceford/entry"
-	"pumiceford/journal"
+	"pumiceford/infra"
 	"pumiceford/ledger"
 	"pumiceford/link"
-	"pumiceford/platform"
+	"pumiceford/oplog"
 	"pumiceford/standin"
 	"pumiceford/wire"
 )
@@ -82,14 +82,14 @@
 		cancel()
 		return nil, err
 	}
-	inc := journal.NewIncarnation()
+	inc := oplog.NewIncarnation()
 	a := agent.New(ctx, agent.Config{Name: "agent-0", Incarnation: inc, Engine: eng, Admission: admission.Settings{Seats: seats, Harm: 0.1}})
 	go func() {
 		_ = link.Serve(ctx, agentLn, link.Config{Node: "agent-0", Incarnation: inc, Status: a.Status, Handle: a.Handle})
 	}()
-	hosts.Put(platform.Host{Name: "agent-0", Role: platform.RoleAgent, Addr: agentLn.Addr().String()})
-	hosts.Put(platform.Host{Name: "entry-0", Role: platform.RoleEntry, Addr: entryLn.Addr().String()})
-	e := entry.New(entry.Config{Name: "entry-0", Incarnation: journal.NewIncarnation(), Log: log, HostList: hosts, Ledger: ledger.Config{Partitions: 1}})
+	hosts.Put(infra.Host{Name: "agent-0", Role: infra.RoleAgent, Addr: agentLn.Addr().String()})
+	hosts.Put(infra.Host{Name: "entry-0", Role: infra.RoleEntry, Addr: entryLn.Addr().String()})
+	e := entry.New(entry.Config{Name: "entry-0", Incarnation: oplog.NewIncarnation(), Log: log, HostList: hosts, Ledger: ledger.Config{Partitions: 1}})
 	go func() { _ = e.Run(ctx, entryLn) }()
 	p := &pair{e: e, cancel: cancel}
 	for try := 0; ; try++ {
--- a/bench/capacity_state.go
+++ b/bench/capacity_state.go
@@ -14,9 +14,9 @@
 	"pumiceford/batch"
 	"pumiceford/config"
 	"pumiceford/entry"
-	"pumiceford/journal"
+	"pumiceford/infra"
 	"pumiceford/ledger"
-	"pumiceford/platform"
+	"pumiceford/oplog"
 	"pumiceford/standin"
 	"pumiceford/wire"
 )
@@ -130,12 +130,12 @@
 
 type foldRun struct {
 	part *batch.Partition
-	inc  journal.Incarnation
+	inc  oplog.Incarnation
 	seq  uint64
 }
 
 func newFoldRun() *foldRun {
-	f := &foldRun{part: batch.NewPartition(0), inc: journal.NewIncarnation()}
+	f := &foldRun{part: batch.NewPartition(0), inc: oplog.NewIncarnation()}
 	f.apply(&wire.Entry{Kind: &wire.Entry_Takeover{Takeover: &wire.Takeover{Owner: "bench"}}})
 	return f
 }
@@ -147,7 +147,7 @@
 	if err != nil {
 		return 0
 	}
-	f.part.Apply(platform.Record{Offset: f.part.Next(), Time: time.Unix(0, 0), Data: data})
+	f.part.Apply(infra.Record{Offset: f.part.Next(), Time: time.Unix(0, 0), Data: data})
 	return len(data)
 }
 
@@ -206,13 +206,13 @@
 // plan, and returns how many records that were.
 func addWorkspaces(s *config.State, n int) uint64 {
 	const each = 10
-	inc := journal.NewIncarnation()
+	inc := oplog.NewIncarnation()
 	var seq uint64
 	put := func(e *wire.Entry) {
 		seq++
 		data, err := proto.Marshal(&wire.Envelope{Incarnation: inc[:], Seq: seq, Entries: []*wire.Entry{e}})
 		if err == nil {
-			s.Apply(platform.Record{Offset: s.Next(), Data: data})
+			s.Apply(infra.Record{Offset: s.Next(), Data: data})
 		}
 	}
 	for at := 0; at < n; at += each {
--- a/bench/ledger.go
+++ b/bench/ledger.go
@@ -11,9 +11,9 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"pumiceford/journal"
+	"pumiceford/infra"
 	"pumiceford/ledger"
-	"pumiceford/platform"
+	"pumiceford/oplog"
 	"pumiceford/standin"
 	"pumiceford/wire"
 )
@@ -254,8 +254,8 @@
 func naiveRun(ctx context.Context, items int) (LedgerLine, error) {
 	log := standin.NewLog(standin.LogSettings{Latency: ledgerLatency})
 	state := make(map[string]*naiveItem)
-	s := journal.NewStream(log, "naive", journal.NewIncarnation(), 0, func(rec platform.Record) {
-		env, _, ok := journal.Decode(rec.Data)
+	s := oplog.NewStream(log, "naive", oplog.NewIncarnation(), 0, func(rec infra.Record) {
+		env, _, ok := oplog.Decode(rec.Data)
 		if !ok {
 			return
 		}
@@ -285,8 +285,8 @@
 // replayRun fills a partition with a million completed items and times takeovers.
 func replayRun(ctx context.Context) (all, snapshot float64, err error) {
 	log := standin.NewLog(standin.LogSettings{RecordLimit: 4 << 20})
-	inc := journal.NewIncarnation()
-	s := journal.NewStream(log, ledger.StreamName(0), inc, 0, func(platform.Record) {})
+	inc := oplog.NewIncarnation()
+	s := oplog.NewStream(log, ledger.StreamName(0), inc, 0, func(infra.Record) {})
 	put := func(e *wire.Entry) {
 		if err == nil {
 			_, err = s.Write(ctx, 1, []*wire.Entry{e})
@@ -323,7 +323,7 @@
 
 // takeoverTime runs an owner until it is ready. With snapshotEvery below the
 // partition's length a first owner leaves a snapshot behind.
-func takeoverTime(ctx context.Context, log platform.Log, snapshotEvery uint64) (float64, error) {
+func takeoverTime(ctx context.Context, log infra.Log, snapshotEvery uint64) (float64, error) {
 	cfg := ledger.Config{Node: "second", Log: log, Partitions: 1, SnapshotEvery: snapshotEvery, RecordLimit: 4 << 20}
 	if snapshotEvery < replayMillion {
 		if err := leaveSnapshot(ctx, cfg); err != nil {
--- a/config/fold.go
+++ b/config/fold.go
@@ -11,8 +11,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"pumiceford/apierr"
-	"pumiceford/journal"
-	"pumiceford/platform"
+	"pumiceford/infra"
+	"pumiceford/oplog"
 	"pumiceford/wire"
 )
 
@@ -77,7 +77,7 @@
 // State is the fold of the config stream. It is not safe for concurrent use.
 type State struct {
 	next    uint64
-	dedupe  *journal.Dedupe
+	dedupe  *oplog.Dedupe
 	tables  tables
 	plans   map[PlanID]*Plan
 	order   []PlanID // plans by offset, oldest first
@@ -92,7 +92,7 @@
 // before any record.
 func NewState(bootstrap Operator) *State {
 	s := &State{
-		dedupe:  journal.NewDedupe(),
+		dedupe:  oplog.NewDedupe(),
 		tables:  newTables(),
 		plans:   make(map[PlanID]*Plan),
 		changed: make(map[string]Change),
@@ -109,12 +109,12 @@
 
 // Apply folds one record. Records below Next change nothing, so a state never
 // moves back.
-func (s *State) Apply(rec platform.Record) {
+func (s *State) Apply(rec infra.Record) {
 	if rec.Offset < s.next {
 		return
 	}
 	s.next = rec.Offset + 1
-	env, inc, ok := journal.Decode(rec.Data)
+	env, inc, ok := oplog.Decode(rec.Data)
 	if !ok || !s.dedupe.Fresh(inc, env.GetSeq(), rec.Offset) {
 		return
 	}
@@ -137,7 +137,7 @@
 	return id, true
 }
 
-func (s *State) plan(rec platform.Record, p *wire.ConfigPlan) {
+func (s *State) plan(rec infra.Record, p *wire.ConfigPlan) {
 	id, ok := planIDFrom(p.GetId())
 	if !ok || s.plans[id] != nil {
 		return
--- a/config/fold_test.go
+++ b/config/fold_test.go
@@ -10,8 +10,8 @@
 	"pgregory.net/rapid"
 
 	"pumiceford/apierr"
-	"pumiceford/journal"
-	"pumiceford/platform"
+	"pumiceford/infra"
+	"pumiceford/oplog"
 	"pumiceford/wire"
 )
 
@@ -80,7 +80,7 @@
 }
 
 type configMachine struct {
-	log    []platform.Record
+	log    []infra.Record
 	state  *State
 	nodes  []*State // followers at different offsets
 	seq    uint64
@@ -114,7 +114,7 @@
 	if err != nil {
 		panic(err)
 	}
-	rec := platform.Record{Offset: uint64(len(m.log)), Data: data}
+	rec := infra.Record{Offset: uint64(len(m.log)), Data: data}
 	m.log = append(m.log, rec)
 	m.state.Apply(rec)
 }
@@ -124,7 +124,7 @@
 	if err != nil {
 		panic(err)
 	}
-	p := &oraclePlan{id: PlanID(journal.NewIncarnation()), scope: scope, base: m.oracle.count, intents: intents, scopes: map[string]bool{}, content: raw}
+	p := &oraclePlan{id: PlanID(oplog.NewIncarnation()), scope: scope, base: m.oracle.count, intents: intents, scopes: map[string]bool{}, content: raw}
 	m.append(&wire.Entry{Kind: &wire.Entry_Plan{Plan: &wire.ConfigPlan{Id: p.id[:], AuthorScope: scope, Author: scope, Base: m.state.Next(), Changes: raw}}})
 	return p
 }
--- a/config/follower.go
+++ b/config/follower.go
@@ -10,10 +10,10 @@
 	"github.com/cockroachdb/errors"
 
 	"pumiceford/apierr"
+	"pumiceford/infra"
 	"pumiceford/internal/wait"
-	"pumiceford/journal"
 	"pumiceford/logging"
-	"pumiceford/platform"
+	"pumiceford/oplog"
 	"pumiceford/wire"
 )
 
@@ -23,14 +23,14 @@
 // Follower keeps a State up to date from the log, or from peers while the log
 // does not answer. The state only moves to higher offsets.
 type Follower struct {
-	log      platform.Log
-	inc      journal.Incarnation
+	log      infra.Log
+	inc      oplog.Incarnation
 	boot     Operator
 	logger   logging.Logger
 	pollWait time.Duration
 
 	writing chan struct{} // a semaphore of one, taken before mu; its holder waits for the log
-	stream  *journal.Stream
+	stream  *oplog.Stream
 
 	mu      sync.RWMutex
 	state   *State
@@ -49,7 +49,7 @@
 const DefaultPollWait = 5 * time.Second
 
 // NewFollower returns a Follower. Run starts it.
-func NewFollower(log platform.Log, inc journal.Incarnation, bootstrap Operator, logger logging.Logger) *Follower {
+func NewFollower(log infra.Log, inc oplog.Incarnation, bootstrap Operator, logger logging.Logger) *Follower {
 	f := &Follower{
 		log:      log,
 		inc:      inc,
@@ -60,7 +60,7 @@
 		writing:  make(chan struct{}, 1),
 		pollWait: DefaultPollWait,
 	}
-	f.stream = journal.NewStream(log, StreamName, inc, 0, f.apply)
+	f.stream = oplog.NewStream(log, StreamName, inc, 0, f.apply)
 	return f
 }
 
@@ -99,13 +99,13 @@
 	return f.changed
 }
 
-func (f *Follower) apply(rec platform.Record) {
+func (f *Follower) apply(rec infra.Record) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.applyLocked(rec)
 }
 
-func (f *Follower) applyLocked(rec platform.Record) {
+func (f *Follower) applyLocked(rec infra.Record) {
 	if rec.Offset < f.state.Next() {
 		return
 	}
@@ -135,7 +135,7 @@
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		err := f.poll(ctx)
-		var trimmed *platform.TrimmedError
+		var trimmed *infra.TrimmedError
 		switch {
 		case err == nil:
 			f.markSynced()
@@ -210,7 +210,7 @@
 		if r.GetOffset() != f.state.Next() {
 			continue
 		}
-		f.applyLocked(platform.Record{Offset: r.GetOffset(), Data: r.GetData(), Time: time.UnixMilli(r.GetTimeMs())})
+		f.applyLocked(infra.Record{Offset: r.GetOffset(), Data: r.GetData(), Time: time.UnixMilli(r.GetTimeMs())})
 	}
 	if !f.synced && f.state.Next() > 0 {
 		f.synced = true
@@ -236,7 +236,7 @@
 }
 
 // recoverTrimmed starts from the newest snapshot on the log.
-func (f *Follower) recoverTrimmed(ctx context.Context, trimmed *platform.TrimmedError) {
+func (f *Follower) recoverTrimmed(ctx context.Context, trimmed *infra.TrimmedError) {
 	data, err := findSnapshot(ctx, f.log, trimmed)
 	if err != nil || data == nil {
 		f.askPeers(ctx)
@@ -251,7 +251,7 @@
 }
 
 // findSnapshot returns the newest complete snapshot that is still kept.
-func findSnapshot(ctx context.Context, log platform.Log, trimmed *platform.TrimmedError) ([]byte, error) {
+func findSnapshot(ctx context.Context, log infra.Log, trimmed *infra.TrimmedError) ([]byte, error) {
 	parts := make(map[uint64][][]byte)
 	var best []byte
 	for from := trimmed.Earliest; from < trimmed.Tail; {
@@ -272,8 +272,8 @@
 	return best, nil
 }
 
-func addSnapshotPart(parts map[uint64][][]byte, rec platform.Record) []byte {
-	env, _, ok := journal.Decode(rec.Data)
+func addSnapshotPart(parts map[uint64][][]byte, rec infra.Record) []byte {
+	env, _, ok := oplog.Decode(rec.Data)
 	if !ok {
 		return nil
 	}
@@ -394,7 +394,7 @@
 	if err := f.catchup(ctx); err != nil {
 		return PlanView{}, logDown(false)
 	}
-	id := PlanID(journal.NewIncarnation())
+	id := PlanID(oplog.NewIncarnation())
 	var base uint64
 	f.View(func(s *State) {
 		base = s.Next()
@@ -468,7 +468,7 @@
 func (f *Follower) writeConfirm(ctx context.Context, op Operator, id PlanID) error {
 	var digest []byte
 	f.View(func(s *State) { digest = s.Plan(id).Digest() })
-	confirm := journal.NewIncarnation()
+	confirm := oplog.NewIncarnation()
 	entry := &wire.Entry{Kind: &wire.Entry_Confirm{Confirm: &wire.ConfigConfirm{
 		Id: confirm[:], Plan: id[:], Author: op.Name, AuthorScope: op.Scope, Digest: digest, TimeUnixMs: time.Now().UnixMilli(),
 	}}}
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -16,11 +16,11 @@
 	"pumiceford/engine"
 	"pumiceford/engine/enginehttp"
 	"pumiceford/httpx"
-	"pumiceford/journal"
+	"pumiceford/infra/infrahttp"
 	"pumiceford/link"
 	"pumiceford/logging"
 	"pumiceford/metrics"
-	"pumiceford/platform/platformhttp"
+	"pumiceford/oplog"
 	"pumiceford/settings"
 )
 
@@ -29,7 +29,7 @@
 
 // RunAgent runs pumice-agent until stop ends, then stops it gracefully.
 func RunAgent(stop context.Context, set *settings.Agent) error {
-	plat, err := platformhttp.New(set.Platform)
+	plat, err := infrahttp.New(set.Platform)
 	if err != nil {
 		return err
 	}
@@ -74,7 +74,7 @@
 	if harm == 0 {
 		harm = defaultHarm
 	}
-	inc := journal.NewIncarnation()
+	inc := oplog.NewIncarnation()
 	series := metrics.New(set.Name)
 	a := agent.New(ctx, agent.Config{
 		Name: set.Name, DataCentre: set.DataCentre, Incarnation: inc, Engine: eng, Services: services,
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -13,13 +13,13 @@
 
 	"pumiceford/config"
 	"pumiceford/entry"
-	"pumiceford/journal"
+	"pumiceford/infra"
+	"pumiceford/infra/infrahttp"
 	"pumiceford/ledger"
 	"pumiceford/link"
 	"pumiceford/logging"
 	"pumiceford/metrics"
-	"pumiceford/platform"
-	"pumiceford/platform/platformhttp"
+	"pumiceford/oplog"
 	"pumiceford/settings"
 )
 
@@ -43,9 +43,9 @@
 
 // Platform is what the platform gives, over whichever transport.
 type Platform interface {
-	platform.Log
-	platform.HostList
-	platform.WeightStore
+	infra.Log
+	infra.HostList
+	infra.WeightStore
 }
 
 // EntryListeners are the open ports of an entry.
@@ -69,7 +69,7 @@
 
 // RunEntry runs pumice-entry until stop ends, then stops it gracefully.
 func RunEntry(stop context.Context, set *settings.Entry) error {
-	plat, err := platformhttp.New(set.Platform)
+	plat, err := infrahttp.New(set.Platform)
 	if err != nil {
 		return err
 	}
@@ -90,7 +90,7 @@
 	e := entry.New(entry.Config{
 		Name:        set.Name,
 		DataCentre:  set.DataCentre,
-		Incarnation: journal.NewIncarnation(),
+		Incarnation: oplog.NewIncarnation(),
 		Log:         plat,
 		HostList:    plat,
 		Link:        link.Config{TLS: tlsConf},
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -18,9 +18,9 @@
 	"pumiceford/config"
 	"pumiceford/daemon"
 	"pumiceford/entry"
+	"pumiceford/infra"
 	"pumiceford/internal/defaults"
 	"pumiceford/internal/wait"
-	"pumiceford/platform"
 	"pumiceford/settings"
 	"pumiceford/standin"
 )
@@ -121,7 +121,7 @@
 		Seats:      opts.Seats,
 		Log:        settings.Log{Level: opts.LogLevel},
 	}
-	f.Platform.Put(platform.Host{Name: set.Name, Role: platform.RoleAgent, Addr: peers.Addr().String(), DataCentre: set.DataCentre})
+	f.Platform.Put(infra.Host{Name: set.Name, Role: infra.RoleAgent, Addr: peers.Addr().String(), DataCentre: set.DataCentre})
 	services := map[string]agent.Service{"stamps": f.Service}
 	f.group.Go(func() error {
 		return daemon.ServeAgent(ctx, set, f.Platform, eng, services, peers, ops)
@@ -146,7 +146,7 @@
 		BalancerSees: settings.Duration(time.Millisecond),
 		Log:          settings.Log{Level: opts.LogLevel},
 	}
-	f.Platform.Put(platform.Host{Name: set.Name, Role: platform.RoleEntry, Addr: ls.Peers.Addr().String(), DataCentre: set.DataCentre})
+	f.Platform.Put(infra.Host{Name: set.Name, Role: infra.RoleEntry, Addr: ls.Peers.Addr().String(), DataCentre: set.DataCentre})
 	f.Callers = append(f.Callers, "http://"+ls.Callers.Addr().String())
 	f.Operators = append(f.Operators, "http://"+ls.Operators.Addr().String())
 	f.group.Go(func() error { return daemon.ServeEntry(ctx, set, f.Platform, ls) })
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -18,7 +18,7 @@
 	"pumiceford/config"
 	"pumiceford/dev"
 	"pumiceford/entry"
-	"pumiceford/platform"
+	"pumiceford/infra"
 )
 
 // bin is the folder of the built commands.
@@ -96,14 +96,14 @@
 	t.Cleanup(f.stopAll)
 	f.plat = freeAddr(t)
 	service := freeAddr(t)
-	var hosts []platform.Host
+	var hosts []infra.Host
 	var engines []map[string]any
 	for n := range 3 {
 		engineAddr, peer := freeAddr(t), freeAddr(t)
 		name := fmt.Sprintf("agent-%d", n)
 		f.engines = append(f.engines, "http://"+engineAddr)
 		engines = append(engines, map[string]any{"listen": engineAddr, "models": []string{dev.Model}, "step": "3ms", "max_running": 8})
-		hosts = append(hosts, platform.Host{Name: name, Role: platform.RoleAgent, Addr: peer, DataCentre: "kakkanad-a"})
+		hosts = append(hosts, infra.Host{Name: name, Role: infra.RoleAgent, Addr: peer, DataCentre: "kakkanad-a"})
 		f.write(name, map[string]any{
 			"name": name, "data_centre": "kakkanad-a", "deployment": "guild", "listen": peer, "metrics": freeAddr(t),
 			"platform": "http://" + f.plat, "engine": "http://" + engineAddr, "seats": 8,
@@ -115,7 +115,7 @@
 		name := fmt.Sprintf("entry-%d", n)
 		f.callers = append(f.callers, "http://"+callers)
 		f.ops = append(f.ops, "http://"+ops)
-		hosts = append(hosts, platform.Host{Name: name, Role: platform.RoleEntry, Addr: peer, DataCentre: "kakkanad-a"})
+		hosts = append(hosts, infra.Host{Name: name, Role: infra.RoleEntry, Addr: peer, DataCentre: "kakkanad-a"})
 		f.write(name, map[string]any{
 			"name": name, "data_centre": "kakkanad-a", "callers": callers, "operators": ops, "peers": peer,
 			"platform": "http://" + f.plat, "partitions": 4, "balancer_sees": "200ms",
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,15 +14,15 @@
 	"golang.org/x/time/rate"
 
 	"pumiceford/config"
+	"pumiceford/infra"
 	"pumiceford/internal/defaults"
 	"pumiceford/internal/wait"
-	"pumiceford/journal"
 	"pumiceford/ledger"
 	"pumiceford/link"
 	"pumiceford/logging"
 	"pumiceford/metrics"
 	"pumiceford/online"
-	"pumiceford/platform"
+	"pumiceford/oplog"
 	"pumiceford/routing"
 	"pumiceford/wire"
 )
@@ -31,9 +31,9 @@
 type Config struct {
 	Name        string
 	DataCentre  string
-	Incarnation journal.Incarnation
-	Log         platform.Log
-	HostList    platform.HostList
+	Incarnation oplog.Incarnation
+	Log         infra.Log
+	HostList    infra.HostList
 	Link        link.Config // Dial, TLS and timings; the rest is set here
 	Ledger      ledger.Config
 	Routing     routing.Settings
@@ -80,14 +80,14 @@
 	leaving   bool
 	active    int
 	offsets   map[string]uint64 // node -> config offset it reported
-	hosts     []platform.Host   // the last host list
+	hosts     []infra.Host      // the last host list
 	alive     int               // live entries, this one included
 	leavingBy map[string]bool   // agents that say so themselves
 }
 
 // node is another process that this entry talks to.
 type node struct {
-	host   platform.Host
+	host   infra.Host
 	peer   *link.Peer
 	cancel context.CancelFunc
 	ctx    context.Context
--- a/entry/hosts.go
+++ b/entry/hosts.go
@@ -6,11 +6,11 @@
 
 	"pumiceford/apierr"
 	"pumiceford/config"
+	"pumiceford/infra"
 	"pumiceford/internal/wait"
 	"pumiceford/ledger"
 	"pumiceford/link"
 	"pumiceford/logging"
-	"pumiceford/platform"
 	"pumiceford/routing"
 	"pumiceford/wire"
 )
@@ -18,7 +18,7 @@
 // followHosts keeps the nodes in step with the platform's host list and the
 // drains that operators put in force. While the list is down the last one stands.
 func (e *Entry) followHosts(ctx context.Context) {
-	var last []platform.Host
+	var last []infra.Host
 	for ctx.Err() == nil {
 		changed := e.follower.Changed()
 		hosts, err := e.cfg.HostList.Hosts(ctx)
@@ -37,17 +37,17 @@
 }
 
 // setHosts adds and drops nodes.
-func (e *Entry) setHosts(ctx context.Context, hosts []platform.Host) {
+func (e *Entry) setHosts(ctx context.Context, hosts []infra.Host) {
 	var alive, staying []string
-	agents := make(map[string]platform.Host)
-	entries := make(map[string]platform.Host)
+	agents := make(map[string]infra.Host)
+	entries := make(map[string]infra.Host)
 	for _, h := range hosts {
 		leaving := h.Leaving || e.drained(h.Name)
 		h.Leaving = leaving
 		switch h.Role {
-		case platform.RoleAgent:
+		case infra.RoleAgent:
 			agents[h.Name] = h
-		case platform.RoleEntry:
+		case infra.RoleEntry:
 			alive = append(alive, h.Name)
 			if !leaving {
 				staying = append(staying, h.Name)
@@ -78,7 +78,7 @@
 
 // subset keeps the agents that rendezvous hashing gives to this entry, so that
 // connections and reports stay flat as the fleet grows.
-func (e *Entry) subset(agents map[string]platform.Host) map[string]platform.Host {
+func (e *Entry) subset(agents map[string]infra.Host) map[string]infra.Host {
 	if len(agents) <= e.cfg.AgentsPerEntry {
 		return agents
 	}
@@ -86,7 +86,7 @@
 	for name := range agents {
 		names = append(names, name)
 	}
-	out := make(map[string]platform.Host)
+	out := make(map[string]infra.Host)
 	for _, name := range routing.Top(names, routing.PrefixKey("entry", e.cfg.Name), e.cfg.AgentsPerEntry) {
 		out[name] = agents[name]
 	}
@@ -94,7 +94,7 @@
 }
 
 // reconcile makes nodes match the hosts. Entry.mu must be held.
-func (e *Entry) reconcile(ctx context.Context, nodes map[string]*node, hosts map[string]platform.Host, agents bool) {
+func (e *Entry) reconcile(ctx context.Context, nodes map[string]*node, hosts map[string]infra.Host, agents bool) {
 	for name, n := range nodes {
 		if h, ok := hosts[name]; ok && h.Addr == n.host.Addr {
 			n.host = h
--- a/entry/inforce.go
+++ b/entry/inforce.go
@@ -8,8 +8,8 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"pumiceford/infra"
 	"pumiceford/link"
-	"pumiceford/platform"
 	"pumiceford/wire"
 )
 
@@ -59,7 +59,7 @@
 
 // probe asks a node for the config offset that it has reached, 0 when it does
 // not answer.
-func (e *Entry) probe(ctx context.Context, h platform.Host) uint64 {
+func (e *Entry) probe(ctx context.Context, h infra.Host) uint64 {
 	e.mu.Lock()
 	n := e.entries[h.Name]
 	if n == nil {
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -16,11 +16,11 @@
 	"pumiceford/agent"
 	"pumiceford/batch"
 	"pumiceford/config"
-	"pumiceford/journal"
+	"pumiceford/infra"
 	"pumiceford/ledger"
 	"pumiceford/link"
 	"pumiceford/logging"
-	"pumiceford/platform"
+	"pumiceford/oplog"
 	"pumiceford/standin"
 )
 
@@ -113,7 +113,7 @@
 func (w *world) startAgent(name string) {
 	ctx, kill := context.WithCancel(w.ctx)
 	host := w.net.up(name)
-	inc := journal.NewIncarnation()
+	inc := oplog.NewIncarnation()
 	a := agent.New(ctx, agent.Config{
 		Name: name, DataCentre: "caerdydd-a", Incarnation: inc, Engine: w.engines[name],
 		Services:  map[string]agent.Service{"stamps": w.service},
@@ -123,14 +123,14 @@
 	cfg.Node, cfg.Incarnation, cfg.Status, cfg.Handle = name, inc, a.Status, a.Handle
 	w.wg.Go(func() { _ = link.Serve(ctx, host, cfg) })
 	w.agents[name] = &worldAgent{Agent: a, kill: kill, host: host}
-	w.hosts.Put(platform.Host{Name: name, Role: platform.RoleAgent, Addr: name, DataCentre: "caerdydd-a"})
+	w.hosts.Put(infra.Host{Name: name, Role: infra.RoleAgent, Addr: name, DataCentre: "caerdydd-a"})
 }
 
 func (w *world) startEntry(name string) {
 	ctx, kill := context.WithCancel(w.ctx)
 	host := w.net.up(name)
 	e := New(Config{
-		Name: name, DataCentre: "caerdydd-a", Incarnation: journal.NewIncarnation(),
+		Name: name, DataCentre: "caerdydd-a", Incarnation: oplog.NewIncarnation(),
 		Log: &gatedLog{log: w.log, host: host}, HostList: &gatedHosts{list: w.hosts, host: host}, Link: w.linkConfig(host),
 		Bootstrap:  config.Operator{Name: "dev", Scope: config.ScopeFleet},
 		HostsEvery: 200 * time.Millisecond,
@@ -197,7 +197,7 @@
 // gatedLog stops answering while its host is paused, before and after the call,
 // so that an append may take effect while its caller sleeps.
 type gatedLog struct {
-	log  platform.Log
+	log  infra.Log
 	host *pipeHost
 }
 
@@ -208,7 +208,7 @@
 	return off, err
 }
 
-func (g *gatedLog) Read(ctx context.Context, stream string, from uint64, maxBytes int, wait time.Duration) (platform.Page, error) {
+func (g *gatedLog) Read(ctx context.Context, stream string, from uint64, maxBytes int, wait time.Duration) (infra.Page, error) {
 	g.host.gate()
 	p, err := g.log.Read(ctx, stream, from, maxBytes, wait)
 	g.host.gate()
@@ -217,11 +217,11 @@
 
 // gatedHosts does not answer while its host is paused.
 type gatedHosts struct {
-	list platform.HostList
+	list infra.HostList
 	host *pipeHost
 }
 
-func (g *gatedHosts) Hosts(ctx context.Context) ([]platform.Host, error) {
+func (g *gatedHosts) Hosts(ctx context.Context) ([]infra.Host, error) {
 	g.host.gate()
 	return g.list.Hosts(ctx)
 }
@@ -469,8 +469,8 @@
 	return c.Conn.Write(p)
 }
 
-func hostOf(name string) platform.Host {
-	return platform.Host{Name: name, Role: platform.RoleEntry, Addr: name, DataCentre: "caerdydd-a"}
+func hostOf(name string) infra.Host {
+	return infra.Host{Name: name, Role: infra.RoleEntry, Addr: name, DataCentre: "caerdydd-a"}
 }
 
 // bubble runs f in virtual time. yamux keeps timers in a pool of the whole
--- a/platform/platform.go
+++ b/infra/infra.go
@@ -1,7 +1,7 @@
-// Package platform declares the services that the platform gives: the
+// Package infra declares the services that the platform gives: the
 // append-only log, the lagging host list and the rate-limited weight store.
 // Implementations live elsewhere, so that a test bench can stand in for each.
-package platform
+package infra
 
 import (
 	"context"
--- a/platform/platformhttp/client.go
+++ b/infra/infrahttp/client.go
@@ -1,5 +1,5 @@
-// Package platformhttp reaches the platform's services over HTTP.
-package platformhttp
+// Package infrahttp reaches the platform's services over HTTP.
+package infrahttp
 
 import (
 	"context"
@@ -15,17 +15,17 @@
 	"github.com/cockroachdb/errors"
 
 	"pumiceford/httpx"
-	"pumiceford/platform"
+	"pumiceford/infra"
 )
 
-// Client implements platform.Log, platform.HostList and platform.WeightStore.
+// Client implements infra.Log, infra.HostList and infra.WeightStore.
 type Client struct {
 	base string // http://ip:port
 	http *client.Client
 
 	mu    sync.Mutex
 	etag  string // version of hosts
-	hosts []platform.Host
+	hosts []infra.Host
 }
 
 // New returns a Client for a base URL.
@@ -71,7 +71,7 @@
 	CodeTrimmed   = "trimmed"
 )
 
-// Append implements platform.Log.
+// Append implements infra.Log.
 func (c *Client) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
 	var reply AppendReply
 	path := "/log/append?stream=" + url.QueryEscape(stream)
@@ -79,30 +79,30 @@
 	return reply.Offset, err
 }
 
-// Read implements platform.Log.
-func (c *Client) Read(ctx context.Context, stream string, from uint64, maxBytes int, wait time.Duration) (platform.Page, error) {
+// Read implements infra.Log.
+func (c *Client) Read(ctx context.Context, stream string, from uint64, maxBytes int, wait time.Duration) (infra.Page, error) {
 	path := fmt.Sprintf("/log/read?stream=%s&from=%d&max=%d&wait_ms=%d", url.QueryEscape(stream), from, maxBytes, wait.Milliseconds())
 	var reply ReadReply
 	if err := c.call(ctx, http.MethodGet, path, nil, &reply); err != nil {
-		return platform.Page{}, err
+		return infra.Page{}, err
 	}
-	page := platform.Page{Earliest: reply.Earliest, Tail: reply.Tail}
+	page := infra.Page{Earliest: reply.Earliest, Tail: reply.Tail}
 	for _, r := range reply.Records {
-		page.Records = append(page.Records, platform.Record{Offset: r.Offset, Time: time.UnixMilli(r.TimeMs), Data: r.Data})
+		page.Records = append(page.Records, infra.Record{Offset: r.Offset, Time: time.UnixMilli(r.TimeMs), Data: r.Data})
 	}
 	return page, nil
 }
 
-// Hosts implements platform.HostList. The list of a large fleet is some 80 KB and
+// Hosts implements infra.HostList. The list of a large fleet is some 80 KB and
 // changes a few hundred times a day, so it is only fetched when its version is
 // another one.
-func (c *Client) Hosts(ctx context.Context) ([]platform.Host, error) {
+func (c *Client) Hosts(ctx context.Context) ([]infra.Host, error) {
 	c.mu.Lock()
 	etag := c.etag
 	c.mu.Unlock()
 	r, err := httpx.Ask(ctx, c.http, http.MethodGet, c.base+"/hosts", "", nil, etag)
 	if err != nil {
-		return nil, errors.Mark(err, platform.ErrUnavailable)
+		return nil, errors.Mark(err, infra.ErrUnavailable)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -112,9 +112,9 @@
 	if r.Status != http.StatusOK {
 		return nil, refusal(r.Body)
 	}
-	var hosts []platform.Host
+	var hosts []infra.Host
 	if err := json.Unmarshal(r.Body, &hosts); err != nil {
-		return nil, errors.Mark(err, platform.ErrUnavailable)
+		return nil, errors.Mark(err, infra.ErrUnavailable)
 	}
 	c.etag, c.hosts = r.ETag, hosts
 	return slices.Clone(hosts), nil
@@ -125,7 +125,7 @@
 	Bytes int64 `json:"bytes"`
 }
 
-// Fetch implements platform.WeightStore.
+// Fetch implements infra.WeightStore.
 func (c *Client) Fetch(ctx context.Context, model, version string) (int64, error) {
 	var reply FetchReply
 	path := "/weights?model=" + url.QueryEscape(model) + "&version=" + url.QueryEscape(version)
@@ -137,11 +137,11 @@
 	status, data, err := httpx.Call(ctx, c.http, method, c.base+path, "application/octet-stream", body)
 	if err != nil {
 		// Whether the call took effect is not known.
-		return errors.Mark(err, platform.ErrUnavailable)
+		return errors.Mark(err, infra.ErrUnavailable)
 	}
 	if status == http.StatusOK {
 		if err := json.Unmarshal(data, into); err != nil {
-			return errors.Mark(err, platform.ErrUnavailable)
+			return errors.Mark(err, infra.ErrUnavailable)
 		}
 		return nil
 	}
@@ -151,15 +151,15 @@
 func refusal(data []byte) error {
 	var e ErrorReply
 	if err := json.Unmarshal(data, &e); err != nil {
-		return platform.ErrUnavailable
+		return infra.ErrUnavailable
 	}
 	switch e.Code {
 	case CodeTooLarge:
-		return platform.ErrTooLarge
+		return infra.ErrTooLarge
 	case CodeThrottled:
-		return &platform.ThrottledError{RetryAfter: time.Duration(e.RetryAfterMs) * time.Millisecond}
+		return &infra.ThrottledError{RetryAfter: time.Duration(e.RetryAfterMs) * time.Millisecond}
 	case CodeTrimmed:
-		return &platform.TrimmedError{Earliest: e.Earliest, Tail: e.Tail}
+		return &infra.TrimmedError{Earliest: e.Earliest, Tail: e.Tail}
 	}
-	return platform.ErrUnavailable
+	return infra.ErrUnavailable
 }
--- a/ledger/commit.go
+++ b/ledger/commit.go
@@ -9,7 +9,7 @@
 
 	"pumiceford/apierr"
 	"pumiceford/batch"
-	"pumiceford/platform"
+	"pumiceford/infra"
 	"pumiceford/wire"
 )
 
@@ -184,7 +184,7 @@
 		for _, w := range g.writes {
 			w.done <- settleFailure(err)
 		}
-		if errors.Is(err, platform.ErrTooLarge) && len(g.keys) == 0 {
+		if errors.Is(err, infra.ErrTooLarge) && len(g.keys) == 0 {
 			return nil
 		}
 		// Outcomes must not be dropped: agents hold them until they are durable,
@@ -207,7 +207,7 @@
 }
 
 func settleFailure(err error) error {
-	if errors.Is(err, platform.ErrTooLarge) {
+	if errors.Is(err, infra.ErrTooLarge) {
 		return apierr.New(apierr.CodeTooLarge, "record over the log's limit")
 	}
 	return apierr.Unknown(apierr.CodeNotOwner, "partition changed hands").After(time.Second)
--- a/ledger/dispatch.go
+++ b/ledger/dispatch.go
@@ -8,7 +8,7 @@
 
 	"pumiceford/apierr"
 	"pumiceford/batch"
-	"pumiceford/platform"
+	"pumiceford/infra"
 	"pumiceford/wire"
 )
 
@@ -156,7 +156,7 @@
 
 // chunkCache keeps the chunks that are being granted or read.
 type chunkCache struct {
-	log    platform.Log
+	log    infra.Log
 	stream string
 
 	mu    sync.Mutex
@@ -177,7 +177,7 @@
 // maxCachedChunks bounds the payloads in memory: 32 chunks of at most 256 KiB.
 const maxCachedChunks = 32
 
-func newChunkCache(log platform.Log, stream string) *chunkCache {
+func newChunkCache(log infra.Log, stream string) *chunkCache {
 	return &chunkCache{log: log, stream: stream, order: list.New(), items: make(map[chunkKey]*list.Element)}
 }
 
@@ -221,7 +221,7 @@
 const logReadTimeout = 3 * time.Second
 
 // readOne returns the record at an offset.
-func readOne(ctx context.Context, log platform.Log, stream string, offset uint64) ([]byte, error) {
+func readOne(ctx context.Context, log infra.Log, stream string, offset uint64) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, logReadTimeout)
 	defer cancel()
 	page, err := log.Read(ctx, stream, offset, 1, 0)
--- a/ledger/lease.go
+++ b/ledger/lease.go
@@ -6,9 +6,9 @@
 
 	"github.com/cockroachdb/errors"
 
+	"pumiceford/infra"
 	"pumiceford/internal/wait"
 	"pumiceford/logging"
-	"pumiceford/platform"
 	"pumiceford/wire"
 )
 
@@ -40,7 +40,7 @@
 	}
 	began := time.Now()
 	err := o.stream.Catchup(ctx)
-	if err != nil && !errors.Is(err, platform.ErrUnavailable) {
+	if err != nil && !errors.Is(err, infra.ErrUnavailable) {
 		return err
 	}
 	o.mu.Lock()
--- a/ledger/maintain.go
+++ b/ledger/maintain.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"pumiceford/batch"
+	"pumiceford/infra"
 	"pumiceford/logging"
-	"pumiceford/platform"
 	"pumiceford/wire"
 
 	"github.com/cockroachdb/errors"
@@ -109,10 +109,10 @@
 	ctx, cancel := context.WithTimeout(ctx, logReadTimeout)
 	defer cancel()
 	page, err := o.cfg.Log.Read(ctx, StreamName(o.number), offset, 1, 0)
-	if errors.Is(err, platform.ErrUnavailable) {
+	if errors.Is(err, infra.ErrUnavailable) {
 		return nil, false, nil
 	}
-	var trimmed *platform.TrimmedError
+	var trimmed *infra.TrimmedError
 	if errors.As(err, &trimmed) {
 		// Nothing brings it back. Stopping the partition for it, again and again,
 		// would take everything else with it: the snapshot after this would never
@@ -157,7 +157,7 @@
 	}
 	entry := &wire.Entry{Kind: &wire.Entry_CarryResults{CarryResults: carry}}
 	if proto.Size(entry) > o.cfg.RecordLimit-envelopeSlack {
-		return true, platform.ErrTooLarge
+		return true, infra.ErrTooLarge
 	}
 	_, err = o.stream.Write(ctx, o.epoch, []*wire.Entry{entry})
 	return true, err
--- a/ledger/owner.go
+++ b/ledger/owner.go
@@ -13,19 +13,19 @@
 
 	"pumiceford/apierr"
 	"pumiceford/batch"
+	"pumiceford/infra"
 	"pumiceford/internal/defaults"
 	"pumiceford/internal/wait"
-	"pumiceford/journal"
 	"pumiceford/logging"
 	"pumiceford/metrics"
-	"pumiceford/platform"
+	"pumiceford/oplog"
 	"pumiceford/wire"
 )
 
 // Config says how partitions are run.
 type Config struct {
 	Node       string
-	Log        platform.Log
+	Log        infra.Log
 	Partitions uint32 // fixed when the streams are created
 
 	// RecordLimit is the largest record that the log takes, default 1 MiB.
@@ -115,9 +115,9 @@
 // goroutine alone, which takes Owner.mu while it applies a record.
 type Owner struct {
 	cfg    Config
-	inc    journal.Incarnation // of this run
+	inc    oplog.Incarnation // of this run
 	number uint32
-	stream *journal.Stream
+	stream *oplog.Stream
 	log    logging.Logger
 	// mayTake says whether the partition may be taken from its present holder.
 	mayTake func(holder string) bool
@@ -162,7 +162,7 @@
 	// reader would drop them as copies, its takeover included.
 	return &Owner{
 		cfg:          cfg,
-		inc:          journal.NewIncarnation(),
+		inc:          oplog.NewIncarnation(),
 		number:       number,
 		log:          cfg.Logger.Part("ledger"),
 		feeds:        make(map[string]*feed),
@@ -237,7 +237,7 @@
 }
 
 // apply folds one record into the partition and the dispatcher.
-func (o *Owner) apply(rec platform.Record) {
+func (o *Owner) apply(rec infra.Record) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, ev := range o.part.Apply(rec) {
--- a/ledger/recover.go
+++ b/ledger/recover.go
@@ -8,9 +8,9 @@
 	"github.com/cockroachdb/errors"
 
 	"pumiceford/batch"
+	"pumiceford/infra"
 	"pumiceford/internal/wait"
-	"pumiceford/journal"
-	"pumiceford/platform"
+	"pumiceford/oplog"
 	"pumiceford/wire"
 )
 
@@ -21,8 +21,8 @@
 		if err == nil {
 			return nil
 		}
-		var trimmed *platform.TrimmedError
-		if !errors.Is(err, platform.ErrUnavailable) && !errors.As(err, &trimmed) && ctx.Err() == nil {
+		var trimmed *infra.TrimmedError
+		if !errors.Is(err, infra.ErrUnavailable) && !errors.As(err, &trimmed) && ctx.Err() == nil {
 			return err
 		}
 		if ctx.Err() != nil {
@@ -42,18 +42,18 @@
 	o.mu.Lock()
 	o.part = part
 	o.mu.Unlock()
-	o.stream = journal.NewStream(o.cfg.Log, StreamName(o.number), o.inc, part.Next(), o.apply)
+	o.stream = oplog.NewStream(o.cfg.Log, StreamName(o.number), o.inc, part.Next(), o.apply)
 	return o.stream.Catchup(ctx)
 }
 
 // LoadPartition finds the newest snapshot of a partition and returns its state.
 // The caller applies the records from Next on.
-func LoadPartition(ctx context.Context, log platform.Log, number uint32, snapshotEvery uint64) (*batch.Partition, error) {
+func LoadPartition(ctx context.Context, log infra.Log, number uint32, snapshotEvery uint64) (*batch.Partition, error) {
 	name := StreamName(number)
 	page, err := log.Read(ctx, name, 0, 1, 0)
-	var trimmed *platform.TrimmedError
+	var trimmed *infra.TrimmedError
 	if errors.As(err, &trimmed) {
-		page = platform.Page{Earliest: trimmed.Earliest, Tail: trimmed.Tail}
+		page = infra.Page{Earliest: trimmed.Earliest, Tail: trimmed.Tail}
 	} else if err != nil {
 		return nil, err
 	}
@@ -94,7 +94,7 @@
 
 const recoverReadBytes = 4 << 20
 
-func findSnapshot(ctx context.Context, log platform.Log, number uint32, from, tail uint64) (*batch.Partition, error) {
+func findSnapshot(ctx context.Context, log infra.Log, number uint32, from, tail uint64) (*batch.Partition, error) {
 	finder := batch.NewFinder()
 	for from < tail {
 		page, err := log.Read(ctx, StreamName(number), from, recoverReadBytes, 0)
--- a/link/link.go
+++ b/link/link.go
@@ -21,7 +21,7 @@
 	"github.com/hashicorp/yamux"
 
 	"pumiceford/internal/defaults"
-	"pumiceford/journal"
+	"pumiceford/oplog"
 	"pumiceford/wire"
 )
 
@@ -44,7 +44,7 @@
 // Config says how a node keeps its sessions.
 type Config struct {
 	Node        string
-	Incarnation journal.Incarnation
+	Incarnation oplog.Incarnation
 	TLS         *tls.Config // nil means plain connections, for loopback only
 	Dial        DialFunc    // nil means TCP
 
--- a/journal/journal.go
+++ b/oplog/oplog.go
@@ -1,4 +1,4 @@
-// Package journal writes and reads enveloped records on the platform's log so
+// Package oplog writes and reads enveloped records on the platform's log so
 // that each takes effect exactly once, although answers of the log get lost,
 // appends are repeated and late copies arrive.
 //
@@ -6,7 +6,7 @@
 // stream from 1. It keeps one append outstanding. A reader drops every record
 // whose number is not above the highest seen of that incarnation, so a second
 // copy of a record is harmless wherever it lands.
-package journal
+package oplog
 
 import (
 	"crypto/rand"
--- a/journal/writer.go
+++ b/oplog/writer.go
@@ -1,4 +1,4 @@
-package journal
+package oplog
 
 import (
 	"context"
@@ -8,19 +8,19 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
+	"pumiceford/infra"
 	"pumiceford/internal/wait"
-	"pumiceford/platform"
 	"pumiceford/wire"
 )
 
 // Apply receives every record of a stream in offset order, copies included.
 // The receiver keeps its own Dedupe.
-type Apply func(rec platform.Record)
+type Apply func(rec infra.Record)
 
 // Stream follows one log stream and appends to it. It is used by one goroutine
 // at a time.
 type Stream struct {
-	log   platform.Log
+	log   infra.Log
 	name  string
 	inc   Incarnation
 	seq   uint64
@@ -47,7 +47,7 @@
 )
 
 // NewStream returns a Stream that reads from offset next on.
-func NewStream(log platform.Log, name string, inc Incarnation, next uint64, apply Apply) *Stream {
+func NewStream(log infra.Log, name string, inc Incarnation, next uint64, apply Apply) *Stream {
 	return &Stream{
 		log:         log,
 		name:        name,
@@ -84,16 +84,16 @@
 // stream would stop a partition for good.
 func unanswered(ctx context.Context, err error) error {
 	if err != nil && ctx.Err() == nil && errors.Is(err, context.DeadlineExceeded) {
-		return errors.Mark(err, platform.ErrUnavailable)
+		return errors.Mark(err, infra.ErrUnavailable)
 	}
 	return err
 }
 
 // isRefusal reports whether the log answered, although with a refusal.
 func isRefusal(err error) bool {
-	var throttled *platform.ThrottledError
-	var trimmed *platform.TrimmedError
-	return errors.Is(err, platform.ErrTooLarge) || errors.As(err, &throttled) || errors.As(err, &trimmed)
+	var throttled *infra.ThrottledError
+	var trimmed *infra.TrimmedError
+	return errors.Is(err, infra.ErrTooLarge) || errors.As(err, &throttled) || errors.As(err, &trimmed)
 }
 
 // Poll reads once and applies what it got. It returns the tail that the log told.
@@ -125,7 +125,7 @@
 	}
 }
 
-func (s *Stream) take(rec platform.Record) {
+func (s *Stream) take(rec infra.Record) {
 	if rec.Offset < s.next {
 		return
 	}
@@ -162,7 +162,7 @@
 	defer func() { s.pending = 0 }()
 	for {
 		err := s.appendOnce(ctx, data)
-		if errors.Is(err, platform.ErrTooLarge) {
+		if errors.Is(err, infra.ErrTooLarge) {
 			return 0, err
 		}
 		if off, ok := s.readBack(ctx, err == nil); ok {
@@ -192,7 +192,7 @@
 		if s.landed {
 			return s.landedOff, true
 		}
-		var trimmed *platform.TrimmedError
+		var trimmed *infra.TrimmedError
 		if errors.As(err, &trimmed) || ctx.Err() != nil {
 			return 0, false
 		}
@@ -207,7 +207,7 @@
 
 func (s *Stream) pause(ctx context.Context, cause error) error {
 	d := s.RetryPause
-	var throttled *platform.ThrottledError
+	var throttled *infra.ThrottledError
 	if errors.As(cause, &throttled) && throttled.RetryAfter > 0 {
 		d = throttled.RetryAfter
 	}
--- a/settings/daemons.go
+++ b/settings/daemons.go
@@ -8,8 +8,8 @@
 	"os"
 	"slices"
 
+	"pumiceford/infra"
 	"pumiceford/logging"
-	"pumiceford/platform"
 )
 
 func sortedKeys(m map[string]string) []string {
@@ -205,14 +205,14 @@
 
 // StandinPlatform models the log service, the host list and the weight store.
 type StandinPlatform struct {
-	Listen           string          `json:"listen"`
-	AppendsPerSecond float64         `json:"appends_per_second"` // 0 means unlimited
-	Retention        Duration        `json:"retention"`          // 0 keeps all
-	Latency          Duration        `json:"latency"`
-	HostLag          Duration        `json:"host_lag"`
-	Hosts            []platform.Host `json:"hosts"`
-	WeightBytes      int64           `json:"weight_bytes"`
-	WeightRate       int64           `json:"weight_rate"` // bytes a second
+	Listen           string       `json:"listen"`
+	AppendsPerSecond float64      `json:"appends_per_second"` // 0 means unlimited
+	Retention        Duration     `json:"retention"`          // 0 keeps all
+	Latency          Duration     `json:"latency"`
+	HostLag          Duration     `json:"host_lag"`
+	Hosts            []infra.Host `json:"hosts"`
+	WeightBytes      int64        `json:"weight_bytes"`
+	WeightRate       int64        `json:"weight_rate"` // bytes a second
 }
 
 // StandinEngine models one model engine.
--- a/standin/hosts.go
+++ b/standin/hosts.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"pumiceford/platform"
+	"pumiceford/infra"
 )
 
 // HostList is a stand-in for the platform's lagging host list.
@@ -13,23 +13,23 @@
 	lag time.Duration
 
 	mu   sync.Mutex
-	now  []platform.Host
+	now  []infra.Host
 	past []hostsAt
 	down bool
 }
 
 type hostsAt struct {
 	at    time.Time
-	hosts []platform.Host
+	hosts []infra.Host
 }
 
 // NewHostList returns a list that shows changes lag later.
-func NewHostList(lag time.Duration, hosts ...platform.Host) *HostList {
+func NewHostList(lag time.Duration, hosts ...infra.Host) *HostList {
 	return &HostList{lag: lag, now: hosts, past: []hostsAt{{hosts: hosts}}}
 }
 
 // Put adds or replaces a host.
-func (h *HostList) Put(host platform.Host) {
+func (h *HostList) Put(host infra.Host) {
 	h.change(host.Name, &host)
 }
 
@@ -45,10 +45,10 @@
 	h.down = down
 }
 
-func (h *HostList) change(name string, host *platform.Host) {
+func (h *HostList) change(name string, host *infra.Host) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	var next []platform.Host
+	var next []infra.Host
 	for _, old := range h.now {
 		if old.Name != name {
 			next = append(next, old)
@@ -61,17 +61,17 @@
 	h.past = append(h.past, hostsAt{at: time.Now(), hosts: next})
 }
 
-// Hosts implements platform.HostList.
-func (h *HostList) Hosts(context.Context) ([]platform.Host, error) {
+// Hosts implements infra.HostList.
+func (h *HostList) Hosts(context.Context) ([]infra.Host, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.down {
-		return nil, platform.ErrUnavailable
+		return nil, infra.ErrUnavailable
 	}
 	for len(h.past) > 1 && time.Since(h.past[1].at) >= h.lag {
 		h.past = h.past[1:]
 	}
-	return append([]platform.Host(nil), h.past[0].hosts...), nil
+	return append([]infra.Host(nil), h.past[0].hosts...), nil
 }
 
 // Weights is a stand-in for the platform's rate-limited weight store.
@@ -83,7 +83,7 @@
 	free time.Time // when the store is free for the next fetch
 }
 
-// Fetch implements platform.WeightStore.
+// Fetch implements infra.WeightStore.
 func (w *Weights) Fetch(ctx context.Context, _, _ string) (int64, error) {
 	took := time.Duration(float64(w.ModelBytes) / float64(max(w.BytesPerSecond, 1)) * float64(time.Second))
 	w.mu.Lock()
@@ -98,7 +98,7 @@
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
-		return 0, platform.ErrUnavailable
+		return 0, infra.ErrUnavailable
 	case <-timer.C:
 		return w.ModelBytes, nil
 	}
--- a/standin/http.go
+++ b/standin/http.go
@@ -16,8 +16,8 @@
 	"pumiceford/engine"
 	"pumiceford/engine/enginehttp"
 	"pumiceford/httpx"
-	"pumiceford/platform"
-	"pumiceford/platform/platformhttp"
+	"pumiceford/infra"
+	"pumiceford/infra/infrahttp"
 )
 
 // MaxBody bounds the bodies that stand-ins take.
@@ -31,7 +31,7 @@
 			writeLogError(c, err)
 			return
 		}
-		httpx.WriteJSON(c, 200, platformhttp.AppendReply{Offset: off})
+		httpx.WriteJSON(c, 200, infrahttp.AppendReply{Offset: off})
 	})
 	h.GET("/log/read", func(ctx context.Context, c *app.RequestContext) { serveRead(ctx, c, log) })
 	h.GET("/hosts", func(ctx context.Context, c *app.RequestContext) {
@@ -54,7 +54,7 @@
 		c.Data(200, "application/json", data)
 	})
 	h.PUT("/hosts", func(_ context.Context, c *app.RequestContext) {
-		var host platform.Host
+		var host infra.Host
 		if json.Unmarshal(c.Request.Body(), &host) != nil {
 			c.SetStatusCode(400)
 			return
@@ -72,7 +72,7 @@
 			writeLogError(c, err)
 			return
 		}
-		httpx.WriteJSON(c, 200, platformhttp.FetchReply{Bytes: n})
+		httpx.WriteJSON(c, 200, infrahttp.FetchReply{Bytes: n})
 	})
 	h.POST("/faults", func(_ context.Context, c *app.RequestContext) { serveFaults(c, log, hosts) })
 }
@@ -114,25 +114,25 @@
 		writeLogError(c, err)
 		return
 	}
-	reply := platformhttp.ReadReply{Earliest: page.Earliest, Tail: page.Tail}
+	reply := infrahttp.ReadReply{Earliest: page.Earliest, Tail: page.Tail}
 	for _, r := range page.Records {
-		reply.Records = append(reply.Records, platformhttp.WireRecord{Offset: r.Offset, TimeMs: r.Time.UnixMilli(), Data: r.Data})
+		reply.Records = append(reply.Records, infrahttp.WireRecord{Offset: r.Offset, TimeMs: r.Time.UnixMilli(), Data: r.Data})
 	}
 	httpx.WriteJSON(c, 200, reply)
 }
 
 func writeLogError(c *app.RequestContext, err error) {
-	var throttled *platform.ThrottledError
-	var trimmed *platform.TrimmedError
+	var throttled *infra.ThrottledError
+	var trimmed *infra.TrimmedError
 	switch {
-	case errors.Is(err, platform.ErrTooLarge):
-		httpx.WriteJSON(c, 413, platformhttp.ErrorReply{Code: platformhttp.CodeTooLarge})
+	case errors.Is(err, infra.ErrTooLarge):
+		httpx.WriteJSON(c, 413, infrahttp.ErrorReply{Code: infrahttp.CodeTooLarge})
 	case errors.As(err, &throttled):
-		httpx.WriteJSON(c, 429, platformhttp.ErrorReply{Code: platformhttp.CodeThrottled, RetryAfterMs: throttled.RetryAfter.Milliseconds() + 1})
+		httpx.WriteJSON(c, 429, infrahttp.ErrorReply{Code: infrahttp.CodeThrottled, RetryAfterMs: throttled.RetryAfter.Milliseconds() + 1})
 	case errors.As(err, &trimmed):
-		httpx.WriteJSON(c, 410, platformhttp.ErrorReply{Code: platformhttp.CodeTrimmed, Earliest: trimmed.Earliest, Tail: trimmed.Tail})
+		httpx.WriteJSON(c, 410, infrahttp.ErrorReply{Code: infrahttp.CodeTrimmed, Earliest: trimmed.Earliest, Tail: trimmed.Tail})
 	default:
-		httpx.WriteJSON(c, 503, platformhttp.ErrorReply{Code: "unavailable"})
+		httpx.WriteJSON(c, 503, infrahttp.ErrorReply{Code: "unavailable"})
 	}
 }
 
--- a/standin/log.go
+++ b/standin/log.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"pumiceford/platform"
+	"pumiceford/infra"
 )
 
 // LogSettings shape a Log.
@@ -51,7 +51,7 @@
 
 type logStream struct {
 	first   uint64 // offset of records[0]
-	records []platform.Record
+	records []infra.Record
 	changed chan struct{} // closed at the next append
 }
 
@@ -154,13 +154,13 @@
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
-		return platform.ErrUnavailable
+		return infra.ErrUnavailable
 	case <-timer.C:
 		return nil
 	}
 }
 
-// Append implements platform.Log.
+// Append implements infra.Log.
 func (l *Log) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
 	if err := l.delay(ctx); err != nil {
 		return 0, err
@@ -168,22 +168,22 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
-		return 0, platform.ErrUnavailable
+		return 0, infra.ErrUnavailable
 	}
 	if len(data) > l.set.RecordLimit {
-		return 0, platform.ErrTooLarge
+		return 0, infra.ErrTooLarge
 	}
 	if wait := l.throttle(); wait > 0 {
-		return 0, &platform.ThrottledError{RetryAfter: wait}
+		return 0, &infra.ThrottledError{RetryAfter: wait}
 	}
 	if l.dropNext > 0 {
 		l.dropNext--
-		return 0, platform.ErrUnavailable
+		return 0, infra.ErrUnavailable
 	}
 	off := l.add(stream, data)
 	l.landLate(stream)
 	if l.losesAnswer(stream, data) {
-		return 0, platform.ErrUnavailable
+		return 0, infra.ErrUnavailable
 	}
 	return off, nil
 }
@@ -230,7 +230,7 @@
 func (l *Log) add(stream string, data []byte) uint64 {
 	s := l.stream(stream)
 	off := s.tail()
-	rec := platform.Record{Offset: off, Time: time.Now(), Data: append([]byte(nil), data...)}
+	rec := infra.Record{Offset: off, Time: time.Now(), Data: append([]byte(nil), data...)}
 	s.records = append(s.records, rec)
 	l.retain(s)
 	l.appends++
@@ -253,10 +253,10 @@
 	}
 }
 
-// Read implements platform.Log.
-func (l *Log) Read(ctx context.Context, stream string, from uint64, maxBytes int, wait time.Duration) (platform.Page, error) {
+// Read implements infra.Log.
+func (l *Log) Read(ctx context.Context, stream string, from uint64, maxBytes int, wait time.Duration) (infra.Page, error) {
 	if err := l.delay(ctx); err != nil {
-		return platform.Page{}, err
+		return infra.Page{}, err
 	}
 	deadline := time.NewTimer(wait)
 	defer deadline.Stop()
@@ -267,7 +267,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return platform.Page{}, platform.ErrUnavailable
+			return infra.Page{}, infra.ErrUnavailable
 		case <-deadline.C:
 			wait = 0
 		case <-changed:
@@ -275,17 +275,17 @@
 	}
 }
 
-func (l *Log) readNow(stream string, from uint64, maxBytes int) (platform.Page, <-chan struct{}, error) {
+func (l *Log) readNow(stream string, from uint64, maxBytes int) (infra.Page, <-chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
-		return platform.Page{}, nil, platform.ErrUnavailable
+		return infra.Page{}, nil, infra.ErrUnavailable
 	}
 	s := l.stream(stream)
 	l.retain(s)
-	page := platform.Page{Earliest: s.first, Tail: s.tail()}
+	page := infra.Page{Earliest: s.first, Tail: s.tail()}
 	if from < s.first {
-		return page, nil, &platform.TrimmedError{Earliest: s.first, Tail: s.tail()}
+		return page, nil, &infra.TrimmedError{Earliest: s.first, Tail: s.tail()}
 	}
 	size := 0
 	for off := from; off < s.tail(); off++ {
