--- /dev/null
+++ b/cmd/pumiceford/main.go
@@ -0,0 +1,46 @@
+// Command pumiceford runs a process on the users' platform: an entry before
+// callers, or an agent beside a target.
+package main
+
+// Importing C makes the linker use the C library, as the platform's machines need.
+
+import "C"
+
+import (
+	"os"
+
+	"github.com/alexflint/go-arg"
+
+	"pumiceford/daemon"
+	"pumiceford/platform"
+	"pumiceford/version"
+)
+
+type roleArgs struct {
+	Settings string `arg:"positional,env:PUMICEFORD_SETTINGS" help:"settings file, JSON with comments"`
+}
+
+type args struct {
+	Entry *roleArgs `arg:"subcommand:entry" help:"serve callers and run batch jobs"`
+	Agent *roleArgs `arg:"subcommand:agent" help:"share out the seats of the target on this host"`
+}
+
+// Version implements go-arg's Versioned.
+func (args) Version() string { return "pumiceford " + version.Version }
+
+func main() {
+	var a args
+	parser := arg.MustParse(&a)
+	daemon.Exit(os.Stderr, func() error {
+		stop, cancel := daemon.Signals()
+		defer cancel()
+		switch {
+		case a.Entry != nil:
+			return platform.RunEntry(stop, a.Entry.Settings)
+		case a.Agent != nil:
+			return platform.RunAgent(stop, a.Agent.Settings)
+		}
+		parser.Fail("name a role: entry or agent")
+		return nil
+	})
+}
--- /dev/null
+++ b/daemon/agentlinks.go
@@ -0,0 +1,92 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"pumiceford/balance"
+	"pumiceford/fleet"
+	"pumiceford/link"
+	"pumiceford/routing"
+	"pumiceford/seats"
+	"pumiceford/targets"
+	"pumiceford/wire"
+)
+
+// maxWatched bounds the targets whose load one entry follows, so that its
+// sessions and messages stay flat as the fleet grows.
+const maxWatched = 64
+
+// agentLinks keeps the sessions to the agents beside the targets. It implements
+// runner.Seats.
+type agentLinks struct {
+	cfg  link.Config
+	addr func(target string) string
+	view *fleet.View
+
+	mu    sync.Mutex
+	links map[string]*agentLink // by instance
+}
+
+type agentLink struct {
+	peer *link.Peer
+	stop context.CancelFunc
+}
+
+func newAgentLinks(cfg link.Config, addr func(string) string, view *fleet.View) *agentLinks {
+	return &agentLinks{cfg: cfg, addr: addr, view: view, links: make(map[string]*agentLink)}
+}
+
+// set follows the agents of the given targets, a stable part of them when they
+// are many.
+func (a *agentLinks) set(ctx context.Context, all []targets.Instance) {
+	byID := make(map[string]targets.Instance, len(all))
+	var ids []string
+	for _, in := range all {
+		byID[in.ID] = in
+		ids = append(ids, in.ID)
+	}
+	keep := make(map[string]bool)
+	for _, id := range routing.Top(ids, routing.Score(a.cfg.Node, 1), maxWatched) {
+		keep[id] = true
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for id, l := range a.links {
+		if !keep[id] {
+			l.stop()
+			l.peer.Close()
+			delete(a.links, id)
+		}
+	}
+	for id := range keep {
+		if a.links[id] == nil {
+			a.links[id] = a.watch(ctx, byID[id])
+		}
+	}
+}
+
+func (a *agentLinks) watch(ctx context.Context, in targets.Instance) *agentLink {
+	ctx, cancel := context.WithCancel(ctx)
+	l := &agentLink{peer: link.NewPeer(a.cfg, a.addr(in.Addr)), stop: cancel}
+	go seats.Watch(ctx, l.peer, in, func(load *wire.Load) {
+		a.view.Table(func(t *balance.Table) { t.Note(time.Now(), in.ID, loadReport(load)) })
+	})
+	return l
+}
+
+// Acquire implements runner.Seats.
+func (a *agentLinks) Acquire(ctx context.Context, in targets.Instance, due time.Time) (*seats.Seat, error) {
+	a.mu.Lock()
+	l := a.links[in.ID]
+	a.mu.Unlock()
+	if l == nil {
+		return nil, nil
+	}
+	seat, load, err := seats.Acquire(ctx, l.peer, in, due)
+	if load != nil {
+		a.view.Table(func(t *balance.Table) { t.Note(time.Now(), in.ID, loadReport(load)) })
+	}
+	return seat, err
+}
--- /dev/null
+++ b/daemon/gateway.go
@@ -0,0 +1,398 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	stdlog "log"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"golang.org/x/sync/errgroup"
+
+	"pumiceford/balance"
+	"pumiceford/catalog"
+	"pumiceford/exchange"
+	"pumiceford/fleet"
+	"pumiceford/gateway"
+	"pumiceford/internal/wait"
+	"pumiceford/jobstore"
+	"pumiceford/link"
+	"pumiceford/logging"
+	"pumiceford/metrics"
+	"pumiceford/netx"
+	"pumiceford/oplog"
+	"pumiceford/peers"
+	"pumiceford/runner"
+	"pumiceford/seats"
+	"pumiceford/settings"
+	"pumiceford/store"
+	"pumiceford/targets"
+	"pumiceford/wire"
+)
+
+// TargetSender sends to targets and forgets those that are gone.
+type TargetSender interface {
+	exchange.Sender
+	Retain(all []targets.Instance)
+}
+
+// GatewayParts is what the users' platform gives, in the project's terms.
+type GatewayParts struct {
+	Store    store.Client
+	Decoder  fleet.Decoder
+	Catalog  store.Partition
+	Registry store.Partition
+	Jobs     string // topic of jobs
+	Sender   TargetSender
+	// ItemHeader turns an item's headers into those of its call.
+	ItemHeader func(item map[string]string) map[string][]string
+	// Front returns the handler of callers.
+	Front func(f Front) http.Handler
+	Ready func(ready func() bool) http.Handler
+}
+
+// Front is what the handler of callers works with.
+type Front struct {
+	Gateway *gateway.Gateway
+	Jobs    *jobstore.Store
+	Limits  func() catalog.Limits
+	Leaving func() bool
+}
+
+// Intervals and bounds of an entry.
+const (
+	// catalogWait is how long a read of configuration and registry waits. A
+	// change has to be in force within two seconds also when a read's connection
+	// has gone silent.
+	catalogWait = 2 * time.Second
+	// registryPause is left between reads of the registry that bring heartbeats:
+	// with nine targets it turns eight reads a second into three.
+	registryPause = 250 * time.Millisecond
+	expireEvery   = 200 * time.Millisecond
+	ownersEvery   = 4 * time.Second
+	fetchEvery    = 300 * time.Millisecond
+	// balancerSees is how long the balancer takes to send no new connections: it
+	// asks once a second and needs two misses.
+	balancerSees = 2600 * time.Millisecond
+	// lastBefore is how long before the platform kills a stopping process it has
+	// to be done.
+	lastBefore  = 700 * time.Millisecond
+	logFlush    = 200 * time.Millisecond
+	headerTime  = 3 * time.Second
+	idleTime    = 30 * time.Second
+	headerBytes = 16 << 10
+	jobGroup    = "runners"
+	maxRunning  = 256
+	// memoryShare is the part of a process's limit that the runtime stays under
+	// by collecting sooner.
+	memoryShare = 0.8
+)
+
+// limitMemory makes the runtime collect before the platform kills the process.
+func limitMemory(megabytes int) {
+	if megabytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(megabytes<<20)))
+	}
+}
+
+// entryNode is one running entry.
+type entryNode struct {
+	set     *settings.Gateway
+	parts   GatewayParts
+	log     logging.Logger
+	metrics *metrics.Set
+	view    *fleet.View
+	ring    *peers.Ring
+	store   *store.Failover
+	jobs    *jobstore.Store
+	runner  *runner.Runner
+	agents  *agentLinks
+	gateway *gateway.Gateway
+	tlsConf *tls.Config
+	leaving atomic.Bool
+}
+
+// RunGateway runs an entry on the users' platform until stop ends.
+func RunGateway(stop context.Context, file string, set *settings.Gateway, parts GatewayParts) error {
+	out := logging.NewAsync(os.Stdout)
+	defer out.Close(logFlush)
+	limitMemory(set.MemoryMB)
+	base := logging.New(logging.Settings{Level: set.Log.Level, Format: set.Log.Format, Writer: out})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	n, err := newEntryNode(ctx, set, parts, base)
+	if err != nil {
+		return err
+	}
+	return n.run(ctx, cancel, stop, file)
+}
+
+func newEntryNode(ctx context.Context, set *settings.Gateway, parts GatewayParts, base logging.Logger) (*entryNode, error) {
+	tlsConf, err := set.TLS.Config()
+	if err != nil {
+		return nil, err
+	}
+	n := &entryNode{set: set, parts: parts, tlsConf: tlsConf, log: base.Part("entry"), metrics: metrics.New(set.Name)}
+	n.view = fleet.NewView(parts.Decoder, set.DataCentre, xxhash.Sum64String(set.Name), base.Part("fleet"), n.metrics)
+	linkCfg := link.Config{Node: set.Name, Incarnation: oplog.NewIncarnation(), TLS: tlsConf, Dial: netx.Dial}
+	n.ring = peers.NewRing(set.Peers, linkCfg, set.Seeds)
+	n.store = store.NewFailover(parts.Store, n.ring.Ways)
+	n.jobs = jobstore.New(ctx, n.store, jobstore.Settings{
+		Topic: parts.Jobs, Partitions: set.Store.Partitions, CallBytes: set.Store.CallBytes,
+		Keep: time.Duration(set.KeepResults),
+	}, base.Part("jobs"))
+	n.agents = newAgentLinks(linkCfg, set.AgentAddr, n.view)
+	n.runner = runner.New(runner.Config{
+		Member: set.Peers, Group: jobGroup, Store: n.jobs, Groups: n.store, View: n.view, Sender: parts.Sender,
+		Seats: n.agents, Log: base.Part("batch"), Metrics: n.metrics, Headers: parts.ItemHeader, MaxRunning: maxRunning,
+	})
+	n.gateway = gateway.New(n.view, parts.Sender, base.Part("online"), n.metrics)
+	n.view.OnChange(func(all []targets.Instance) {
+		parts.Sender.Retain(all)
+		n.agents.set(ctx, all)
+	})
+	return n, nil
+}
+
+func (n *entryNode) run(ctx context.Context, cancel context.CancelFunc, stop context.Context, file string) error {
+	listeners, err := listenAll(n.set.Callers, n.set.Ready, n.set.Peers, n.set.Metrics)
+	if err != nil {
+		return err
+	}
+	front := n.httpServer(n.parts.Front(Front{Gateway: n.gateway, Jobs: n.jobs, Limits: n.limits, Leaving: n.leaving.Load}))
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return serve(ctx, front, listeners[0]) })
+	g.Go(func() error { return serve(ctx, n.httpServer(n.parts.Ready(n.ready)), listeners[1]) })
+	peerServer := &peers.Server{Store: n.parts.Store, View: n.view}
+	g.Go(func() error {
+		return link.Serve(ctx, listeners[2], link.Config{Node: n.set.Name, Handle: peerServer.Handle, TLS: n.tlsConf})
+	})
+	g.Go(func() error { return serve(ctx, n.httpServer(metricsHandler(n.metrics)), listeners[3]) })
+	for _, loop := range []func(context.Context){n.follow, n.watchPeers, n.expire, n.runner.Run} {
+		g.Go(func() error { loop(ctx); return nil })
+	}
+	g.Go(func() error { n.reload(ctx, file); return nil })
+	n.log.Info("started", logging.F("callers", n.set.Callers), logging.F("peers", n.set.Peers), logging.F("store", n.set.Store.Addr))
+	g.Go(func() error {
+		defer cancel()
+		if waitStop(ctx, stop) {
+			n.stop(ctx, front)
+		}
+		return nil
+	})
+	return g.Wait()
+}
+
+func (n *entryNode) ready() bool {
+	return !n.leaving.Load() && n.view.Ready()
+}
+
+func (n *entryNode) limits() catalog.Limits {
+	if c := n.view.Catalog(); c != nil {
+		return c.Limits
+	}
+	return catalog.Limits{}
+}
+
+// httpServer returns a server with the bounds of this entry. What the library
+// logs is of single connections and reaches us as errors.
+func (n *entryNode) httpServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: headerBytes,
+		ErrorLog: stdlog.New(io.Discard, "", 0),
+	}
+}
+
+// follow follows the configuration and the registry.
+func (n *entryNode) follow(ctx context.Context) {
+	config := store.NewFollower(n.store, n.parts.Catalog, n.view.CatalogSink(), store.FollowSettings{
+		Wait:      catalogWait,
+		OnTrouble: func(err error) { n.trouble("configuration", err) },
+		OnContact: func(d time.Duration) { n.contact("configuration", d) },
+	})
+	registry := store.NewFollower(n.store, n.parts.Registry, n.view.TargetSink(), store.FollowSettings{
+		Wait: catalogWait, Pause: registryPause,
+		OnTrouble: n.view.RegistryAway,
+		OnContact: n.view.RegistryBack,
+	})
+	go registry.Run(ctx)
+	config.Run(ctx)
+}
+
+func (n *entryNode) trouble(what string, err error) {
+	n.metrics.Count("store_failures")
+	n.log.Warn("store does not answer; what is known stays in force", logging.F("read", what), logging.F("error", err.Error()))
+}
+
+func (n *entryNode) contact(what string, away time.Duration) {
+	n.log.Info("store answers again", logging.F("read", what), logging.F("away_ms", away.Milliseconds()))
+}
+
+// watchPeers learns the other entries from the group, and asks them for a
+// catalog while none is known here.
+func (n *entryNode) watchPeers(ctx context.Context) {
+	next := time.Time{}
+	for ctx.Err() == nil {
+		if !n.view.Ready() {
+			n.ring.Fetch(ctx, n.view)
+		}
+		if now := time.Now(); now.After(next) {
+			next = now.Add(ownersEvery)
+			n.learnPeers(ctx)
+		}
+		_ = wait.For(ctx, fetchEvery)
+	}
+}
+
+func (n *entryNode) learnPeers(ctx context.Context) {
+	owners, err := n.store.Owners(ctx, jobGroup)
+	if err != nil {
+		n.metrics.Count("group_failures")
+		return // who was known stays
+	}
+	var addrs []string
+	for _, o := range owners {
+		addrs = append(addrs, o.Member)
+	}
+	n.ring.Set(append(addrs, n.set.Seeds...))
+}
+
+func (n *entryNode) expire(ctx context.Context) {
+	for wait.For(ctx, expireEvery) == nil {
+		n.view.Expire(time.Now())
+	}
+}
+
+// reload reads the settings again at SIGHUP. What may change while running is
+// the seeds; all else counts at the next start.
+func (n *entryNode) reload(ctx context.Context, file string) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		}
+		var set settings.Gateway
+		if err := settings.Load(file, &set); err != nil {
+			n.log.Error("settings not reloaded", logging.F("error", err.Error()))
+			continue
+		}
+		n.ring.Set(set.Seeds)
+		n.log.Info("settings reloaded", logging.F("seeds", len(set.Seeds)))
+	}
+}
+
+// stop ends an entry so that nothing in progress is cut off: the balancer is told
+// first, batch work is handed over, and requests go on being served until their
+// answers are whole.
+func (n *entryNode) stop(ctx context.Context, front *http.Server) {
+	n.leaving.Store(true)
+	n.log.Info("stopping", logging.F("within_ms", time.Duration(n.set.StopWithin).Milliseconds()))
+	bound, cancel := context.WithTimeout(ctx, time.Duration(n.set.StopWithin)-lastBefore)
+	defer cancel()
+	handed := make(chan struct{})
+	go func() {
+		defer close(handed)
+		n.runner.Leave(bound)
+	}()
+	_ = wait.For(bound, balancerSees)
+	if err := front.Shutdown(bound); err != nil {
+		n.log.Error("requests were cut off by the end of the stop", logging.F("error", err.Error()))
+	}
+	select {
+	case <-handed:
+	case <-bound.Done():
+	}
+	n.log.Info("stopped")
+}
+
+func listenAll(addrs ...string) ([]net.Listener, error) {
+	var out []net.Listener
+	for _, a := range addrs {
+		ln, err := settings.Listen(a)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, ln)
+	}
+	return out, nil
+}
+
+// serve serves until ctx ends.
+func serve(ctx context.Context, s *http.Server, ln net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+	defer stop()
+	err := s.Serve(ln)
+	if ctx.Err() != nil {
+		return nil
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		<-ctx.Done() // a graceful shutdown goes on
+		return nil
+	}
+	return err
+}
+
+func metricsHandler(ms *metrics.Set) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", promhttp.HandlerFor(ms.Registry, promhttp.HandlerOpts{}))
+	return mux
+}
+
+// loadReport turns an agent's word into what the balance works with.
+func loadReport(l *wire.Load) balance.Report {
+	return balance.Report{Active: int(l.GetActive()), Queued: int(l.GetQueued()), Batch: int(l.GetBatch()), Slots: int(l.GetSlots())}
+}
+
+// RunSeatAgent runs an agent beside a target until stop ends.
+func RunSeatAgent(stop context.Context, set *settings.SeatAgent, gauge seats.Gauge) error {
+	tlsConf, err := set.TLS.Config()
+	if err != nil {
+		return err
+	}
+	listeners, err := listenAll(set.Listen, set.Metrics)
+	if err != nil {
+		return err
+	}
+	out := logging.NewAsync(os.Stdout)
+	defer out.Close(logFlush)
+	limitMemory(set.MemoryMB)
+	log := logging.New(logging.Settings{Level: set.Log.Level, Format: set.Log.Format, Writer: out}).Part("agent")
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	g, ctx := errgroup.WithContext(ctx)
+	a := seats.NewAgent(seats.AgentConfig{Gauge: gauge, Log: log})
+	ms := metrics.New(set.Name)
+	g.Go(func() error { a.Run(ctx); return nil })
+	g.Go(func() error {
+		return link.Serve(ctx, listeners[0], link.Config{Node: set.Name, Handle: a.Handle, TLS: tlsConf})
+	})
+	g.Go(func() error {
+		return serve(ctx, &http.Server{Handler: metricsHandler(ms), ReadHeaderTimeout: headerTime}, listeners[1])
+	})
+	log.Info("started", logging.F("listen", set.Listen), logging.F("target", set.Target))
+	g.Go(func() error {
+		defer cancel()
+		if waitStop(ctx, stop) {
+			log.Info("stopping")
+			a.Leave()
+			_ = wait.For(ctx, lastWords)
+			log.Info("stopped")
+		}
+		return nil
+	})
+	return g.Wait()
+}
--- /dev/null
+++ b/exchange/exchange.go
@@ -0,0 +1,94 @@
+// Package exchange declares how an opaque request is carried out at a target:
+// the request, what came of it, and the port through which it is sent.
+package exchange
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"pumiceford/targets"
+)
+
+// Call is one request for a target. Its fields do not change once it is sent.
+type Call struct {
+	ID       string
+	Method   string
+	Host     string // as the caller named it; decides the route
+	URI      string // path and query, escaped as they came
+	Header   http.Header
+	Body     []byte
+	Deadline time.Time // the target stops work then; zero for none
+	After    uint64    // resume a stream after this event; 0 for from the start
+}
+
+// Load is what a target said of itself with an answer.
+type Load struct {
+	Running, Waiting, Slots int
+}
+
+// Outcome says what became of a call that was answered.
+type Outcome int
+
+// The outcomes.
+const (
+	// Done: the target ran the call and this is its answer.
+	Done Outcome = iota
+	// Failed: the target ran the call and says that it failed.
+	Failed
+	// NotRun: the target says that it did not and will not run the call.
+	NotRun
+	// OtherInstance: another instance has the address. The call was not run.
+	OtherInstance
+)
+
+// Answer is what a target answered.
+type Answer struct {
+	Outcome Outcome
+	Status  int
+	Header  http.Header // for the caller; without what concerns one connection
+	Body    io.ReadCloser
+	Length  int64 // of the body, -1 when not told
+	Events  bool  // the body is a stream of events
+	Load    *Load // nil when not told
+}
+
+// Sender sends calls to targets.
+type Sender interface {
+	// Send sends a call to one instance and returns the start of its answer. The
+	// body is read from the connection; closing it early makes the target drop
+	// the call. Any error is a *SendError.
+	Send(ctx context.Context, to targets.Instance, call *Call) (*Answer, error)
+}
+
+// Fault names what went wrong with a call that has no usable answer.
+type Fault string
+
+// The faults.
+const (
+	FaultConnect  Fault = "connect"  // no connection to the target
+	FaultBroken   Fault = "broken"   // the connection ended before the answer
+	FaultSilent   Fault = "silent"   // no answer in time
+	FaultSpoiled  Fault = "spoiled"  // what came is no answer to this call
+	FaultCanceled Fault = "canceled" // the caller gave up
+)
+
+// SendError says that a call has no usable answer.
+type SendError struct {
+	Fault Fault
+	// Sent tells whether any of the call may have reached the target. When
+	// false, it was not run and never will be.
+	Sent  bool
+	Cause error
+}
+
+// Error implements error.
+func (e *SendError) Error() string {
+	return "target: " + string(e.Fault) + ": " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *SendError) Unwrap() error {
+	return e.Cause
+}
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,298 @@
+// Package fleet is what a process knows of the fleet: the catalog in force, the
+// registered targets and their load. It follows the shared store and, while that
+// does not answer, asks peers.
+package fleet
+
+import (
+	"sync"
+	"time"
+
+	"pumiceford/balance"
+	"pumiceford/catalog"
+	"pumiceford/logging"
+	"pumiceford/metrics"
+	"pumiceford/store"
+	"pumiceford/targets"
+)
+
+// Decoder turns the platform's records into the project's types. Each function
+// reports an error for what it cannot read.
+type Decoder interface {
+	// Catalog decodes a version of the configuration.
+	Catalog(value []byte) (*catalog.Catalog, error)
+	// Instance decodes a target's registration.
+	Instance(id string, value []byte) (targets.Instance, error)
+	// CatalogKey is the key of the configuration in its topic.
+	CatalogKey() string
+}
+
+// View is the state. All methods are safe for concurrent use; mu is held for
+// memory only.
+type View struct {
+	decoder Decoder
+	log     logging.Logger
+	metrics *metrics.Set
+
+	current catalog.Current
+
+	mu       sync.Mutex
+	raw      []byte // newest catalog as it was stored, for peers
+	set      *targets.Set
+	rawByID  map[string][]byte // registrations as they were stored, for peers
+	table    *balance.Table
+	registry bool // the registry was read, or told by a peer
+	onChange func([]targets.Instance)
+}
+
+// NewView returns a View that knows nothing.
+func NewView(dec Decoder, dataCentre string, salt uint64, log logging.Logger, ms *metrics.Set) *View {
+	return &View{
+		decoder: dec, log: log, metrics: ms,
+		set: targets.NewSet(), rawByID: make(map[string][]byte),
+		table:    balance.NewTable(dataCentre, salt),
+		onChange: func([]targets.Instance) {},
+	}
+}
+
+// OnChange sets what is told the instances whenever they change. It is called
+// without locks held.
+func (v *View) OnChange(fn func([]targets.Instance)) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.onChange = fn
+}
+
+// Catalog returns the catalog in force, nil while none is known.
+func (v *View) Catalog() *catalog.Catalog {
+	return v.current.Get()
+}
+
+// Ready reports whether requests can be served: a catalog and targets are known.
+func (v *View) Ready() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.current.Get() != nil && v.registry
+}
+
+// offerCatalog takes a stored configuration.
+func (v *View) offerCatalog(value []byte, from string) {
+	c, err := v.decoder.Catalog(value)
+	if err != nil {
+		v.metrics.Count("catalog_unreadable")
+		v.log.Error("catalog cannot be read; the one in force stays", logging.F("from", from), logging.F("error", err.Error()))
+		return
+	}
+	v.mu.Lock()
+	newer := v.current.Offer(c)
+	if newer {
+		v.raw = value
+	}
+	v.mu.Unlock()
+	if newer {
+		v.metrics.Gauge("catalog_version", float64(c.Version))
+		v.metrics.Count("catalog_changes")
+		v.log.Info("catalog in force", logging.F("version", c.Version), logging.F("from", from))
+	}
+}
+
+// CatalogSink returns the sink of the configuration's topic.
+func (v *View) CatalogSink() store.Sink {
+	return catalogSink{v}
+}
+
+type catalogSink struct{ v *View }
+
+// Reset implements store.Sink.
+func (s catalogSink) Reset(recs []store.Record) {
+	for _, r := range recs {
+		s.Apply(r)
+	}
+}
+
+// Apply implements store.Sink.
+func (s catalogSink) Apply(r store.Record) {
+	if r.Key == s.v.decoder.CatalogKey() && len(r.Value) > 0 {
+		s.v.offerCatalog(r.Value, "store")
+	}
+}
+
+// TargetSink returns the sink of the registry's topic.
+func (v *View) TargetSink() store.Sink {
+	return targetSink{v}
+}
+
+type targetSink struct{ v *View }
+
+// Reset implements store.Sink.
+func (s targetSink) Reset(recs []store.Record) {
+	s.v.replaceTargets(recs, "store")
+}
+
+// Apply implements store.Sink.
+func (s targetSink) Apply(r store.Record) {
+	v := s.v
+	now := time.Now()
+	if len(r.Value) == 0 {
+		v.changeTargets(now, func() {
+			v.set.Drop(now, r.Key)
+			delete(v.rawByID, r.Key)
+		})
+		return
+	}
+	in, ok := v.decode(r)
+	if !ok {
+		return
+	}
+	v.changeTargets(now, func() {
+		v.set.Put(in)
+		v.rawByID[r.Key] = r.Value
+	})
+}
+
+func (v *View) decode(r store.Record) (targets.Instance, bool) {
+	in, err := v.decoder.Instance(r.Key, r.Value)
+	if err != nil {
+		v.metrics.Count("registration_unreadable")
+		v.log.Warn("registration cannot be read", logging.F("instance", r.Key), logging.F("error", err.Error()))
+		return in, false
+	}
+	return in, true
+}
+
+func (v *View) replaceTargets(recs []store.Record, from string) {
+	var all []targets.Instance
+	raw := make(map[string][]byte)
+	for _, r := range recs {
+		if in, ok := v.decode(r); ok {
+			all = append(all, in)
+			raw[r.Key] = r.Value
+		}
+	}
+	now := time.Now()
+	v.changeTargets(now, func() {
+		v.set.Replace(now, all)
+		v.rawByID = raw
+		v.registry = true
+	})
+	v.log.Info("registry read", logging.F("from", from), logging.F("targets", len(all)))
+}
+
+// changeTargets changes the set and tells what became of it.
+func (v *View) changeTargets(now time.Time, change func()) {
+	v.mu.Lock()
+	before := v.set.All()
+	change()
+	after := v.set.All()
+	same := equal(before, after)
+	if !same {
+		v.table.Replace(after)
+	}
+	tell := v.onChange
+	v.mu.Unlock()
+	if same {
+		return
+	}
+	v.logChanges(before, after)
+	v.metrics.Gauge("targets", float64(len(after)))
+	tell(after)
+}
+
+func equal(a, b []targets.Instance) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		x, y := a[i], b[i]
+		x.Seq, y.Seq = 0, 0
+		if x != y {
+			return false
+		}
+	}
+	return true
+}
+
+func (v *View) logChanges(before, after []targets.Instance) {
+	old := make(map[string]targets.Instance)
+	for _, in := range before {
+		old[in.ID] = in
+	}
+	for _, in := range after {
+		was, known := old[in.ID]
+		delete(old, in.ID)
+		switch {
+		case !known:
+			v.log.Info("target joined", logging.F("instance", in.ID), logging.F("addr", in.Addr), logging.F("service", in.Service))
+		case in.Draining && !was.Draining:
+			v.log.Info("target is leaving", logging.F("instance", in.ID), logging.F("seq", in.Seq))
+		}
+	}
+	for id := range old {
+		v.log.Info("target gone", logging.F("instance", id))
+	}
+}
+
+// RegistryAway notes that the registry does not answer.
+func (v *View) RegistryAway(error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.set.Away()
+	v.metrics.Count("registry_failures")
+}
+
+// RegistryBack notes that the registry answers again.
+func (v *View) RegistryBack(away time.Duration) {
+	v.mu.Lock()
+	v.set.Back(time.Now())
+	v.mu.Unlock()
+	v.log.Info("registry answers again", logging.F("away_ms", away.Milliseconds()))
+}
+
+// Expire drops targets whose registrations lapsed around an outage and did not
+// come back. It is to be called several times a second.
+func (v *View) Expire(now time.Time) {
+	v.mu.Lock()
+	lapsed := v.set.Lapsing()
+	v.mu.Unlock()
+	if lapsed > 0 {
+		v.changeTargets(now, func() { v.set.Expire(now) })
+	}
+}
+
+// Table calls fn with the balance table locked.
+func (v *View) Table(fn func(t *balance.Table)) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	fn(v.table)
+}
+
+// Instances returns the known instances.
+func (v *View) Instances() []targets.Instance {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.set.All()
+}
+
+// Export returns the newest catalog and registrations as they were stored, for
+// a peer that knows none.
+func (v *View) Export() (raw []byte, recs []store.Record) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for id, value := range v.rawByID {
+		recs = append(recs, store.Record{Key: id, Value: value})
+	}
+	return v.raw, recs
+}
+
+// Import takes what a peer exported. The registry counts only while none was
+// read here.
+func (v *View) Import(raw []byte, recs []store.Record) {
+	if len(raw) > 0 {
+		v.offerCatalog(raw, "peer")
+	}
+	v.mu.Lock()
+	known := v.registry
+	v.mu.Unlock()
+	if !known && len(recs) > 0 {
+		v.replaceTargets(recs, "peer")
+	}
+}
--- /dev/null
+++ b/gateway/answer.go
@@ -0,0 +1,261 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pumiceford/balance"
+	"pumiceford/events"
+	"pumiceford/exchange"
+	"pumiceford/logging"
+	"pumiceford/targets"
+)
+
+// wholeBytes is up to which size an answer that is no stream is read whole
+// before any of it is sent, so that a broken one can be asked for again.
+const wholeBytes = 1 << 20
+
+// watch ends a send whose target stays silent.
+type watch struct {
+	timer *time.Timer
+	wait  time.Duration
+	fired atomic.Bool
+}
+
+// newWatch tells silent after wait, and cancels when the request may move on.
+func newWatch(wait time.Duration, move bool, cancel context.CancelFunc, silent func()) *watch {
+	w := &watch{wait: wait}
+	w.timer = time.AfterFunc(wait, func() {
+		silent()
+		if move {
+			w.fired.Store(true)
+			cancel()
+		}
+	})
+	return w
+}
+
+func (w *watch) alive() {
+	w.timer.Reset(w.wait)
+}
+
+func (w *watch) stop() {
+	w.timer.Stop()
+}
+
+// afterError decides what to do when a send has no usable answer.
+func (s *serving) afterError(in targets.Instance, err error) step {
+	var se *exchange.SendError
+	if !errors.As(err, &se) {
+		se = &exchange.SendError{Fault: exchange.FaultBroken, Sent: true, Cause: err}
+	}
+	if s.ctx.Err() != nil {
+		// The caller left or the time is over; that says nothing of the target.
+		s.giveUp(TimedOut, 0)
+		return finished
+	}
+	switch se.Fault {
+	case exchange.FaultConnect:
+		s.judge(in, balance.Unfit, "connect")
+	case exchange.FaultBroken, exchange.FaultSpoiled:
+		s.judge(in, balance.Doubted, string(se.Fault))
+	case exchange.FaultSilent, exchange.FaultCanceled:
+	}
+	s.tried[in.ID] = true
+	if !se.Sent {
+		s.runs--
+		if s.sends < maxSends {
+			s.note("sent elsewhere; it never reached the target", in, "error", err.Error())
+			return again
+		}
+		s.giveUp(NoTarget, retryNone)
+		return finished
+	}
+	if s.mayMove() {
+		s.note("sent again; its answer is lost", in, "error", err.Error())
+		return again
+	}
+	s.giveUp(Lost, 0)
+	return finished
+}
+
+// afterNotRun decides what to do when a target did not run the request.
+func (s *serving) afterNotRun(in targets.Instance, ans *exchange.Answer) step {
+	s.runs--
+	s.tried[in.ID] = true
+	why := "full"
+	if ans.Outcome == exchange.OtherInstance {
+		why = "other_instance"
+		s.judge(in, balance.Unfit, why)
+	}
+	if s.sends < maxSends {
+		s.note("sent elsewhere; the target did not run it", in, "why", why)
+		return again
+	}
+	s.giveUp(Overload, retryFull)
+	return finished
+}
+
+// whole passes on an answer that is no stream of events.
+func (s *serving) whole(ans *exchange.Answer, c balance.Choice) step {
+	body, err := io.ReadAll(io.LimitReader(ans.Body, wholeBytes))
+	if err != nil {
+		return s.afterError(c.Instance, &exchange.SendError{Fault: exchange.FaultBroken, Sent: true, Cause: err})
+	}
+	s.firstAt = time.Now()
+	if len(body) < wholeBytes {
+		s.judge(c.Instance, balance.Sound, "")
+		s.caller.Start(ans.Status, ans.Header, int64(len(body)))
+		s.outcome = "served"
+		if s.caller.Write(body) != nil {
+			s.outcome = "caller_left"
+		}
+		return finished
+	}
+	s.started = true
+	s.caller.Start(ans.Status, ans.Header, ans.Length)
+	if s.caller.Write(body) != nil {
+		s.outcome = "caller_left"
+		return finished
+	}
+	if _, err := io.Copy(writer{s.caller}, ans.Body); err != nil {
+		s.cut("broken")
+		return finished
+	}
+	s.outcome = "served"
+	return finished
+}
+
+type writer struct{ c Caller }
+
+// Write implements io.Writer.
+func (w writer) Write(p []byte) (int, error) {
+	if err := w.c.Write(p); err != nil {
+		return 0, err
+	}
+	return len(p), nil
+}
+
+// stream passes on a stream of events from its first one. Header and status go
+// out with the first whole event: until then another target may start anew.
+func (s *serving) stream(ans *exchange.Answer, c balance.Choice, cancel context.CancelFunc) step {
+	return s.events(ans, c, cancel, func() {
+		s.firstAt = time.Now()
+		s.started = true
+		s.caller.Start(ans.Status, ans.Header, -1)
+	})
+}
+
+// resume goes on with a stream that another target began.
+func (s *serving) resume(ans *exchange.Answer, c balance.Choice, cancel context.CancelFunc) step {
+	if !ans.Events || ans.Outcome != exchange.Done {
+		s.judge(c.Instance, balance.Doubted, "no_stream")
+		return s.broken(c.Instance, errNoStream)
+	}
+	return s.events(ans, c, cancel, func() {})
+}
+
+// errNoStream says that a target answered with something else than the rest of
+// a stream.
+var errNoStream = errors.New("answer is no stream of events")
+
+// errEmpty says that a stream ended before its first event.
+var errEmpty = errors.New("stream without events")
+
+func (s *serving) events(ans *exchange.Answer, c balance.Choice, cancel context.CancelFunc, first func()) step {
+	in := c.Instance
+	silent := newWatch(s.gapWait(), s.mayMove(), cancel, func() { s.judge(in, balance.Unfit, "silent") })
+	defer silent.stop()
+	rd := events.NewReader(ans.Body, max(s.last, s.req.After))
+	began := false
+	for {
+		ev, err := rd.Next()
+		if errors.Is(err, io.EOF) && began {
+			s.judge(in, balance.Sound, "")
+			s.outcome = "served"
+			return finished
+		}
+		if errors.Is(err, io.EOF) {
+			err = errEmpty
+		}
+		if err != nil {
+			return s.broken(in, err)
+		}
+		silent.alive()
+		if !began {
+			began = true
+			if !s.started {
+				first()
+			}
+		}
+		if s.caller.Write(ev.Raw) != nil {
+			s.outcome = "caller_left"
+			return finished
+		}
+		s.last = max(s.last, ev.ID)
+	}
+}
+
+// broken decides what to do when a stream ended before its end.
+func (s *serving) broken(in targets.Instance, err error) step {
+	if s.ctx.Err() != nil {
+		s.giveUp(TimedOut, 0)
+		return finished
+	}
+	s.judge(in, balance.Doubted, "cut")
+	s.tried[in.ID] = true
+	if s.mayMove() {
+		s.note("stream goes on elsewhere", in, "error", err.Error())
+		return again
+	}
+	s.giveUp(Lost, 0)
+	return finished
+}
+
+// giveUp ends a request without its answer: by a refusal, or by cutting the
+// connection when the answer has begun.
+func (s *serving) giveUp(why Reason, retry time.Duration) {
+	if errors.Is(context.Cause(s.ctx), context.Canceled) {
+		s.outcome = "caller_left"
+		return
+	}
+	if s.started {
+		s.cut(string(why))
+		return
+	}
+	if s.runs > 0 && (why == NoTarget || why == Overload) {
+		why = Lost // a target may have run it, so coming back is no matter of "not run"
+	}
+	s.outcome = string(why)
+	s.caller.Refuse(Refusal{Reason: why, NotRun: s.runs == 0, RetryAfter: retry})
+}
+
+func (s *serving) cut(why string) {
+	s.outcome = "cut_" + why
+	s.caller.Abort()
+}
+
+// report logs and counts what became of the request.
+func (s *serving) report() {
+	m := s.g.metrics
+	m.Count("online_" + s.outcome)
+	now := time.Now()
+	m.Observe("online", s.route.Name, now.Sub(s.req.Arrived))
+	first := int64(-1)
+	if !s.firstAt.IsZero() {
+		d := s.firstAt.Sub(s.req.Arrived)
+		first = d.Milliseconds()
+		m.Observe("online_first", s.route.Name, d)
+	}
+	s.g.log.Info("request ended",
+		logging.F("request", s.req.ID), logging.F("route", s.route.Name), logging.F("outcome", s.outcome),
+		logging.F("instance", s.instance), logging.F("sends", s.sends), logging.F("events", s.last),
+		logging.F("first_ms", first), logging.F("took_ms", now.Sub(s.req.Arrived).Milliseconds()),
+		logging.F("load", s.choice.Load), logging.F("batch", s.choice.Batch), logging.F("waiting", s.choice.Waiting),
+		logging.F("load_age_ms", s.choice.Age.Milliseconds()), logging.F("among", s.choice.Among),
+		logging.F("catalog", s.g.view.Catalog().Version))
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,288 @@
+// Package gateway serves opaque requests: it finds the route, chooses a target,
+// sends the request there, and goes on elsewhere as far as the route's rules
+// allow when a target fails.
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"pumiceford/balance"
+	"pumiceford/catalog"
+	"pumiceford/exchange"
+	"pumiceford/fleet"
+	"pumiceford/logging"
+	"pumiceford/metrics"
+	"pumiceford/targets"
+)
+
+// Caller is the way back to whoever sent a request.
+type Caller interface {
+	// Start sends status and header. A length of -1 means that it is not known.
+	Start(status int, header http.Header, length int64)
+	// Write sends a part of the body at once.
+	Write(p []byte) error
+	// Abort cuts the connection, so that a started answer does not look whole.
+	Abort()
+	// Refuse answers a request that is given up.
+	Refuse(r Refusal)
+}
+
+// Reason says why a request is given up.
+type Reason string
+
+// The reasons.
+const (
+	NoRoute   Reason = "no_route"  // no route has the host and path
+	NotReady  Reason = "not_ready" // no catalog is known yet
+	NoTarget  Reason = "no_target" // no target of the service may get it
+	Overload  Reason = "overload"  // it would wait longer than is useful
+	Lost      Reason = "lost"      // a target may have run it; its answer is lost
+	TimedOut  Reason = "timed_out" // the time for it is over
+	Leaving   Reason = "leaving"   // this process stops
+	Malformed Reason = "malformed" // the request makes no sense
+	TooLarge  Reason = "too_large" // its body is over the limit
+	Unsure    Reason = "unsure"    // the shared store does not answer
+	Unknown   Reason = "unknown"   // there is no such job
+	Conflict  Reason = "conflict"  // another job has the id
+)
+
+// Refusal is the final answer to a request that is given up.
+type Refusal struct {
+	Reason Reason
+	// NotRun promises that the request was not run and never will be.
+	NotRun bool
+	// RetryAfter says when it is worth coming back, 0 when it is not.
+	RetryAfter time.Duration
+}
+
+// Limits of serving.
+const (
+	// maxSends bounds the targets asked for one request when they say that they
+	// did not run it.
+	maxSends = 4
+	// waitingMost is how many online requests may wait at the least loaded
+	// target before more are turned away, as a part of its slots. A slot comes
+	// free each 90 ms or so at 8 slots, and an answer is late after 300 ms: a
+	// longer queue only holds answers that come too late.
+	waitingMost = 0.5
+	// retryFull is when to come back after an overload: three or four slots have
+	// come free at each target by then.
+	retryFull = 300 * time.Millisecond
+	// retryNone is when to come back while no target is known: a new one
+	// registers within about a second.
+	retryNone = 500 * time.Millisecond
+	// firstShare is the part of the aim for a first event after which a target
+	// with a free slot counts as silent. What is left is enough for another one,
+	// which takes some 30 ms.
+	firstShare = 0.7
+	// perWaiting is added to that for each request known to wait there.
+	perWaiting = 120 * time.Millisecond
+	// gapShare is the part of the aim for pauses after which a stream counts as
+	// silent. Engines that are five times slower than usual pause for 120 ms.
+	gapShare = 0.6
+	// silentMost is the wait for a first answer where no aim is set.
+	silentMost = 2 * time.Second
+)
+
+// Request is one request of a caller.
+type Request struct {
+	exchange.Call
+	Arrived time.Time
+}
+
+// Gateway serves requests.
+type Gateway struct {
+	view    *fleet.View
+	sender  exchange.Sender
+	log     logging.Logger
+	metrics *metrics.Set
+}
+
+// New returns a Gateway.
+func New(view *fleet.View, sender exchange.Sender, log logging.Logger, ms *metrics.Set) *Gateway {
+	return &Gateway{view: view, sender: sender, log: log, metrics: ms}
+}
+
+// Route returns the route of a request, or why there is none.
+func (g *Gateway) Route(host, path string) (*catalog.Route, *Refusal) {
+	cat := g.view.Catalog()
+	if cat == nil {
+		return nil, &Refusal{Reason: NotReady, NotRun: true, RetryAfter: retryNone}
+	}
+	r := cat.Match(host, path)
+	if r == nil {
+		return nil, &Refusal{Reason: NoRoute, NotRun: true}
+	}
+	return r, nil
+}
+
+// Serve carries out one request and answers its caller.
+func (g *Gateway) Serve(ctx context.Context, route *catalog.Route, req *Request, caller Caller) {
+	limit := req.Arrived.Add(route.Timeout)
+	if req.Deadline.IsZero() || limit.Before(req.Deadline) {
+		req.Deadline = limit
+	}
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	defer cancel()
+	s := &serving{g: g, ctx: ctx, route: route, req: req, caller: caller, tried: make(map[string]bool)}
+	s.service = route.Service(req.ID)
+	s.run()
+	s.report()
+}
+
+// serving is the state of one request.
+type serving struct {
+	g       *Gateway
+	ctx     context.Context
+	route   *catalog.Route
+	req     *Request
+	caller  Caller
+	service string
+
+	tried    map[string]bool // targets that shall not get it again
+	sends    int
+	runs     int  // sends that may have been run
+	started  bool // status and header were sent to the caller
+	last     uint64
+	firstAt  time.Time // first event or answer
+	outcome  string
+	instance string
+	choice   balance.Choice
+}
+
+// step is what to do after one send.
+type step int
+
+const (
+	finished step = iota
+	again         // try another target
+)
+
+func (s *serving) run() {
+	for {
+		choice, ok := s.choose()
+		if !ok {
+			return
+		}
+		if s.attempt(choice) == finished {
+			return
+		}
+	}
+}
+
+// choose picks the next target, or refuses.
+func (s *serving) choose() (balance.Choice, bool) {
+	if s.ctx.Err() != nil {
+		s.giveUp(TimedOut, 0)
+		return balance.Choice{}, false
+	}
+	var c balance.Choice
+	var ok bool
+	s.g.view.Table(func(t *balance.Table) {
+		c, ok = t.Pick(time.Now(), s.service, s.tried)
+		if ok && s.fits(c) {
+			t.Began(c.Instance.ID)
+		}
+	})
+	switch {
+	case !ok:
+		s.giveUp(NoTarget, retryNone)
+		return c, false
+	case !s.fits(c):
+		s.choice = c
+		s.giveUp(Overload, retryFull)
+		return c, false
+	}
+	s.choice, s.instance = c, c.Instance.ID
+	return c, true
+}
+
+// fits reports whether waiting at the chosen target is still useful. A stream
+// that has begun always goes on.
+func (s *serving) fits(c balance.Choice) bool {
+	if s.started {
+		return true
+	}
+	return float64(c.Waiting) < max(1, waitingMost*float64(c.Instance.Slots))
+}
+
+// attempt sends the request to one target and passes its answer on.
+func (s *serving) attempt(c balance.Choice) step {
+	defer s.g.view.Table(func(t *balance.Table) { t.Ended(c.Instance.ID) })
+	s.sends++
+	s.runs++ // until the target says otherwise
+	call := s.req.Call
+	call.After = max(call.After, s.last)
+	ctx, cancel := context.WithCancel(s.ctx)
+	defer cancel()
+	silent := newWatch(s.firstWait(c), s.mayMove(), cancel, func() { s.judge(c.Instance, balance.Unfit, "silent") })
+	defer silent.stop()
+	ans, err := s.g.sender.Send(ctx, c.Instance, &call)
+	silent.stop()
+	if err != nil {
+		return s.afterError(c.Instance, err)
+	}
+	defer func() { _ = ans.Body.Close() }() // nothing is read from it any more
+	switch ans.Outcome {
+	case exchange.NotRun, exchange.OtherInstance:
+		return s.afterNotRun(c.Instance, ans)
+	case exchange.Failed:
+		s.judge(c.Instance, balance.Doubted, "failed")
+		if s.mayMove() {
+			s.note("sent again after a failure", c.Instance, "status", ans.Status)
+			s.tried[c.Instance.ID] = true
+			return again
+		}
+	case exchange.Done:
+	}
+	if s.started {
+		return s.resume(ans, c, cancel)
+	}
+	if ans.Events && ans.Outcome == exchange.Done {
+		return s.stream(ans, c, cancel)
+	}
+	return s.whole(ans, c)
+}
+
+// mayMove reports whether the request may be sent to one more target although
+// it may have been run.
+func (s *serving) mayMove() bool {
+	return s.route.Repeatable() && s.runs < max(s.route.Attempts, 1) && s.sends < maxSends
+}
+
+// firstWait is how long a target may take for the start of its answer before
+// it counts as silent.
+func (s *serving) firstWait(c balance.Choice) time.Duration {
+	if s.route.FirstWithin <= 0 {
+		return silentMost
+	}
+	waiting := c.Waiting
+	if c.Load >= c.Instance.Slots {
+		waiting++
+	}
+	return time.Duration(firstShare*float64(s.route.FirstWithin)) + time.Duration(waiting)*perWaiting
+}
+
+func (s *serving) gapWait() time.Duration {
+	if s.route.GapWithin <= 0 {
+		return silentMost
+	}
+	return time.Duration(gapShare * float64(s.route.GapWithin))
+}
+
+func (s *serving) judge(in targets.Instance, v balance.Verdict, why string) {
+	var ejected time.Duration
+	s.g.view.Table(func(t *balance.Table) { ejected = t.Judge(time.Now(), in.ID, v) })
+	if ejected > 0 {
+		s.g.metrics.Count("ejected_" + why)
+		s.g.log.Warn("target ejected", logging.F("instance", in.ID), logging.F("why", why),
+			logging.F("for_ms", ejected.Milliseconds()), logging.F("request", s.req.ID))
+	}
+}
+
+func (s *serving) note(what string, in targets.Instance, key string, value any) {
+	s.g.log.Info(what, logging.F("request", s.req.ID), logging.F("instance", in.ID), logging.F("sends", s.sends),
+		logging.F("last_event", s.last), logging.F(key, value))
+}
--- /dev/null
+++ b/jobstore/jobstore.go
@@ -0,0 +1,307 @@
+// Package jobstore keeps batch jobs on the shared store. Any process may write
+// to any partition: each write is decided on the partition's folded state and
+// carried out only if the partition still ends there. There is no owner to lose,
+// to wait for or to fence; who runs a job's items is decided elsewhere and may be
+// wrong for a while.
+package jobstore
+
+import (
+	"context"
+	"hash/fnv"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pumiceford/internal/wait"
+	"pumiceford/jobs"
+	"pumiceford/logging"
+	"pumiceford/store"
+	"pumiceford/wire"
+)
+
+// Settings shape a Store.
+type Settings struct {
+	Topic      string
+	Partitions int
+	CallBytes  int           // most that one append may carry
+	Keep       time.Duration // results are readable this long after acceptance
+}
+
+// Bounds of the store.
+const (
+	// followWait is how long a read of a partition waits. A connection that goes
+	// silent is noticed by its keep-alive sooner; this bounds a store that takes
+	// a call and never answers.
+	followWait = 8 * time.Second
+	// sureFor is how old the state may be when something is said not to exist.
+	// It stays under the second after which an accepted job has to be known
+	// everywhere.
+	sureFor = 300 * time.Millisecond
+	// conflictPause is left after a lost race for a partition's end.
+	conflictPause = 5 * time.Millisecond
+	// refusedPause is left after the store turned an append away.
+	refusedPause = 60 * time.Millisecond
+	// keepMargin is added to Keep for clocks that differ.
+	keepMargin = 30 * time.Second
+)
+
+// Errors of the Store.
+var (
+	// ErrUnknownJob says that there is no such job. It is only told when that is
+	// certain.
+	ErrUnknownJob = errors.New("no such job")
+	// ErrOtherJob says that another job has the id already.
+	ErrOtherJob = errors.New("another job has this id")
+	// ErrUnsure says that the shared store does not answer now.
+	ErrUnsure = errors.New("job state cannot be told now")
+	// ErrUnknownEffect says that a write may or may not have been carried out.
+	ErrUnknownEffect = errors.New("write to the job store got no answer")
+)
+
+// Store is the job store.
+type Store struct {
+	log  store.Log
+	set  Settings
+	out  logging.Logger
+	base context.Context
+
+	mu    sync.Mutex
+	parts map[int]*partition
+}
+
+// partition is one followed partition. Its table is only touched inside the
+// follower's Look.
+type partition struct {
+	number int
+	table  *jobs.Table
+	follow *store.Follower
+	write  chan struct{} // one writer of this process at a time
+}
+
+// New returns a Store whose followers run until ctx ends.
+func New(ctx context.Context, log store.Log, set Settings, out logging.Logger) *Store {
+	return &Store{log: log, set: set, out: out, base: ctx, parts: make(map[int]*partition)}
+}
+
+// PartitionOf returns the partition of a job.
+func (s *Store) PartitionOf(id string) int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id)) // a hash's Write never fails
+	return int(h.Sum32() % uint32(s.set.Partitions))
+}
+
+// Topic returns the topic of all partitions.
+func (s *Store) Topic() string {
+	return s.set.Topic
+}
+
+// at returns a partition, following it from the first use on: a process follows
+// what its callers ask for and what it runs, not what the fleet holds.
+func (s *Store) at(number int) *partition {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p := s.parts[number]; p != nil {
+		return p
+	}
+	p := &partition{number: number, table: jobs.NewTable(), write: make(chan struct{}, 1)}
+	part := store.Partition{Topic: s.set.Topic, Number: number}
+	p.follow = store.NewFollower(s.log, part, p.table, store.FollowSettings{Wait: followWait})
+	s.parts[number] = p
+	go p.follow.Run(s.base)
+	return p
+}
+
+// Follow makes sure that a partition is followed.
+func (s *Store) Follow(number int) {
+	s.at(number)
+}
+
+// sure brings a partition's state up to date before an absence is told.
+func (p *partition) sure(ctx context.Context) error {
+	if err := p.follow.Catch(ctx, sureFor); err != nil {
+		return errors.Mark(err, ErrUnsure)
+	}
+	return nil
+}
+
+// Accept takes a job in. When it returns nil, the job is durable, by this call
+// or an earlier one.
+func (s *Store) Accept(ctx context.Context, spec *wire.JobSpec) error {
+	p := s.at(s.PartitionOf(spec.GetId()))
+	var other bool
+	err := s.update(ctx, p, func(t *jobs.Table) ([]store.Record, error) {
+		if j := t.Get(spec.GetId()); j != nil {
+			other = !jobs.Same(j.Spec, spec)
+			return nil, nil
+		}
+		return t.Accept(spec)
+	})
+	if err == nil && other {
+		return ErrOtherJob
+	}
+	return err
+}
+
+// End ends a job. Ending it again changes nothing.
+func (s *Store) End(ctx context.Context, id string) error {
+	p := s.at(s.PartitionOf(id))
+	known := false
+	err := s.update(ctx, p, func(t *jobs.Table) ([]store.Record, error) {
+		known = t.Get(id) != nil
+		return t.End(id)
+	})
+	if err != nil || known {
+		return err
+	}
+	if err := p.sure(ctx); err != nil {
+		return err
+	}
+	if p.has(id) {
+		return s.End(ctx, id)
+	}
+	return ErrUnknownJob
+}
+
+func (p *partition) has(id string) bool {
+	found := false
+	p.follow.Look(func(int64, <-chan struct{}) { found = p.table.Get(id) != nil })
+	return found
+}
+
+// List lists outcomes of one partition's jobs.
+func (s *Store) List(ctx context.Context, number int, outcomes []jobs.Outcome) error {
+	return s.update(ctx, s.at(number), func(t *jobs.Table) ([]store.Record, error) {
+		return t.List(outcomes)
+	})
+}
+
+// Fail writes down that attempts of an item failed.
+func (s *Store) Fail(ctx context.Context, id string, item, failed int, impossible bool) error {
+	return s.update(ctx, s.at(s.PartitionOf(id)), func(t *jobs.Table) ([]store.Record, error) {
+		return t.Fail(id, item, failed, impossible)
+	})
+}
+
+// Sweep drops the jobs of a partition that need not be readable any more.
+func (s *Store) Sweep(ctx context.Context, number int, now time.Time) error {
+	return s.update(ctx, s.at(number), func(t *jobs.Table) ([]store.Record, error) {
+		return t.Expired(now, s.set.Keep+keepMargin), nil
+	})
+}
+
+// update appends what decide asks for on the partition's state, until decide
+// asks for nothing more. An append without an answer is looked up first: its
+// records either came, or cannot come any more once the partition has moved on.
+func (s *Store) update(ctx context.Context, p *partition, decide func(*jobs.Table) ([]store.Record, error)) error {
+	select {
+	case p.write <- struct{}{}:
+	case <-ctx.Done():
+		return errors.Mark(ctx.Err(), ErrUnsure)
+	}
+	defer func() { <-p.write }()
+	if err := p.loaded(ctx); err != nil {
+		return err
+	}
+	lost := noAppend // the end at which an append may still be carried out
+	for {
+		recs, at, err := p.decide(decide)
+		if err != nil {
+			return err
+		}
+		if len(recs) == 0 {
+			return nil
+		}
+		if at != lost {
+			lost = noAppend
+		}
+		err = s.append(ctx, p, recs, at)
+		switch {
+		case err == nil:
+			continue
+		case errors.Is(err, store.ErrFull):
+			return err
+		case errors.Is(err, store.ErrUnavailable):
+			lost = at
+		}
+		if s.settle(ctx, p, err) != nil && ctx.Err() != nil {
+			return failure(ctx, lost)
+		}
+	}
+}
+
+// noAppend says that no append of this update is without an answer.
+const noAppend int64 = -1
+
+func failure(ctx context.Context, lost int64) error {
+	if lost != noAppend {
+		return errors.Mark(ctx.Err(), ErrUnknownEffect)
+	}
+	return errors.Mark(ctx.Err(), ErrUnsure)
+}
+
+func (p *partition) loaded(ctx context.Context) error {
+	if p.follow.Look(func(int64, <-chan struct{}) {}) {
+		return nil
+	}
+	return p.sure(ctx)
+}
+
+func (p *partition) decide(decide func(*jobs.Table) ([]store.Record, error)) (recs []store.Record, at int64, err error) {
+	p.follow.Look(func(end int64, _ <-chan struct{}) {
+		at = end
+		recs, err = decide(p.table)
+	})
+	return recs, at, err
+}
+
+// append writes records at an end, in as many calls as their size needs. Each
+// call requires the end that the one before left.
+func (s *Store) append(ctx context.Context, p *partition, recs []store.Record, at int64) error {
+	part := store.Partition{Topic: s.set.Topic, Number: p.number}
+	for group := range slices.Values(groups(recs, s.set.CallBytes)) {
+		if _, err := s.log.Append(ctx, part, group, at); err != nil {
+			return err
+		}
+		p.follow.Appended(group, at)
+		at += int64(len(group))
+	}
+	return nil
+}
+
+// recordOverhead is what a record takes beside its value: lengths and the key.
+const recordOverhead = 300
+
+// groups cuts records into appends of at most limit bytes.
+func groups(recs []store.Record, limit int) [][]store.Record {
+	var out [][]store.Record
+	size := 0
+	for _, r := range recs {
+		n := len(r.Value) + recordOverhead
+		if len(out) == 0 || size+n > limit {
+			out = append(out, nil)
+			size = 0
+		}
+		out[len(out)-1] = append(out[len(out)-1], r)
+		size += n
+	}
+	return out
+}
+
+// settle brings the state up to date after an append that failed.
+func (s *Store) settle(ctx context.Context, p *partition, cause error) error {
+	var conflict *store.ConflictError
+	pause := refusedPause
+	if errors.As(cause, &conflict) {
+		pause = conflictPause
+	}
+	err := p.follow.Catch(ctx, 0)
+	if err != nil {
+		pause = refusedPause
+	}
+	if werr := wait.For(ctx, pause); werr != nil {
+		return werr
+	}
+	return err
+}
--- /dev/null
+++ b/peers/peers.go
@@ -0,0 +1,277 @@
+// Package peers lets entries help each other: one makes calls to the shared
+// store for another that the store refuses, and tells it the newest catalog and
+// targets when it knows none.
+package peers
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pumiceford/fleet"
+	"pumiceford/link"
+	"pumiceford/routing"
+	"pumiceford/store"
+	"pumiceford/wire"
+)
+
+// Server answers the calls of peers. It calls the store directly only, so that
+// two entries which are both refused do not ask each other in a circle.
+type Server struct {
+	Store store.Client
+	View  *fleet.View
+}
+
+// Handle serves one stream; it is a link.Handler.
+func (s *Server) Handle(ctx context.Context, _ link.Class, call *wire.Call, st *link.Stream) {
+	switch {
+	case call.GetStore() != nil:
+		c := call.GetStore()
+		ctx, cancel := context.WithTimeout(ctx, time.Duration(c.GetTimeoutMs())*time.Millisecond)
+		defer cancel()
+		// A peer that left does not read the reply.
+		_ = st.Send(s.call(ctx, c))
+	case call.GetCatalog() != nil:
+		raw, recs := s.View.Export()
+		_ = st.Send(&wire.CatalogReply{Catalog: raw, Targets: toWire(recs)})
+	}
+}
+
+func (s *Server) call(ctx context.Context, c *wire.StoreCall) *wire.StoreReply {
+	switch k := c.GetKind().(type) {
+	case *wire.StoreCall_Append:
+		end, err := s.Store.Append(ctx, partition(k.Append.GetPartition()), fromWire(k.Append.GetRecords()), k.Append.GetAt())
+		return reply(err, &wire.StoreReply{End: end})
+	case *wire.StoreCall_Read:
+		wait := time.Duration(k.Read.GetWaitMs()) * time.Millisecond
+		page, err := s.Store.Read(ctx, partition(k.Read.GetPartition()), k.Read.GetFrom(), wait)
+		return reply(err, &wire.StoreReply{First: page.First, End: page.End, Records: toWire(page.Records)})
+	case *wire.StoreCall_Newest:
+		snap, err := s.Store.Newest(ctx, partition(k.Newest.GetPartition()), k.Newest.GetAfter())
+		return reply(err, &wire.StoreReply{End: snap.End, More: snap.More, Records: toWire(snap.Records)})
+	case *wire.StoreCall_Join:
+		m, err := s.Store.Join(ctx, store.JoinRequest{
+			Group: k.Join.GetGroup(), Member: k.Join.GetMember(), Topics: k.Join.GetTopics(),
+			TTL: time.Duration(k.Join.GetTtlMs()) * time.Millisecond, Generation: k.Join.GetGeneration(),
+		})
+		out := &wire.StoreReply{Generation: m.Generation}
+		for _, p := range m.Partitions {
+			out.Partitions = append(out.Partitions, &wire.StorePartition{Topic: p.Topic, Number: uint32(p.Number)})
+		}
+		return reply(err, out)
+	}
+	return &wire.StoreReply{Outcome: wire.StoreReply_REFUSED}
+}
+
+// reply encodes an error, or returns ok when there is none.
+func reply(err error, ok *wire.StoreReply) *wire.StoreReply {
+	var conflict *store.ConflictError
+	var trimmed *store.TrimmedError
+	switch {
+	case err == nil:
+		return ok
+	case errors.As(err, &conflict):
+		return &wire.StoreReply{Outcome: wire.StoreReply_CONFLICT, End: conflict.End}
+	case errors.As(err, &trimmed):
+		return &wire.StoreReply{Outcome: wire.StoreReply_TRIMMED, First: trimmed.First}
+	case errors.Is(err, store.ErrFull):
+		return &wire.StoreReply{Outcome: wire.StoreReply_FULL}
+	case errors.Is(err, store.ErrRefused):
+		return &wire.StoreReply{Outcome: wire.StoreReply_REFUSED}
+	}
+	return &wire.StoreReply{Outcome: wire.StoreReply_UNKNOWN}
+}
+
+// failure decodes what reply encoded.
+func failure(r *wire.StoreReply) error {
+	switch r.GetOutcome() {
+	case wire.StoreReply_OK:
+		return nil
+	case wire.StoreReply_CONFLICT:
+		return &store.ConflictError{End: r.GetEnd()}
+	case wire.StoreReply_TRIMMED:
+		return &store.TrimmedError{First: r.GetFirst()}
+	case wire.StoreReply_FULL:
+		return store.ErrFull
+	case wire.StoreReply_REFUSED:
+		return store.ErrRefused
+	case wire.StoreReply_UNKNOWN:
+	}
+	return store.ErrUnavailable
+}
+
+func partition(p *wire.StorePartition) store.Partition {
+	return store.Partition{Topic: p.GetTopic(), Number: int(p.GetNumber())}
+}
+
+func toPartition(p store.Partition) *wire.StorePartition {
+	return &wire.StorePartition{Topic: p.Topic, Number: uint32(p.Number)}
+}
+
+func toWire(recs []store.Record) []*wire.StoreRecord {
+	var out []*wire.StoreRecord
+	for _, r := range recs {
+		out = append(out, &wire.StoreRecord{Key: r.Key, Value: r.Value, Offset: r.Offset})
+	}
+	return out
+}
+
+func fromWire(recs []*wire.StoreRecord) []store.Record {
+	var out []store.Record
+	for _, r := range recs {
+		out = append(out, store.Record{Key: r.GetKey(), Value: r.GetValue(), Offset: r.GetOffset()})
+	}
+	return out
+}
+
+// Way is the way to the store through one peer. It implements store.Peer.
+type Way struct {
+	peer *link.Peer
+}
+
+func (w Way) call(ctx context.Context, c *wire.StoreCall) (*wire.StoreReply, error) {
+	if dl, ok := ctx.Deadline(); ok {
+		c.TimeoutMs = uint32(max(time.Until(dl).Milliseconds(), 0))
+	}
+	r := &wire.StoreReply{}
+	err := w.peer.Call(ctx, link.Control, &wire.Call{Kind: &wire.Call_Store{Store: c}}, r)
+	var dial *link.DialError
+	switch {
+	case errors.As(err, &dial):
+		return nil, errors.Mark(err, store.ErrRefused) // it was never sent
+	case err != nil:
+		return nil, errors.Mark(err, store.ErrUnavailable)
+	}
+	return r, failure(r)
+}
+
+// Append implements store.Log.
+func (w Way) Append(ctx context.Context, p store.Partition, recs []store.Record, at int64) (int64, error) {
+	r, err := w.call(ctx, &wire.StoreCall{Kind: &wire.StoreCall_Append{Append: &wire.StoreAppend{
+		Partition: toPartition(p), Records: toWire(recs), At: at,
+	}}})
+	return r.GetEnd(), err
+}
+
+// Read implements store.Log.
+func (w Way) Read(ctx context.Context, p store.Partition, from int64, wait time.Duration) (store.Page, error) {
+	r, err := w.call(ctx, &wire.StoreCall{Kind: &wire.StoreCall_Read{Read: &wire.StoreRead{
+		Partition: toPartition(p), From: from, WaitMs: uint32(wait.Milliseconds()),
+	}}})
+	return store.Page{Records: fromWire(r.GetRecords()), First: r.GetFirst(), End: r.GetEnd()}, err
+}
+
+// Newest implements store.Log.
+func (w Way) Newest(ctx context.Context, p store.Partition, after string) (store.Snapshot, error) {
+	r, err := w.call(ctx, &wire.StoreCall{Kind: &wire.StoreCall_Newest{Newest: &wire.StoreNewest{
+		Partition: toPartition(p), After: after,
+	}}})
+	return store.Snapshot{Records: fromWire(r.GetRecords()), More: r.GetMore(), End: r.GetEnd()}, err
+}
+
+// Join implements store.Joiner.
+func (w Way) Join(ctx context.Context, req store.JoinRequest) (store.Membership, error) {
+	r, err := w.call(ctx, &wire.StoreCall{Kind: &wire.StoreCall_Join{Join: &wire.StoreJoin{
+		Group: req.Group, Member: req.Member, Topics: req.Topics,
+		TtlMs: uint32(req.TTL.Milliseconds()), Generation: req.Generation,
+	}}})
+	m := store.Membership{Generation: r.GetGeneration()}
+	for _, p := range r.GetPartitions() {
+		m.Partitions = append(m.Partitions, partition(p))
+	}
+	return m, err
+}
+
+// maxPeers bounds the peers that an entry keeps in mind: enough for one to be
+// served by the store when a third of all hosts is not.
+const maxPeers = 4
+
+// Ring keeps the links to the peers of one entry.
+type Ring struct {
+	self string // address of this entry
+	cfg  link.Config
+
+	mu    sync.Mutex
+	links map[string]*link.Peer
+	order []string
+}
+
+// NewRing returns a Ring that knows the seeds.
+func NewRing(self string, cfg link.Config, seeds []string) *Ring {
+	r := &Ring{self: self, cfg: cfg, links: make(map[string]*link.Peer)}
+	r.Set(seeds)
+	return r
+}
+
+// Set replaces the known peers. Each entry keeps others in mind, so that one
+// that dies is not the way of all.
+func (r *Ring) Set(addrs []string) {
+	var others []string
+	for _, a := range addrs {
+		if a != r.self && a != "" && !slices.Contains(others, a) {
+			others = append(others, a)
+		}
+	}
+	if len(others) == 0 {
+		return // who was known stays
+	}
+	keep := routing.Top(others, routing.Score(r.self, 1), maxPeers)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.order = keep
+	for addr, p := range r.links {
+		if !slices.Contains(keep, addr) {
+			p.Close()
+			delete(r.links, addr)
+		}
+	}
+}
+
+// all returns the links, dialled when first used.
+func (r *Ring) all() []*link.Peer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []*link.Peer
+	for _, addr := range r.order {
+		if r.links[addr] == nil {
+			r.links[addr] = link.NewPeer(r.cfg, addr)
+		}
+		out = append(out, r.links[addr])
+	}
+	return out
+}
+
+// Ways returns the ways to the store through the peers, another one first each
+// time.
+func (r *Ring) Ways() []store.Peer {
+	var out []store.Peer
+	for _, p := range r.all() {
+		out = append(out, Way{peer: p})
+	}
+	r.mu.Lock()
+	if len(r.order) > 1 {
+		r.order = append(r.order[1:], r.order[0])
+	}
+	r.mu.Unlock()
+	return out
+}
+
+// fetchTimeout bounds one question for a catalog.
+const fetchTimeout = 500 * time.Millisecond
+
+// Fetch asks the peers for the newest catalog and targets until one knows any.
+func (r *Ring) Fetch(ctx context.Context, view *fleet.View) {
+	for _, p := range r.all() {
+		one, cancel := context.WithTimeout(ctx, fetchTimeout)
+		reply := &wire.CatalogReply{}
+		err := p.Call(one, link.Control, &wire.Call{Kind: &wire.Call_Catalog{Catalog: &wire.CatalogFetch{}}}, reply)
+		cancel()
+		if err == nil && len(reply.GetCatalog()) > 0 {
+			view.Import(reply.GetCatalog(), fromWire(reply.GetTargets()))
+			return
+		}
+	}
+}
--- /dev/null
+++ b/runner/run.go
@@ -0,0 +1,248 @@
+package runner
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pumiceford/balance"
+	"pumiceford/catalog"
+	"pumiceford/events"
+	"pumiceford/exchange"
+	"pumiceford/jobs"
+	"pumiceford/logging"
+	"pumiceford/seats"
+	"pumiceford/targets"
+)
+
+// Bounds of one run.
+const (
+	// firstSilent is how long a target may take to begin with an item: it has a
+	// free seat, so some 40 ms are usual, five times that at a slow one.
+	firstSilent = 1500 * time.Millisecond
+	// gapSilent is how long it may pause: fifty times the usual pause.
+	gapSilent = 1200 * time.Millisecond
+	// yieldReason and others name in the log why a run ended.
+	yieldReason = "seat given back"
+)
+
+// statusImpossible is the status that says an item can never be done.
+const statusImpossible = http.StatusUnprocessableEntity
+
+// route returns the route that an item's path has now, nil when there is none.
+func (r *Runner) route(c candidate) *catalog.Route {
+	cat := r.cfg.View.Catalog()
+	if cat == nil {
+		return nil
+	}
+	return cat.Match(c.open.Spec.GetHost(), c.open.Item.GetPath())
+}
+
+func (r *Runner) service(c candidate) (string, bool) {
+	route := r.route(c)
+	if route == nil {
+		return "", false
+	}
+	return route.Service(c.open.Item.GetId()), true
+}
+
+// seat asks the agents for a seat, the one with most free slots first.
+func (r *Runner) seat(ctx context.Context, service string, due time.Time) (*seats.Seat, targets.Instance) {
+	var ranked []balance.Room
+	r.cfg.View.Table(func(t *balance.Table) { ranked = t.Rooms(time.Now(), service) })
+	for _, room := range ranked {
+		seat, err := r.cfg.Seats.Acquire(ctx, room.Instance, due)
+		granted := seat != nil && err == nil
+		r.cfg.View.Table(func(t *balance.Table) { t.Seated(room.Instance.ID, granted) })
+		if granted {
+			return seat, room.Instance
+		}
+	}
+	return nil, targets.Instance{}
+}
+
+// run carries out one attempt at an item.
+func (r *Runner) run(ctx context.Context, c candidate, w *work, in targets.Instance, seat *seats.Seat) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	began, from := time.Now(), w.last
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		select {
+		case <-seat.Yield:
+			cancel(errYield)
+		case <-stop:
+		}
+	}()
+	outcome, err := r.attempt(ctx, c, w, in)
+	why := "listed"
+	if err != nil {
+		why = reason(ctx, err)
+	}
+	r.cfg.Log.Info("item run ended", logging.F("job", c.open.Job), logging.F("item", c.open.Item.GetId()),
+		logging.F("instance", in.ID), logging.F("why", why), logging.F("from_event", from), logging.F("to_event", w.last),
+		logging.F("took_ms", time.Since(began).Milliseconds()), logging.F("failed", w.failed))
+	r.ended(ctx, c, w, in, outcome, err)
+}
+
+// errYield says that the agent asked for the seat back.
+var errYield = errors.New("seat asked back")
+
+func reason(ctx context.Context, err error) string {
+	if errors.Is(context.Cause(ctx), errYield) {
+		return yieldReason
+	}
+	return err.Error()
+}
+
+// ended takes what came of an attempt.
+func (r *Runner) ended(ctx context.Context, c candidate, w *work, in targets.Instance, o *jobs.Outcome, err error) {
+	yielded := errors.Is(context.Cause(ctx), errYield)
+	r.mu.Lock()
+	w.running, w.cancel = false, nil
+	r.running--
+	if err != nil && !yielded {
+		w.backoff = min(max(2*w.backoff, backoffFirst), backoffMost)
+		w.notBefore = time.Now().Add(w.backoff)
+	}
+	if o != nil {
+		w.backoff = 0
+	}
+	r.mu.Unlock()
+	switch {
+	case o != nil:
+		r.cfg.Metrics.Count("item_complete")
+		r.judge(in, balance.Sound)
+		r.finish(w, c.part, *o)
+	case yielded:
+		r.cfg.Metrics.Count("item_yielded")
+	default:
+		r.cfg.Metrics.Count("item_run_broken")
+	}
+	poke(r.wake)
+}
+
+func (r *Runner) judge(in targets.Instance, v balance.Verdict) {
+	r.cfg.View.Table(func(t *balance.Table) { t.Judge(time.Now(), in.ID, v) })
+}
+
+// errNoOutcome is the parent of errors after which an item is tried again.
+var errNoOutcome = errors.New("no outcome")
+
+// attempt runs an item from its last whole event on. It returns the outcome when
+// the item is done.
+func (r *Runner) attempt(ctx context.Context, c candidate, w *work, in targets.Instance) (*jobs.Outcome, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silent := time.AfterFunc(firstSilent, func() {
+		r.judge(in, balance.Unfit)
+		cancel()
+	})
+	defer silent.Stop()
+	item := c.open.Item
+	ans, err := r.cfg.Sender.Send(ctx, in, &exchange.Call{
+		ID: item.GetId(), Method: http.MethodPost, Host: c.open.Spec.GetHost(), URI: item.GetPath(),
+		Header: r.cfg.Headers(item.GetHeaders()), Body: item.GetBody(), After: w.last,
+	})
+	if err != nil {
+		r.afterError(ctx, in, err)
+		return nil, errors.Mark(err, errNoOutcome)
+	}
+	defer func() { _ = ans.Body.Close() }() // nothing is read from it any more
+	if done, err := r.refused(c, w, in, ans); done || err != nil {
+		return nil, err
+	}
+	return r.collect(c, w, in, ans, silent)
+}
+
+func (r *Runner) afterError(ctx context.Context, in targets.Instance, err error) {
+	var se *exchange.SendError
+	if ctx.Err() != nil || !errors.As(err, &se) {
+		return
+	}
+	if se.Fault == exchange.FaultConnect {
+		r.judge(in, balance.Unfit)
+		return
+	}
+	r.judge(in, balance.Doubted)
+}
+
+// statusError says that a target answered with something else than a result.
+type statusError struct {
+	status int
+}
+
+// Error implements error.
+func (e *statusError) Error() string {
+	return "target answered with status " + http.StatusText(e.status)
+}
+
+// refused takes an answer that is no result.
+func (r *Runner) refused(c candidate, w *work, in targets.Instance, ans *exchange.Answer) (bool, error) {
+	if ans.Outcome == exchange.Done && ans.Status < http.StatusMultipleChoices {
+		if !ans.Events {
+			r.judge(in, balance.Doubted)
+			return false, &statusError{ans.Status}
+		}
+		return false, nil
+	}
+	failed := ans.Outcome == exchange.Failed && ans.Status == http.StatusInternalServerError
+	never := ans.Outcome == exchange.Done && ans.Status == statusImpossible
+	if ans.Outcome == exchange.OtherInstance {
+		r.judge(in, balance.Unfit)
+	}
+	if failed || never {
+		r.mu.Lock()
+		if failed {
+			w.failed++
+		}
+		w.never = w.never || never
+		count, impossible := w.failed, w.never
+		r.mu.Unlock()
+		go r.writeDown(c, count, impossible)
+	}
+	return false, &statusError{ans.Status}
+}
+
+// writeDown keeps failed attempts on the store, so that another process does not
+// try a hopeless item anew.
+func (r *Runner) writeDown(c candidate, failed int, never bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), listTimeout)
+	defer cancel()
+	if err := r.cfg.Store.Fail(ctx, c.open.Job, c.open.Index, failed, never); err != nil {
+		r.cfg.Log.Warn("failed attempt not written down", logging.F("job", c.open.Job),
+			logging.F("item", c.open.Item.GetId()), logging.F("error", err.Error()))
+	}
+}
+
+// collect reads a stream to its end.
+func (r *Runner) collect(c candidate, w *work, in targets.Instance, ans *exchange.Answer, silent *time.Timer) (*jobs.Outcome, error) {
+	rd := events.NewReader(ans.Body, w.last)
+	for n := 0; ; n++ {
+		ev, err := rd.Next()
+		if errors.Is(err, io.EOF) && n > 0 {
+			return &jobs.Outcome{Job: c.open.Job, Item: c.open.Index, Text: w.text}, nil
+		}
+		if err != nil {
+			return nil, errors.Mark(err, errNoOutcome)
+		}
+		silent.Reset(gapSilent)
+		w.take(ev)
+	}
+}
+
+// take adds a whole event. Only the goroutine that runs the item calls it.
+func (w *work) take(ev events.Event) {
+	if !ev.Any {
+		return
+	}
+	if len(w.text) > 0 || w.last > 0 {
+		w.text = append(w.text, '\n')
+	}
+	w.text = append(w.text, ev.Data...)
+	w.last = max(w.last, ev.ID)
+}
--- /dev/null
+++ b/seats/agent.go
@@ -0,0 +1,247 @@
+package seats
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"pumiceford/internal/wait"
+	"pumiceford/link"
+	"pumiceford/logging"
+	"pumiceford/wire"
+)
+
+// Gauge asks the target beside this agent for its load.
+type Gauge interface {
+	Load(ctx context.Context) (Load, error)
+}
+
+// Intervals of an agent.
+const (
+	// pollBusy is how often the target is asked while batch work runs there or
+	// an entry watches: a waiting online request is seen within it. A call costs
+	// some 150 us of processor time.
+	pollBusy = 15 * time.Millisecond
+	// pollIdle is how often while nobody asks.
+	pollIdle = 250 * time.Millisecond
+	// tellEvery bounds how often a watcher is told of a changed load.
+	tellEvery = 50 * time.Millisecond
+	// tellAgain is when it is told an unchanged load, so that silence means that
+	// the agent is gone.
+	tellAgain   = 500 * time.Millisecond
+	pollTimeout = 500 * time.Millisecond
+	// staleAfter is how long the target may go without answering before no more
+	// seats are granted.
+	staleAfter = 300 * time.Millisecond
+)
+
+// AgentConfig says what an Agent works on.
+type AgentConfig struct {
+	Gauge Gauge
+	Log   logging.Logger
+}
+
+// Agent grants the seats of the target beside it and tells its load.
+type Agent struct {
+	cfg AgentConfig
+
+	mu      sync.Mutex
+	arbiter *Arbiter
+	asked   map[uint64]chan struct{} // closed to ask for the seat back
+	heard   time.Time                // last answer of the target
+	users   int                      // open watches and seats
+	changed chan struct{}            // closed and replaced when the load changes
+	leaving bool
+}
+
+// NewAgent returns an Agent.
+func NewAgent(cfg AgentConfig) *Agent {
+	return &Agent{
+		cfg: cfg, arbiter: NewArbiter(0),
+		asked:   make(map[uint64]chan struct{}),
+		changed: make(chan struct{}),
+	}
+}
+
+// Run polls the target until ctx ends.
+func (a *Agent) Run(ctx context.Context) {
+	log := a.cfg.Log
+	lost := false
+	for ctx.Err() == nil {
+		one, cancel := context.WithTimeout(ctx, pollTimeout)
+		load, err := a.cfg.Gauge.Load(one)
+		cancel()
+		switch {
+		case err != nil && !lost && ctx.Err() == nil:
+			log.Warn("target does not answer", logging.F("error", err.Error()))
+			lost = true
+		case err == nil && lost:
+			log.Info("target answers again", logging.F("active", load.Active))
+			lost = false
+		}
+		if err == nil {
+			a.report(load)
+		}
+		_ = wait.For(ctx, a.pause())
+	}
+}
+
+func (a *Agent) pause() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.users > 0 {
+		return pollBusy
+	}
+	return pollIdle
+}
+
+func (a *Agent) report(load Load) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.heard = time.Now()
+	same := a.arbiter.Load() == load
+	for _, id := range a.arbiter.Report(load) {
+		close(a.asked[id])
+		delete(a.asked, id)
+	}
+	if !same {
+		a.wakeLocked()
+	}
+}
+
+func (a *Agent) wakeLocked() {
+	close(a.changed)
+	a.changed = make(chan struct{})
+}
+
+// Leave stops granting seats and asks for all of them back.
+func (a *Agent) Leave() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.leaving = true
+	for id, ch := range a.asked {
+		close(ch)
+		delete(a.asked, id)
+	}
+}
+
+// Handle serves the streams of entries.
+func (a *Agent) Handle(ctx context.Context, _ link.Class, call *wire.Call, st *link.Stream) {
+	switch {
+	case call.GetSeat() != nil:
+		a.setSlots(call.GetSeat().GetSlots())
+		a.serveSeat(ctx, call.GetSeat(), st)
+	case call.GetLoadWatch() != nil:
+		a.setSlots(call.GetLoadWatch().GetSlots())
+		a.serveWatch(ctx, st)
+	}
+}
+
+// setSlots takes the target's slots from an entry, which knows its registration.
+func (a *Agent) setSlots(n uint32) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if n > 0 {
+		a.arbiter.SetSlots(int(n))
+	}
+}
+
+func (a *Agent) serveSeat(ctx context.Context, req *wire.SeatRequest, st *link.Stream) {
+	id, asked, load := a.acquire(time.UnixMilli(req.GetDueUnixMs()))
+	if st.Send(&wire.SeatReply{Granted: id != 0, Load: load}) != nil || id == 0 {
+		a.release(id)
+		return
+	}
+	defer a.release(id)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		// The holder sends nothing more: whatever comes is the stream's end.
+		_ = st.Recv(&wire.SeatReply{})
+	}()
+	select {
+	case <-ctx.Done():
+	case <-ended:
+	case <-asked:
+		if st.Send(&wire.SeatReply{Yield: true}) != nil {
+			return
+		}
+		select {
+		case <-ended:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// acquire returns a seat, id 0 when there is none.
+func (a *Agent) acquire(due time.Time) (uint64, chan struct{}, *wire.Load) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	if a.leaving || now.Sub(a.heard) > staleAfter {
+		return 0, nil, a.loadLocked()
+	}
+	id, ok := a.arbiter.Acquire(now, due)
+	if !ok {
+		return 0, nil, a.loadLocked()
+	}
+	asked := make(chan struct{})
+	a.asked[id] = asked
+	a.users++
+	return id, asked, a.loadLocked()
+}
+
+func (a *Agent) release(id uint64) {
+	if id == 0 {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.arbiter.Release(id)
+	delete(a.asked, id)
+	a.users--
+	a.wakeLocked()
+}
+
+func (a *Agent) loadLocked() *wire.Load {
+	load := a.arbiter.Load()
+	return &wire.Load{
+		Active: uint32(load.Active),
+		Queued: uint32(load.Queued),
+		Batch:  uint32(a.arbiter.Held()),
+		Slots:  uint32(max(a.arbiter.Slots(), 0)),
+	}
+}
+
+// serveWatch tells the load until the stream or ctx ends.
+func (a *Agent) serveWatch(ctx context.Context, st *link.Stream) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		defer cancel()
+		_ = st.Recv(&wire.Load{}) // the watcher sends nothing more
+	}()
+	a.mu.Lock()
+	a.users++
+	a.mu.Unlock()
+	defer func() {
+		a.mu.Lock()
+		a.users--
+		a.mu.Unlock()
+	}()
+	for ctx.Err() == nil {
+		a.mu.Lock()
+		load, changed := a.loadLocked(), a.changed
+		live := time.Since(a.heard) <= staleAfter
+		a.mu.Unlock()
+		if live && st.Send(load) != nil {
+			return
+		}
+		_ = wait.For(ctx, tellEvery)
+		select {
+		case <-changed:
+		case <-time.After(tellAgain):
+		case <-ctx.Done():
+		}
+	}
+}
--- /dev/null
+++ b/seats/arbiter.go
@@ -0,0 +1,126 @@
+// Package seats shares the slots of a target between online requests, which come
+// to it unannounced, and batch work, which asks for a seat first and gives it back
+// when asked.
+//
+// A target admits requests in their order of arrival, so batch work must never
+// stand in its queue. Peaks of online work ask for more slots than there are
+// while troughs leave half of them idle: batch work fills what is free and leaves
+// as soon as anything waits.
+package seats
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Load is what the target says runs and waits there.
+type Load struct {
+	Active int
+	Queued int
+}
+
+// settling is how long a granted or returned seat is corrected for in the
+// target's reports: connecting and being admitted take a few milliseconds, and a
+// report may be one polling interval old.
+const settling = 60 * time.Millisecond
+
+// lease is one granted seat.
+type lease struct {
+	due     time.Time
+	granted time.Time
+	asked   bool // asked to give the seat back
+}
+
+// Arbiter decides over the seats of one target. It is pure and not safe for
+// concurrent use.
+type Arbiter struct {
+	slots  int
+	load   Load
+	leases map[uint64]*lease
+	next   uint64
+}
+
+// NewArbiter returns an Arbiter for a target with slots.
+func NewArbiter(slots int) *Arbiter {
+	return &Arbiter{slots: slots, leases: make(map[uint64]*lease)}
+}
+
+// SetSlots changes the number of slots.
+func (a *Arbiter) SetSlots(n int) {
+	a.slots = n
+}
+
+// Slots returns the number of slots.
+func (a *Arbiter) Slots() int {
+	return a.slots
+}
+
+// Held returns the number of seats that are held.
+func (a *Arbiter) Held() int {
+	return len(a.leases)
+}
+
+// Load returns the load as it was reported last.
+func (a *Arbiter) Load() Load {
+	return a.load
+}
+
+// Free returns the slots that nothing uses or was promised.
+func (a *Arbiter) Free(now time.Time) int {
+	unseen := 0
+	for _, l := range a.leases {
+		if now.Sub(l.granted) < settling {
+			unseen++
+		}
+	}
+	// A lease seen already is part of Active; counting it twice for a moment
+	// leaves a slot idle that long, counting it never would queue batch work.
+	return a.slots - max(a.load.Active+a.load.Queued+unseen, len(a.leases))
+}
+
+// Acquire grants a seat to work that is due at a time, when a slot is free.
+func (a *Arbiter) Acquire(now, due time.Time) (id uint64, ok bool) {
+	if a.load.Queued > 0 || a.Free(now) <= 0 {
+		return 0, false
+	}
+	a.next++
+	a.leases[a.next] = &lease{due: due, granted: now}
+	return a.next, true
+}
+
+// Release takes a seat back.
+func (a *Arbiter) Release(id uint64) {
+	delete(a.leases, id)
+}
+
+// Report takes the target's load and returns the seats that have to be given
+// back now: one for each request that waits, less those asked for already. The
+// latest due go first, among equals the youngest, which have least to lose.
+func (a *Arbiter) Report(load Load) []uint64 {
+	a.load = load
+	need := load.Queued
+	var ids []uint64
+	for id, l := range a.leases {
+		if l.asked {
+			need--
+			continue
+		}
+		ids = append(ids, id)
+	}
+	if need <= 0 {
+		return nil
+	}
+	slices.SortFunc(ids, func(x, y uint64) int {
+		lx, ly := a.leases[x], a.leases[y]
+		if c := ly.due.Compare(lx.due); c != 0 {
+			return c
+		}
+		return cmp.Compare(y, x)
+	})
+	ids = ids[:min(need, len(ids))]
+	for _, id := range ids {
+		a.leases[id].asked = true
+	}
+	return ids
+}
--- /dev/null
+++ b/store/follower.go
@@ -0,0 +1,256 @@
+package store
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pumiceford/internal/wait"
+)
+
+// Sink receives the records of a followed partition, one call at a time and in
+// their order.
+type Sink interface {
+	// Reset replaces all state by the newest records of all keys.
+	Reset(recs []Record)
+	// Apply takes one more record.
+	Apply(rec Record)
+}
+
+// FollowSettings shape a Follower.
+type FollowSettings struct {
+	// Wait is how long one read waits for records. A connection that has gone
+	// silent is noticed that much later at most.
+	Wait time.Duration
+	// Pause is left between reads that return records, so that a busy partition
+	// costs a bounded number of calls.
+	Pause time.Duration
+	// OnTrouble is told of each read that failed, OnContact of the first that
+	// succeeded after one.
+	OnTrouble func(err error)
+	OnContact func(away time.Duration)
+}
+
+// Bounds of following.
+const (
+	// readSlack is added to a read's wait before it counts as lost: a slow store
+	// takes up to 60 times its usual 4 ms.
+	readSlack = 700 * time.Millisecond
+	// retryFirst and retryMost bound the pause after failed reads. The most is
+	// well under the second within which results must be readable everywhere.
+	retryFirst = 50 * time.Millisecond
+	retryMost  = 400 * time.Millisecond
+	// checkTimeout bounds one look at the end of a partition.
+	checkTimeout = time.Second
+)
+
+// Follower keeps a Sink up to date with one partition.
+type Follower struct {
+	log  Log
+	part Partition
+	set  FollowSettings
+
+	mu      sync.Mutex
+	sink    Sink
+	loaded  bool
+	next    int64     // offset of the next record to apply
+	asOf    time.Time // the state is known to be complete up to this moment
+	checker chan struct{}
+	changed chan struct{} // closed and replaced at each change
+}
+
+// NewFollower returns a Follower. It reads nothing before Run or Catch.
+func NewFollower(log Log, part Partition, sink Sink, set FollowSettings) *Follower {
+	if set.OnTrouble == nil {
+		set.OnTrouble = func(error) {}
+	}
+	if set.OnContact == nil {
+		set.OnContact = func(time.Duration) {}
+	}
+	return &Follower{
+		log: log, part: part, sink: sink, set: set,
+		checker: make(chan struct{}, 1),
+		changed: make(chan struct{}),
+	}
+}
+
+// Run follows the partition until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	pause := retryFirst
+	var since time.Time
+	for ctx.Err() == nil {
+		got, err := f.step(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			if since.IsZero() {
+				since = time.Now()
+			}
+			f.set.OnTrouble(err)
+			_ = wait.For(ctx, pause)
+			pause = min(2*pause, retryMost)
+			continue
+		}
+		if !since.IsZero() {
+			f.set.OnContact(time.Since(since))
+			since = time.Time{}
+		}
+		pause = retryFirst
+		if got {
+			_ = wait.For(ctx, f.set.Pause)
+		}
+	}
+}
+
+// step makes one read. It reports whether records came.
+func (f *Follower) step(ctx context.Context) (bool, error) {
+	f.mu.Lock()
+	loaded, from := f.loaded, f.next
+	f.mu.Unlock()
+	if !loaded {
+		return true, f.load(ctx)
+	}
+	return f.read(ctx, from, f.set.Wait)
+}
+
+func (f *Follower) load(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, f.set.Wait+readSlack)
+	defer cancel()
+	began := time.Now()
+	snap, err := NewestAll(ctx, f.log, f.part)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.loaded && snap.End < f.next {
+		return nil // another load came first
+	}
+	f.sink.Reset(snap.Records)
+	f.loaded, f.next = true, snap.End
+	f.freshLocked(began)
+	f.wakeLocked()
+	return nil
+}
+
+func (f *Follower) read(ctx context.Context, from int64, wait time.Duration) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+readSlack)
+	defer cancel()
+	began := time.Now()
+	page, err := f.log.Read(ctx, f.part, from, wait)
+	var trimmed *TrimmedError
+	if errors.As(err, &trimmed) {
+		return false, f.load(ctx)
+	}
+	if err != nil {
+		return false, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.applyLocked(page.Records)
+	switch {
+	case len(page.Records) == 0:
+		f.freshLocked(began.Add(wait)) // the store waited that long in vain
+	case f.next >= page.End:
+		f.freshLocked(began)
+	}
+	return len(page.Records) > 0, nil
+}
+
+// applyLocked takes the records that were not applied yet. f.mu is held.
+func (f *Follower) applyLocked(recs []Record) {
+	any := false
+	for _, r := range recs {
+		if r.Offset != f.next {
+			continue // applied by a read that ran beside this one
+		}
+		f.sink.Apply(r)
+		f.next = r.Offset + 1
+		any = true
+	}
+	if any {
+		f.wakeLocked()
+	}
+}
+
+func (f *Follower) freshLocked(at time.Time) {
+	if at.After(f.asOf) {
+		f.asOf = at
+	}
+}
+
+func (f *Follower) wakeLocked() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// Catch makes sure that the state is at most maxAge old, reading the partition's
+// end when it may be older. Callers at the same time share one read.
+func (f *Follower) Catch(ctx context.Context, maxAge time.Duration) error {
+	asked := time.Now()
+	if !f.AsOf().Before(asked.Add(-maxAge)) {
+		return nil
+	}
+	select {
+	case f.checker <- struct{}{}:
+	case <-ctx.Done():
+		return errors.Mark(ctx.Err(), ErrUnavailable)
+	}
+	defer func() { <-f.checker }()
+	// The read that was waited for may have served this caller as well.
+	if !f.AsOf().Before(asked.Add(-maxAge)) {
+		return nil
+	}
+	return f.check(ctx)
+}
+
+func (f *Follower) check(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	for {
+		f.mu.Lock()
+		loaded, from := f.loaded, f.next
+		f.mu.Unlock()
+		if !loaded {
+			return f.load(ctx)
+		}
+		got, err := f.read(ctx, from, 0)
+		if err != nil || !got {
+			return err
+		}
+	}
+}
+
+// Look calls fn with the state locked, the offset at which the partition was
+// seen to end, and a channel that is closed at the next change. It reports false
+// without a call while nothing was loaded.
+func (f *Follower) Look(fn func(end int64, changed <-chan struct{})) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.loaded {
+		return false
+	}
+	fn(f.next, f.changed)
+	return true
+}
+
+// Appended takes records that an append put at an offset, without waiting for
+// the read that will bring them.
+func (f *Follower) Appended(recs []Record, at int64) {
+	for i := range recs {
+		recs[i].Offset = at + int64(i)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.applyLocked(recs)
+}
+
+// AsOf returns the moment up to which the state is known to be complete.
+func (f *Follower) AsOf() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.asOf
+}
--- /dev/null
+++ b/targets/targets.go
@@ -0,0 +1,139 @@
+// Package targets holds what the registry says of the targets: which instances
+// there are, what they serve and whether they are leaving. It is pure: records
+// and the time come in.
+package targets
+
+import (
+	"slices"
+	"time"
+)
+
+// Instance is one start of a target.
+type Instance struct {
+	ID         string // new at each start
+	Service    string
+	Addr       string // IP and port
+	DataCentre string
+	Slots      int // requests that run at the same time
+	Draining   bool
+	Seq        int64 // of its registration; rises when more than a heartbeat changes
+}
+
+// goneAfter is how long a registration that lapsed around an outage of the
+// registry may take to come back. The platform's operators name about two
+// seconds after the registry's return.
+const goneAfter = 2 * time.Second
+
+// Set is the known instances. It is not safe for concurrent use.
+type Set struct {
+	byID    map[string]*Instance
+	lapsing map[string]time.Time // instances without an entry, gone at that time
+	outage  time.Time            // end of the last outage of the registry; zero for none
+	out     bool                 // the registry is away
+}
+
+// NewSet returns an empty Set.
+func NewSet() *Set {
+	return &Set{byID: make(map[string]*Instance), lapsing: make(map[string]time.Time)}
+}
+
+// Put takes a registration. Draining is final for an instance: an old heartbeat
+// that arrives late does not bring it back.
+func (s *Set) Put(in Instance) {
+	delete(s.lapsing, in.ID)
+	if old := s.byID[in.ID]; old != nil {
+		if in.Seq < old.Seq {
+			return
+		}
+		in.Draining = in.Draining || old.Draining
+	}
+	s.byID[in.ID] = &in
+}
+
+// Drop takes the end of a registration. Around an outage of the registry it is
+// held back for a while: the entries of live targets lapse then and come back.
+func (s *Set) Drop(now time.Time, id string) {
+	if s.byID[id] == nil {
+		return
+	}
+	if !s.out && (s.outage.IsZero() || now.Sub(s.outage) > goneAfter) {
+		s.remove(id)
+		return
+	}
+	if _, held := s.lapsing[id]; !held {
+		s.lapsing[id] = now
+	}
+}
+
+func (s *Set) remove(id string) {
+	delete(s.byID, id)
+	delete(s.lapsing, id)
+}
+
+// Replace takes the whole registry; what it does not name is dropped.
+func (s *Set) Replace(now time.Time, all []Instance) {
+	named := make(map[string]bool)
+	for _, in := range all {
+		named[in.ID] = true
+		s.Put(in)
+	}
+	for id := range s.byID {
+		if !named[id] {
+			s.Drop(now, id)
+		}
+	}
+}
+
+// Away notes that the registry does not answer.
+func (s *Set) Away() {
+	s.out = true
+}
+
+// Back notes that the registry answers again.
+func (s *Set) Back(now time.Time) {
+	if s.out {
+		s.out = false
+		s.outage = now
+	}
+}
+
+// Expire drops the instances that lapsed around an outage and did not come back.
+func (s *Set) Expire(now time.Time) []string {
+	if s.out || now.Sub(s.outage) <= goneAfter {
+		return nil
+	}
+	var gone []string
+	for id := range s.lapsing {
+		gone = append(gone, id)
+	}
+	for _, id := range gone {
+		s.remove(id)
+	}
+	slices.Sort(gone)
+	return gone
+}
+
+// Lapsing returns how many instances have no entry and are held back.
+func (s *Set) Lapsing() int {
+	return len(s.lapsing)
+}
+
+// All returns the instances, by id.
+func (s *Set) All() []Instance {
+	out := make([]Instance, 0, len(s.byID))
+	for _, in := range s.byID {
+		out = append(out, *in)
+	}
+	slices.SortFunc(out, func(a, b Instance) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// Get returns an instance, nil when unknown.
+func (s *Set) Get(id string) *Instance {
+	return s.byID[id]
+}
