Keep how far items came, hand them over, and take SIGHUP in every process

A stopping entry went on with its items for up to six seconds while the others of its partitions waited, and what it had not finished was run again whole by the next one.

Change: all processes take SIGHUP. A partition that goes to another member is handed over before the next call to the group: runs stop, how far they came is kept in a topic of its own, the next runner resumes. An agent asks a seat back only for requests beyond the slots: a request that waits for the engine's next step is no overload.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -275,7 +275,7 @@
 func (t *Table) Rooms(now time.Time, service string) []Room {
 	var out []Room
 	for _, v := range t.views {
-		if !v.usable(now, service, nil, false) || !v.reported(now) || v.report.Queued > 0 {
+		if !v.usable(now, service, nil, false) || !v.reported(now) {
 			continue
 		}
 		if free := v.Free(now) - v.seated; free > 0 {
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -8,10 +8,8 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -53,6 +51,7 @@
 	Catalog  store.Partition
 	Registry store.Partition
 	Jobs     string // topic of jobs
+	Progress string // topic of unfinished items
 	Sender   TargetSender
 	// ItemHeader turns an item's headers into those of its call.
 	ItemHeader func(item map[string]string) map[string][]string
@@ -148,7 +147,7 @@
 	n.ring = peers.NewRing(set.Peers, linkCfg, set.Seeds)
 	n.store = store.NewFailover(parts.Store, n.ring.Ways)
 	n.jobs = jobstore.New(ctx, n.store, jobstore.Settings{
-		Topic: parts.Jobs, Partitions: set.Store.Partitions, CallBytes: set.Store.CallBytes,
+		Topic: parts.Jobs, ProgressTopic: parts.Progress, Partitions: set.Store.Partitions, CallBytes: set.Store.CallBytes,
 		Keep: time.Duration(set.KeepResults),
 	}, base.Part("jobs"))
 	n.agents = newAgentLinks(linkCfg, set.AgentAddr, n.view)
@@ -181,7 +180,7 @@
 	for _, loop := range []func(context.Context){n.follow, n.watchPeers, n.expire, n.runner.Run} {
 		g.Go(func() error { loop(ctx); return nil })
 	}
-	g.Go(func() error { n.reload(ctx, file); return nil })
+	g.Go(func() error { onReload(ctx, n.log, func() error { return n.reload(file) }); return nil })
 	n.log.Info("started", logging.F("callers", n.set.Callers), logging.F("peers", n.set.Peers), logging.F("store", n.set.Store.Addr))
 	g.Go(func() error {
 		defer cancel()
@@ -273,26 +272,16 @@
 	}
 }
 
-// reload reads the settings again at SIGHUP. What may change while running is
-// the seeds; all else counts at the next start.
-func (n *entryNode) reload(ctx context.Context, file string) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hup:
-		}
-		var set settings.Gateway
-		if err := settings.Load(file, &set); err != nil {
-			n.log.Error("settings not reloaded", logging.F("error", err.Error()))
-			continue
-		}
-		n.ring.Set(set.Seeds)
-		n.log.Info("settings reloaded", logging.F("seeds", len(set.Seeds)))
+// reload takes what may change while running: the seeds. All else counts at the
+// next start.
+func (n *entryNode) reload(file string) error {
+	var set settings.Gateway
+	if err := settings.Load(file, &set); err != nil {
+		return err
 	}
+	n.ring.Set(set.Seeds)
+	n.log.Info("settings reloaded", logging.F("seeds", len(set.Seeds)))
+	return nil
 }
 
 // stop ends an entry so that nothing in progress is cut off: the balancer is told
@@ -358,7 +347,7 @@
 }
 
 // RunSeatAgent runs an agent beside a target until stop ends.
-func RunSeatAgent(stop context.Context, set *settings.SeatAgent, gauge seats.Gauge) error {
+func RunSeatAgent(stop context.Context, file string, set *settings.SeatAgent, gauge seats.Gauge) error {
 	tlsConf, err := set.TLS.Config()
 	if err != nil {
 		return err
@@ -383,6 +372,14 @@
 	g.Go(func() error {
 		return serve(ctx, &http.Server{Handler: metricsHandler(ms), ReadHeaderTimeout: headerTime}, listeners[1])
 	})
+	g.Go(func() error {
+		onReload(ctx, log, func() error {
+			// Nothing of an agent's settings changes while it runs; they are
+			// checked, so that a mistake shows before the next start.
+			return settings.Load(file, &settings.SeatAgent{})
+		})
+		return nil
+	})
 	log.Info("started", logging.F("listen", set.Listen), logging.F("target", set.Target))
 	g.Go(func() error {
 		defer cancel()
--- a/jobstore/jobstore.go
+++ b/jobstore/jobstore.go
@@ -23,10 +23,12 @@
 
 // Settings shape a Store.
 type Settings struct {
-	Topic      string
-	Partitions int
-	CallBytes  int           // most that one append may carry
-	Keep       time.Duration // results are readable this long after acceptance
+	Topic string
+	// ProgressTopic keeps how far unfinished items came.
+	ProgressTopic string
+	Partitions    int
+	CallBytes     int           // most that one append may carry
+	Keep          time.Duration // results are readable this long after acceptance
 }
 
 // Bounds of the store.
--- a/runner/member.go
+++ b/runner/member.go
@@ -2,27 +2,39 @@
 
 import (
 	"context"
-	"sync"
+	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"pumiceford/internal/wait"
-	"pumiceford/jobs"
+	"pumiceford/jobstore"
 	"pumiceford/logging"
 	"pumiceford/store"
 )
 
-// Intervals of membership.
+// Intervals and bounds of membership.
 const (
 	// memberTTL is how long a silent member keeps its partitions: three missed
 	// calls. Its items wait that long when it dies, of the 18 seconds they have.
-	memberTTL = 2500 * time.Millisecond
-	joinEvery = 800 * time.Millisecond
+	memberTTL = 1600 * time.Millisecond
+	joinEvery = 500 * time.Millisecond
+	// handOverTimeout bounds stopping the runs of a partition and keeping how far
+	// they came.
+	handOverTimeout = time.Second
+	// progressTimeout bounds reading how far the items of a new partition came;
+	// without an answer they start anew.
+	progressTimeout = 1500 * time.Millisecond
+	leaveTimeout    = 800 * time.Millisecond
 )
 
+// errHandOver says that another process goes on with an item.
+var errHandOver = errors.New("item handed over")
+
 // membership keeps this process in the group and takes what is proposed to it.
 func (r *Runner) membership(ctx context.Context) {
 	var generation uint64
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !r.isLeaving() {
 		m, err := r.cfg.Groups.Join(ctx, store.JoinRequest{
 			Group: r.cfg.Group, Member: r.cfg.Member, Topics: []string{r.cfg.Store.Topic()},
 			TTL: memberTTL, Generation: generation,
@@ -33,100 +45,168 @@
 			r.cfg.Metrics.Count("group_failures")
 		} else {
 			generation = m.Generation
-			r.assign(m)
+			r.assign(ctx, m)
 		}
 		_ = wait.For(ctx, joinEvery)
 	}
 }
 
-func (r *Runner) assign(m store.Membership) {
-	mine := make(map[int]bool)
+func (r *Runner) isLeaving() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.leaving
+}
+
+// assign takes a proposal. Partitions that went are handed over before the next
+// call to the group, which lets another member have them: so their items are not
+// run twice and go on where they are.
+func (r *Runner) assign(ctx context.Context, m store.Membership) {
+	proposed := make(map[int]bool)
 	for _, p := range m.Partitions {
 		if p.Topic == r.cfg.Store.Topic() {
-			mine[p.Number] = true
+			proposed[p.Number] = true
 		}
 	}
+	var gained, lost []int
 	r.mu.Lock()
-	changed := len(mine) != len(r.mine)
-	for p := range mine {
-		changed = changed || !r.mine[p]
+	for p := range proposed {
+		if _, known := r.mine[p]; !known {
+			r.mine[p] = false
+			gained = append(gained, p)
+		}
 	}
-	if changed {
-		r.mine = mine
+	for p := range r.mine {
+		if !proposed[p] {
+			delete(r.mine, p)
+			lost = append(lost, p)
+		}
 	}
-	leaving := r.leaving
 	r.mu.Unlock()
-	if !changed || leaving {
+	if len(gained)+len(lost) == 0 {
 		return
 	}
-	r.cfg.Log.Info("partitions proposed", logging.F("generation", m.Generation), logging.F("count", len(mine)))
-	r.cfg.Metrics.Gauge("partitions", float64(len(mine)))
-	for p := range mine {
-		r.cfg.Store.Follow(p)
+	slices.Sort(gained)
+	r.cfg.Log.Info("partitions proposed", logging.F("generation", m.Generation), logging.F("count", len(proposed)),
+		logging.F("gained", gained), logging.F("lost", lost))
+	r.cfg.Metrics.Gauge("partitions", float64(len(proposed)))
+	for _, p := range gained {
+		go r.takeOver(ctx, p)
+	}
+	r.handOver(ctx, lost)
+}
+
+// takeOver reads how far the items of a partition came, and lets them start.
+func (r *Runner) takeOver(ctx context.Context, part int) {
+	r.cfg.Store.Follow(part)
+	one, cancel := context.WithTimeout(ctx, progressTimeout)
+	defer cancel()
+	all, err := r.cfg.Store.LoadProgress(one, part)
+	if err != nil {
+		r.cfg.Log.Warn("progress not read; items start anew", logging.F("partition", part), logging.F("error", err.Error()))
 	}
+	r.mu.Lock()
+	for _, p := range all {
+		w := r.workLocked(p.Key, part)
+		if !w.running && p.Last > w.last {
+			w.last, w.text, w.saved = p.Last, p.Text, p.Last
+		}
+	}
+	if _, still := r.mine[part]; still {
+		r.mine[part] = true
+	}
+	r.mu.Unlock()
 	poke(r.wake)
 }
 
-// sweeper drops jobs that need not be readable any more.
-func (r *Runner) sweeper(ctx context.Context) {
-	for wait.For(ctx, sweepEvery) == nil {
-		for _, p := range r.partitions() {
-			one, cancel := context.WithTimeout(ctx, listTimeout)
-			if err := r.cfg.Store.Sweep(one, p, time.Now()); err != nil {
-				r.cfg.Log.Warn("old jobs not dropped; tried again later", logging.F("partition", p), logging.F("error", err.Error()))
-			}
-			cancel()
+// handOver stops the runs of partitions that went to other processes and keeps
+// how far they came.
+func (r *Runner) handOver(ctx context.Context, lost []int) {
+	if len(lost) == 0 {
+		return
+	}
+	bound, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	r.stopRuns(bound, func(w *work) bool { return slices.Contains(lost, w.part) })
+	for _, part := range lost {
+		r.save(bound, part)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for k, w := range r.work {
+		if slices.Contains(lost, w.part) && !w.running && !w.done {
+			delete(r.work, k)
 		}
 	}
 }
 
-// lister lists finished items, those of a partition together.
-func (r *Runner) lister(ctx context.Context) {
-	for {
+// stopRuns ends runs and waits until they have ended.
+func (r *Runner) stopRuns(ctx context.Context, which func(*work) bool) {
+	var ended []chan struct{}
+	r.mu.Lock()
+	for _, w := range r.work {
+		if w.running && which(w) {
+			w.cancel(errHandOver)
+			ended = append(ended, w.ended)
+		}
+	}
+	r.mu.Unlock()
+	for _, ch := range ended {
 		select {
+		case <-ch:
 		case <-ctx.Done():
 			return
-		case <-r.list:
 		}
-		_ = wait.For(ctx, listEvery)
-		// In its own goroutine: a partition whose append waits for the store must
-		// not hold up the others.
-		go r.listAll(ctx)
 	}
 }
 
-// listAll lists what has finished and waits for it.
-func (r *Runner) listAll(ctx context.Context) {
+// Leave stops running items, keeps how far they came, lists what has finished and
+// leaves the group, so that another process goes on at once.
+func (r *Runner) Leave(ctx context.Context) {
 	r.mu.Lock()
-	batch := r.finished
-	r.finished = make(map[int][]jobs.Outcome)
+	r.leaving = true
+	parts := make([]int, 0, len(r.mine))
+	for p := range r.mine {
+		parts = append(parts, p)
+	}
 	r.mu.Unlock()
-	var all sync.WaitGroup
-	for part, outs := range batch {
-		all.Add(1)
-		go func() {
-			defer all.Done()
-			r.listOne(ctx, part, outs)
-		}()
-	}
-	all.Wait()
+	bound, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	r.stopRuns(bound, func(*work) bool { return true })
+	for _, part := range parts {
+		r.save(bound, part)
+	}
+	r.listAll(bound)
+	last, done := context.WithTimeout(ctx, leaveTimeout)
+	defer done()
+	if err := r.cfg.Groups.Leave(last, r.cfg.Group, r.cfg.Member); err != nil {
+		r.cfg.Log.Warn("group not left; the store notices later", logging.F("error", err.Error()))
+	}
+	r.cfg.Log.Info("items handed over", logging.F("partitions", len(parts)))
 }
 
-// listOne lists outcomes of one partition until the store has them or ctx ends.
-func (r *Runner) listOne(ctx context.Context, part int, outs []jobs.Outcome) {
-	for ctx.Err() == nil {
-		one, cancel := context.WithTimeout(ctx, listTimeout)
-		err := r.cfg.Store.List(one, part, outs)
-		cancel()
-		if err == nil {
-			r.cfg.Metrics.Count("items_listed")
-			return
+// save keeps how far the open items of a partition came since the last time.
+func (r *Runner) save(ctx context.Context, part int) {
+	var all []jobstore.Progress
+	r.mu.Lock()
+	for _, w := range r.work {
+		if w.part == part && !w.done && w.last > w.saved {
+			all = append(all, jobstore.Progress{Key: w.key, Last: w.last, Text: slices.Clone(w.text)})
+		}
+	}
+	r.mu.Unlock()
+	if len(all) == 0 {
+		return
+	}
+	if err := r.cfg.Store.SaveProgress(ctx, part, all); err != nil {
+		r.cfg.Metrics.Count("progress_not_saved")
+		r.cfg.Log.Warn("progress not kept", logging.F("partition", part), logging.F("items", len(all)), logging.F("error", err.Error()))
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range all {
+		if w := r.work[p.Key]; w != nil {
+			w.saved = max(w.saved, p.Last)
 		}
-		r.cfg.Log.Warn("results not listed; tried again", logging.F("partition", part),
-			logging.F("results", len(outs)), logging.F("error", err.Error()))
-		_ = wait.For(ctx, listPause)
 	}
 }
-
-// listPause is left after results could not be listed.
-const listPause = 100 * time.Millisecond
--- a/runner/run.go
+++ b/runner/run.go
@@ -25,8 +25,6 @@
 	firstSilent = 1500 * time.Millisecond
 	// gapSilent is how long it may pause: fifty times the usual pause.
 	gapSilent = 1200 * time.Millisecond
-	// yieldReason and others name in the log why a run ended.
-	yieldReason = "seat given back"
 )
 
 // statusImpossible is the status that says an item can never be done.
@@ -65,65 +63,73 @@
 }
 
 // run carries out one attempt at an item.
-func (r *Runner) run(ctx context.Context, c candidate, w *work, in targets.Instance, seat *seats.Seat) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	began, from := time.Now(), w.last
-	stop := make(chan struct{})
-	defer close(stop)
+func (r *Runner) run(ctx context.Context, cancel context.CancelCauseFunc, c candidate, w *work, in targets.Instance, seat *seats.Seat) {
+	began := time.Now()
+	r.mu.Lock()
+	from := w.last
+	r.mu.Unlock()
 	go func() {
 		select {
 		case <-seat.Yield:
 			cancel(errYield)
-		case <-stop:
+		case <-ctx.Done():
 		}
 	}()
 	outcome, err := r.attempt(ctx, c, w, in)
-	why := "listed"
+	why := "complete"
 	if err != nil {
 		why = reason(ctx, err)
 	}
+	to, failed := r.ended(ctx, c, w, in, outcome, err)
 	r.cfg.Log.Info("item run ended", logging.F("job", c.open.Job), logging.F("item", c.open.Item.GetId()),
-		logging.F("instance", in.ID), logging.F("why", why), logging.F("from_event", from), logging.F("to_event", w.last),
-		logging.F("took_ms", time.Since(began).Milliseconds()), logging.F("failed", w.failed))
-	r.ended(ctx, c, w, in, outcome, err)
+		logging.F("instance", in.ID), logging.F("why", why), logging.F("from_event", from), logging.F("to_event", to),
+		logging.F("took_ms", time.Since(began).Milliseconds()), logging.F("failed", failed))
 }
 
 // errYield says that the agent asked for the seat back.
 var errYield = errors.New("seat asked back")
 
+// stopped reports whether this process ended a run itself.
+func stopped(ctx context.Context) bool {
+	cause := context.Cause(ctx)
+	return errors.Is(cause, errYield) || errors.Is(cause, errHandOver) || errors.Is(cause, errClosed)
+}
+
 func reason(ctx context.Context, err error) string {
-	if errors.Is(context.Cause(ctx), errYield) {
-		return yieldReason
+	if stopped(ctx) {
+		return context.Cause(ctx).Error()
 	}
 	return err.Error()
 }
 
-// ended takes what came of an attempt.
-func (r *Runner) ended(ctx context.Context, c candidate, w *work, in targets.Instance, o *jobs.Outcome, err error) {
-	yielded := errors.Is(context.Cause(ctx), errYield)
+// ended takes what came of an attempt. It returns the last event and the failed
+// attempts of the item.
+func (r *Runner) ended(ctx context.Context, c candidate, w *work, in targets.Instance, o *jobs.Outcome, err error) (uint64, int) {
 	r.mu.Lock()
 	w.running, w.cancel = false, nil
 	r.running--
-	if err != nil && !yielded {
+	if err != nil && !stopped(ctx) {
 		w.backoff = min(max(2*w.backoff, backoffFirst), backoffMost)
 		w.notBefore = time.Now().Add(w.backoff)
 	}
 	if o != nil {
 		w.backoff = 0
 	}
+	last, failed, ended := w.last, w.failed, w.ended
 	r.mu.Unlock()
 	switch {
 	case o != nil:
 		r.cfg.Metrics.Count("item_complete")
 		r.judge(in, balance.Sound)
 		r.finish(w, c.part, *o)
-	case yielded:
-		r.cfg.Metrics.Count("item_yielded")
+	case stopped(ctx):
+		r.cfg.Metrics.Count("item_stopped")
 	default:
 		r.cfg.Metrics.Count("item_run_broken")
 	}
+	close(ended)
 	poke(r.wake)
+	return last, failed
 }
 
 func (r *Runner) judge(in targets.Instance, v balance.Verdict) {
@@ -144,19 +150,22 @@
 	})
 	defer silent.Stop()
 	item := c.open.Item
+	r.mu.Lock()
+	after := w.last
+	r.mu.Unlock()
 	ans, err := r.cfg.Sender.Send(ctx, in, &exchange.Call{
 		ID: item.GetId(), Method: http.MethodPost, Host: c.open.Spec.GetHost(), URI: item.GetPath(),
-		Header: r.cfg.Headers(item.GetHeaders()), Body: item.GetBody(), After: w.last,
+		Header: r.cfg.Headers(item.GetHeaders()), Body: item.GetBody(), After: after,
 	})
 	if err != nil {
 		r.afterError(ctx, in, err)
 		return nil, errors.Mark(err, errNoOutcome)
 	}
 	defer func() { _ = ans.Body.Close() }() // nothing is read from it any more
-	if done, err := r.refused(c, w, in, ans); done || err != nil {
+	if err := r.refused(c, w, in, ans); err != nil {
 		return nil, err
 	}
-	return r.collect(c, w, in, ans, silent)
+	return r.collect(c, w, ans, after, silent)
 }
 
 func (r *Runner) afterError(ctx context.Context, in targets.Instance, err error) {
@@ -181,14 +190,15 @@
 	return "target answered with status " + http.StatusText(e.status)
 }
 
-// refused takes an answer that is no result.
-func (r *Runner) refused(c candidate, w *work, in targets.Instance, ans *exchange.Answer) (bool, error) {
+// refused takes an answer that is no stream of results, and returns it as an
+// error.
+func (r *Runner) refused(c candidate, w *work, in targets.Instance, ans *exchange.Answer) error {
 	if ans.Outcome == exchange.Done && ans.Status < http.StatusMultipleChoices {
 		if !ans.Events {
 			r.judge(in, balance.Doubted)
-			return false, &statusError{ans.Status}
+			return &statusError{ans.Status}
 		}
-		return false, nil
+		return nil
 	}
 	failed := ans.Outcome == exchange.Failed && ans.Status == http.StatusInternalServerError
 	never := ans.Outcome == exchange.Done && ans.Status == statusImpossible
@@ -205,7 +215,7 @@
 		r.mu.Unlock()
 		go r.writeDown(c, count, impossible)
 	}
-	return false, &statusError{ans.Status}
+	return &statusError{ans.Status}
 }
 
 // writeDown keeps failed attempts on the store, so that another process does not
@@ -219,30 +229,35 @@
 	}
 }
 
-// collect reads a stream to its end.
-func (r *Runner) collect(c candidate, w *work, in targets.Instance, ans *exchange.Answer, silent *time.Timer) (*jobs.Outcome, error) {
-	rd := events.NewReader(ans.Body, w.last)
+// collect reads a stream, from the event after one on, to its end. A stream that
+// ends at once is the end of an item only when its last event was had before.
+func (r *Runner) collect(c candidate, w *work, ans *exchange.Answer, after uint64, silent *time.Timer) (*jobs.Outcome, error) {
+	rd := events.NewReader(ans.Body, after)
 	for n := 0; ; n++ {
 		ev, err := rd.Next()
-		if errors.Is(err, io.EOF) && n > 0 {
+		if errors.Is(err, io.EOF) && n+int(after) > 0 {
+			r.mu.Lock()
+			defer r.mu.Unlock()
 			return &jobs.Outcome{Job: c.open.Job, Item: c.open.Index, Text: w.text}, nil
 		}
 		if err != nil {
 			return nil, errors.Mark(err, errNoOutcome)
 		}
 		silent.Reset(gapSilent)
+		r.mu.Lock()
 		w.take(ev)
+		r.mu.Unlock()
 	}
 }
 
-// take adds a whole event. Only the goroutine that runs the item calls it.
-func (w *work) take(ev events.Event) {
+// take adds a whole event.
+func (p *progress) take(ev events.Event) {
 	if !ev.Any {
 		return
 	}
-	if len(w.text) > 0 || w.last > 0 {
-		w.text = append(w.text, '\n')
+	if p.last > 0 {
+		p.text = append(p.text, '\n')
 	}
-	w.text = append(w.text, ev.Data...)
-	w.last = max(w.last, ev.ID)
+	p.text = append(p.text, ev.Data...)
+	p.last = max(p.last, ev.ID)
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -13,6 +13,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"pumiceford/exchange"
 	"pumiceford/fleet"
 	"pumiceford/jobs"
@@ -59,55 +61,52 @@
 	// after a failure of a target.
 	backoffFirst = 50 * time.Millisecond
 	backoffMost  = time.Second
-	// listEvery gathers results that finish together into one append. It is small
-	// beside the five seconds that an item runs.
-	listEvery = 40 * time.Millisecond
-	// listTimeout bounds one attempt to list; it is repeated.
-	listTimeout = 3 * time.Second
-	// sweepEvery is how often jobs that are over are looked for.
-	sweepEvery = 30 * time.Second
+	// clockMargin is how far the wall clocks of two hosts may differ: an item is
+	// not given up before its time by any of them.
+	clockMargin = 3 * time.Second
 )
 
 // Runner runs items.
 type Runner struct {
 	cfg Config
 
-	mu       sync.Mutex // held for memory only
-	mine     map[int]bool
-	work     map[workKey]*work
+	mu       sync.Mutex   // held for memory only
+	mine     map[int]bool // proposed partitions; true once their progress was read
+	work     map[jobstore.ItemKey]*work
 	running  int
 	finished map[int][]jobs.Outcome // to be listed, by partition
 	leaving  bool
 	wake     chan struct{}
 	list     chan struct{}
-	idle     sync.WaitGroup
-}
-
-type workKey struct {
-	job  string
-	item int
 }
 
 // work is what this process knows of an open item beside the store: how far it
 // came and when it may be tried again.
 type work struct {
-	key       workKey
+	key       jobstore.ItemKey
 	part      int
 	running   bool
-	done      bool // finished, about to be listed
-	cancel    context.CancelFunc
-	last      uint64 // last whole event
-	text      []byte
-	failed    int // attempts that targets said had failed
+	ended     chan struct{} // closed when the run has ended
+	done      bool          // finished, about to be listed
+	cancel    context.CancelCauseFunc
+	saved     uint64 // last event that was kept on the store
+	progress         // guarded by Runner.mu
+	failed    int    // attempts that targets said had failed
 	never     bool
 	backoff   time.Duration
 	notBefore time.Time
 }
 
+// progress is the output so far.
+type progress struct {
+	last uint64 // last whole event
+	text []byte
+}
+
 // New returns a Runner.
 func New(cfg Config) *Runner {
 	return &Runner{
-		cfg: cfg, mine: make(map[int]bool), work: make(map[workKey]*work),
+		cfg: cfg, mine: make(map[int]bool), work: make(map[jobstore.ItemKey]*work),
 		finished: make(map[int][]jobs.Outcome),
 		wake:     make(chan struct{}, 1), list: make(chan struct{}, 1),
 	}
@@ -116,7 +115,7 @@
 // Run runs items until ctx ends.
 func (r *Runner) Run(ctx context.Context) {
 	var all sync.WaitGroup
-	for _, loop := range []func(context.Context){r.membership, r.dispatch, r.lister, r.sweeper} {
+	for _, loop := range []func(context.Context){r.membership, r.dispatch, r.lister, r.saver, r.sweeper} {
 		all.Add(1)
 		go func() {
 			defer all.Done()
@@ -151,23 +150,28 @@
 		case <-tick.C:
 		case <-r.wake:
 		}
+		full := make(map[string]bool) // services without a free seat
 		for _, c := range r.candidates(time.Now()) {
-			if ctx.Err() != nil || !r.start(ctx, c) {
-				break
+			if ctx.Err() != nil {
+				return
 			}
+			r.start(ctx, c, full)
 		}
 	}
 }
 
+// partitions returns the partitions whose items may be started here.
 func (r *Runner) partitions() []int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.leaving {
 		return nil
 	}
-	out := make([]int, 0, len(r.mine))
-	for p := range r.mine {
-		out = append(out, p)
+	var out []int
+	for p, loaded := range r.mine {
+		if loaded {
+			out = append(out, p)
+		}
 	}
 	slices.Sort(out)
 	return out
@@ -177,18 +181,19 @@
 // and stops what must not run any more.
 func (r *Runner) candidates(now time.Time) []candidate {
 	var out []candidate
-	open := make(map[workKey]bool)
-	for _, part := range r.partitions() {
+	parts := r.partitions()
+	open := make(map[jobstore.ItemKey]bool)
+	for _, part := range parts {
 		items, _, _ := r.cfg.Store.Open(part)
 		for _, it := range items {
-			open[workKey{it.Job, it.Index}] = true
+			open[jobstore.ItemKey{Job: it.Job, Item: it.Index}] = true
 			if r.mayStart(now, part, it) {
 				due := time.UnixMilli(it.Spec.GetDueUnixMs())
 				out = append(out, candidate{open: it, part: part, due: due})
 			}
 		}
 	}
-	r.stopClosed(open)
+	r.stopClosed(parts, open)
 	slices.SortStableFunc(out, func(a, b candidate) int {
 		if c := a.due.Compare(b.due); c != 0 {
 			return c
@@ -201,81 +206,84 @@
 func (r *Runner) mayStart(now time.Time, part int, it jobstore.OpenItem) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	k := workKey{it.Job, it.Index}
+	w := r.workLocked(jobstore.ItemKey{Job: it.Job, Item: it.Index}, part)
+	w.failed = max(w.failed, it.Failed)
+	w.never = w.never || it.Impossible
+	return !w.running && !w.done && !now.Before(w.notBefore)
+}
+
+func (r *Runner) workLocked(k jobstore.ItemKey, part int) *work {
 	w := r.work[k]
 	if w == nil {
 		w = &work{key: k, part: part}
 		r.work[k] = w
 	}
-	w.failed = max(w.failed, it.Failed)
-	w.never = w.never || it.Impossible
-	return !w.running && !w.done && !now.Before(w.notBefore)
+	return w
 }
 
-// stopClosed ends runs of items that are not open any more, or whose partition
-// was proposed to another process, and forgets them.
-func (r *Runner) stopClosed(open map[workKey]bool) {
+// errClosed says that an item is not open any more.
+var errClosed = errors.New("item is not open any more")
+
+// stopClosed ends the runs of items in these partitions that are not open any
+// more, and forgets them.
+func (r *Runner) stopClosed(parts []int, open map[jobstore.ItemKey]bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.leaving {
-		return // what runs may finish
-	}
 	for k, w := range r.work {
 		switch {
-		case open[k] || w.done:
+		case open[k] || !slices.Contains(parts, w.part):
 		case w.running:
-			// A run whose partition went to another process goes on: its result
-			// is as good, and the other one has to start from nothing.
-			if r.mine[w.part] {
-				w.cancel()
-			}
+			w.cancel(errClosed)
 		default:
 			delete(r.work, k)
 		}
 	}
 }
 
-// start starts one item. It reports whether more may be started.
-func (r *Runner) start(ctx context.Context, c candidate) bool {
+// start starts one item when a seat is free.
+func (r *Runner) start(ctx context.Context, c candidate, full map[string]bool) {
 	r.mu.Lock()
-	full := r.running >= r.cfg.MaxRunning
-	w := r.work[workKey{c.open.Job, c.open.Index}]
+	w := r.work[jobstore.ItemKey{Job: c.open.Job, Item: c.open.Index}]
+	busy := r.running >= r.cfg.MaxRunning || w == nil
 	r.mu.Unlock()
-	if full || w == nil {
-		return !full
-	}
-	if done, next := r.settled(c, w); done {
-		return next
-	}
-	if err := r.cfg.Store.Refresh(ctx, c.part, startAge); err != nil {
-		return false // whether the job still runs cannot be told
+	if busy || r.settled(c, w) {
+		return
 	}
 	service, ok := r.service(c)
-	if !ok {
-		return true
+	if !ok || full[service] {
+		return
+	}
+	if r.cfg.Store.Refresh(ctx, c.part, startAge) != nil {
+		return // whether the job still runs cannot be told
 	}
 	seat, in := r.seat(ctx, service, c.due)
 	if seat == nil {
-		return false
+		full[service] = true
+		return
 	}
-	run, cancel := context.WithCancel(ctx)
+	run, cancel := context.WithCancelCause(ctx)
 	r.mu.Lock()
-	w.running, w.cancel = true, cancel
-	r.running++
+	allowed := !r.leaving && r.mine[c.part]
+	if allowed {
+		w.running, w.cancel, w.ended = true, cancel, make(chan struct{})
+		r.running++
+	}
 	r.mu.Unlock()
-	r.idle.Add(1)
+	if !allowed {
+		cancel(nil)
+		seat.Close()
+		return
+	}
 	go func() {
-		defer r.idle.Done()
-		defer cancel()
+		defer cancel(nil)
 		defer seat.Close()
-		r.run(run, c, w, in, seat)
+		r.run(run, cancel, c, w, in, seat)
 	}()
-	return true
 }
 
 // settled lists an item that needs no run: it can never be done, failed too
 // often, or may be given up.
-func (r *Runner) settled(c candidate, w *work) (done, next bool) {
+func (r *Runner) settled(c candidate, w *work) bool {
 	r.mu.Lock()
 	failed, never := w.failed, w.never
 	r.mu.Unlock()
@@ -285,7 +293,7 @@
 	}
 	late := time.Now().After(time.UnixMilli(c.open.Spec.GetAbandonUnixMs()).Add(clockMargin))
 	if !never && failed < attempts && !late {
-		return false, true
+		return false
 	}
 	why := "failed too often"
 	switch {
@@ -298,13 +306,9 @@
 		logging.F("why", why), logging.F("failed", failed))
 	r.cfg.Metrics.Count("item_given_up")
 	r.finish(w, c.part, jobs.Outcome{Job: c.open.Job, Item: c.open.Index, Dead: true})
-	return true, true
+	return true
 }
 
-// clockMargin is how far the wall clocks of two hosts may differ: an item is not
-// given up before its time by any of them.
-const clockMargin = 3 * time.Second
-
 func (r *Runner) finish(w *work, part int, o jobs.Outcome) {
 	r.mu.Lock()
 	w.done = true
@@ -312,29 +316,3 @@
 	r.mu.Unlock()
 	poke(r.list)
 }
-
-// Leave stops starting items, waits until what runs has ended or until ctx ends,
-// lists what came of it and leaves the group.
-func (r *Runner) Leave(ctx context.Context) {
-	r.mu.Lock()
-	r.leaving = true
-	r.mu.Unlock()
-	ended := make(chan struct{})
-	go func() {
-		r.idle.Wait()
-		close(ended)
-	}()
-	select {
-	case <-ended:
-	case <-ctx.Done():
-	}
-	bound, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveTimeout)
-	defer cancel()
-	r.listAll(bound)
-	if err := r.cfg.Groups.Leave(bound, r.cfg.Group, r.cfg.Member); err != nil {
-		r.cfg.Log.Warn("group not left; the store notices later", logging.F("error", err.Error()))
-	}
-}
-
-// leaveTimeout bounds the last calls to the store.
-const leaveTimeout = 800 * time.Millisecond
--- a/seats/arbiter.go
+++ b/seats/arbiter.go
@@ -81,7 +81,7 @@
 
 // Acquire grants a seat to work that is due at a time, when a slot is free.
 func (a *Arbiter) Acquire(now, due time.Time) (id uint64, ok bool) {
-	if a.load.Queued > 0 || a.Free(now) <= 0 {
+	if a.Free(now) <= 0 {
 		return 0, false
 	}
 	a.next++
@@ -95,11 +95,13 @@
 }
 
 // Report takes the target's load and returns the seats that have to be given
-// back now: one for each request that waits, less those asked for already. The
-// latest due go first, among equals the youngest, which have least to lose.
+// back now: one for each request beyond the slots, less those asked for already.
+// A request that waits while slots are free only waits for the engine's next
+// step; giving a seat back for it would cut batch work off for nothing. The latest
+// due go first, among equals the youngest, which have least to lose.
 func (a *Arbiter) Report(load Load) []uint64 {
 	a.load = load
-	need := load.Queued
+	need := load.Active + load.Queued - a.slots
 	var ids []uint64
 	for id, l := range a.leases {
 		if l.asked {
