--- a/balance/balance.go
+++ b/balance/balance.go
@@ -5,10 +5,16 @@
 // inside one waits behind whatever came before it. The choice therefore goes
 // first to a target with a free slot, then to one where batch work can be asked
 // to leave, and only then to the shortest queue.
+//
+// Reported loads are some 50 ms old. At a peak ten requests come to eight entries
+// in that time; all of them would meet at the one least loaded target and wait
+// there while slots are free elsewhere. So among targets with a free slot the
+// choice is drawn, by the square of the free slots.
 package balance
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"pumiceford/routing"
@@ -28,13 +34,6 @@
 	// ejectAfter is how many spoiled or failed answers in a row eject a target.
 	// Some answers of a sound target get lost; three in a row hardly do.
 	ejectAfter = 3
-	// nearBonus prefers targets of the own data centre among equals, in slots.
-	// It must stay under one request, or load would not be even.
-	nearBonus = 0.4
-	// displaceCost is what a slot costs that batch work must leave first, in
-	// slots: above any free slot, below any queue.
-	displaceCost = 100
-	queueCost    = 1000
 )
 
 // Report is a target's load as its agent told it.
@@ -94,35 +93,44 @@
 	return max(0, v.load(now)-v.batch(now)-v.slots())
 }
 
-// cost orders targets for an online request, the least first.
-func (v *View) cost(now time.Time, dataCentre string) float64 {
-	load, slots := v.load(now), v.slots()
-	c := float64(load)
+// tier groups targets by how an online request would get a slot there.
+type tier int
+
+const (
+	tierFree     tier = iota // a slot is free
+	tierDisplace             // batch work has to leave one first
+	tierQueue                // it would wait for another request to end
+)
+
+// place returns a target's tier and its weight among the others of that tier.
+// Weights are squares, so that the emptier target is clearly preferred and still
+// not chosen by all processes at once.
+func (v *View) place(now time.Time) (tier, float64) {
+	load, slots, batch := v.load(now), v.slots(), v.batch(now)
 	switch {
 	case load < slots:
-	case v.batch(now) > 0:
-		c = displaceCost + float64(load-v.batch(now))
-	default:
-		c = queueCost + float64(load)
+		return tierFree, square(slots - load)
+	case batch > 0 && load-batch < slots:
+		return tierDisplace, square(slots - load + batch)
 	}
-	if v.Instance.DataCentre == dataCentre {
-		c -= nearBonus
-	}
-	return c
+	return tierQueue, 1 / square(1+load-slots)
+}
+
+func square(n int) float64 {
+	return float64(n) * float64(n)
 }
 
 // Table holds the views of all targets. It is not safe for concurrent use.
 type Table struct {
-	dataCentre string // of this process
-	salt       uint64
-	views      map[string]*View
+	salt  uint64
+	views map[string]*View
 }
 
-// NewTable returns an empty Table. The salt orders targets that are equally
-// good: processes with different salts, which see the same loads, do not all
-// choose the same target until the next report.
-func NewTable(dataCentre string, salt uint64) *Table {
-	return &Table{dataCentre: dataCentre, salt: salt, views: make(map[string]*View)}
+// NewTable returns an empty Table. The salt orders targets that are equally good
+// for batch: processes with different salts, which see the same loads, do not all
+// ask the same agent first.
+func NewTable(salt uint64) *Table {
+	return &Table{salt: salt, views: make(map[string]*View)}
 }
 
 // Replace takes the registered instances.
@@ -218,44 +226,76 @@
 }
 
 // Pick chooses the target of a service for an online request. It reports false
-// when no target may get it.
-func (t *Table) Pick(now time.Time, service string, tried map[string]bool) (Choice, bool) {
-	v, among := t.best(now, service, tried, false)
-	if v == nil {
+// when no target may get it. The draw is a random number from 0 up to 1.
+func (t *Table) Pick(now time.Time, service string, tried map[string]bool, draw float64) (Choice, bool) {
+	among := t.usable(now, service, tried, false)
+	if len(among) == 0 {
 		// All are ejected: a doubtful target is better than none.
-		v, among = t.best(now, service, tried, true)
+		among = t.usable(now, service, tried, true)
 	}
-	if v == nil {
+	if len(among) == 0 {
 		return Choice{}, false
 	}
-	c := Choice{Instance: v.Instance, Load: v.load(now), Batch: v.batch(now), Waiting: v.Waiting(now), Age: -1, Among: among}
+	v := drawn(now, among, draw)
+	c := Choice{Instance: v.Instance, Load: v.load(now), Batch: v.batch(now), Waiting: v.Waiting(now), Age: -1, Among: len(among)}
 	if v.reported(now) {
 		c.Age = now.Sub(v.heard)
 	}
 	return c, true
 }
 
-func (t *Table) best(now time.Time, service string, tried map[string]bool, ejected bool) (*View, int) {
-	var best *View
-	var least float64
-	among := 0
+// usable returns the targets that may get a request, in a fixed order.
+func (t *Table) usable(now time.Time, service string, tried map[string]bool, ejected bool) []*View {
+	var out []*View
 	for _, v := range t.views {
-		if !v.usable(now, service, tried, ejected) {
+		if v.usable(now, service, tried, ejected) {
+			out = append(out, v)
+		}
+	}
+	slices.SortFunc(out, func(a, b *View) int { return strings.Compare(a.Instance.ID, b.Instance.ID) })
+	return out
+}
+
+// drawn draws a target of the best tier.
+func drawn(now time.Time, among []*View, draw float64) *View {
+	best, sum := tierQueue, 0.0
+	weights := make([]float64, len(among))
+	for i, v := range among {
+		at, w := v.place(now)
+		if at < best {
+			best, sum = at, 0
+			clear(weights[:i])
+		}
+		if at == best {
+			weights[i] = w
+			sum += w
+		}
+	}
+	left := draw * sum
+	last := among[0]
+	for i, v := range among {
+		if weights[i] == 0 {
 			continue
 		}
-		among++
-		c := v.cost(now, t.dataCentre)
-		if best == nil || c < least || (c == least && t.before(v, best)) {
-			best, least = v, c
+		last = v
+		if left -= weights[i]; left < 0 {
+			break
 		}
 	}
-	return best, among
+	return last
 }
 
-func (t *Table) before(a, b *View) bool {
-	return routing.Score(a.Instance.ID, t.salt) > routing.Score(b.Instance.ID, t.salt)
+// Alive reports whether a target's agent told of it lately: a request there that
+// has no answer yet waits for a slot.
+func (t *Table) Alive(now time.Time, id string) bool {
+	v := t.views[id]
+	return v != nil && !v.heard.IsZero() && now.Sub(v.heard) <= aliveFor
 }
 
+// aliveFor is how long an agent's word shows that its target answers: agents
+// repeat themselves each 250 ms.
+const aliveFor = 600 * time.Millisecond
+
 func (v *View) usable(now time.Time, service string, tried map[string]bool, ejected bool) bool {
 	if v.Instance.Service != service || v.Instance.Draining || tried[v.Instance.ID] {
 		return false
--- a/daemon/agentlinks.go
+++ b/daemon/agentlinks.go
@@ -24,6 +24,8 @@
 	cfg  link.Config
 	addr func(target string) string
 	view *fleet.View
+	// told is called when a target has a free slot.
+	told func()
 
 	mu    sync.Mutex
 	links map[string]*agentLink // by instance
@@ -35,7 +37,7 @@
 }
 
 func newAgentLinks(cfg link.Config, addr func(string) string, view *fleet.View) *agentLinks {
-	return &agentLinks{cfg: cfg, addr: addr, view: view, links: make(map[string]*agentLink)}
+	return &agentLinks{cfg: cfg, addr: addr, view: view, told: func() {}, links: make(map[string]*agentLink)}
 }
 
 // set follows the agents of the given targets, a stable part of them when they
@@ -72,6 +74,9 @@
 	l := &agentLink{peer: link.NewPeer(a.cfg, a.addr(in.Addr)), stop: cancel}
 	go seats.Watch(ctx, l.peer, in, func(load *wire.Load) {
 		a.view.Table(func(t *balance.Table) { t.Note(time.Now(), in.ID, loadReport(load)) })
+		if load.GetActive()+load.GetQueued() < load.GetSlots() {
+			a.told()
+		}
 	})
 	return l
 }
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -142,7 +142,7 @@
 		return nil, err
 	}
 	n := &entryNode{set: set, parts: parts, tlsConf: tlsConf, log: base.Part("entry"), metrics: metrics.New(set.Name)}
-	n.view = fleet.NewView(parts.Decoder, set.DataCentre, xxhash.Sum64String(set.Name), base.Part("fleet"), n.metrics)
+	n.view = fleet.NewView(parts.Decoder, xxhash.Sum64String(set.Name), base.Part("fleet"), n.metrics)
 	linkCfg := link.Config{Node: set.Name, Incarnation: oplog.NewIncarnation(), TLS: tlsConf, Dial: netx.Dial}
 	n.ring = peers.NewRing(set.Peers, linkCfg, set.Seeds)
 	n.store = store.NewFailover(parts.Store, n.ring.Ways)
@@ -155,6 +155,7 @@
 		Member: set.Peers, Group: jobGroup, Store: n.jobs, Groups: n.store, View: n.view, Sender: parts.Sender,
 		Seats: n.agents, Log: base.Part("batch"), Metrics: n.metrics, Headers: parts.ItemHeader, MaxRunning: maxRunning,
 	})
+	n.agents.told = n.runner.Wake
 	n.gateway = gateway.New(n.view, parts.Sender, base.Part("online"), n.metrics)
 	n.view.OnChange(func(all []targets.Instance) {
 		parts.Sender.Retain(all)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -45,11 +45,11 @@
 }
 
 // NewView returns a View that knows nothing.
-func NewView(dec Decoder, dataCentre string, salt uint64, log logging.Logger, ms *metrics.Set) *View {
+func NewView(dec Decoder, salt uint64, log logging.Logger, ms *metrics.Set) *View {
 	return &View{
 		decoder: dec, log: log, metrics: ms,
 		set: targets.NewSet(), rawByID: make(map[string][]byte),
-		table:    balance.NewTable(dataCentre, salt),
+		table:    balance.NewTable(salt),
 		onChange: func([]targets.Instance) {},
 	}
 }
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -153,8 +153,7 @@
 // resume goes on with a stream that another target began.
 func (s *serving) resume(ans *exchange.Answer, c balance.Choice, cancel context.CancelFunc) step {
 	if !ans.Events || ans.Outcome != exchange.Done {
-		s.judge(c.Instance, balance.Doubted, "no_stream")
-		return s.broken(c.Instance, errNoStream)
+		return s.broken(c.Instance, &watch{}, errNoStream)
 	}
 	return s.events(ans, c, cancel, func() {})
 }
@@ -168,7 +167,7 @@
 
 func (s *serving) events(ans *exchange.Answer, c balance.Choice, cancel context.CancelFunc, first func()) step {
 	in := c.Instance
-	silent := newWatch(s.gapWait(), s.mayMove(), cancel, func() { s.judge(in, balance.Unfit, "silent") })
+	silent := newWatch(s.gapWait(), s.mayMove(), cancel, func() { s.silent(in) })
 	defer silent.stop()
 	rd := events.NewReader(ans.Body, max(s.last, s.req.After))
 	began := false
@@ -183,7 +182,7 @@
 			err = errEmpty
 		}
 		if err != nil {
-			return s.broken(in, err)
+			return s.broken(in, silent, err)
 		}
 		silent.alive()
 		if !began {
@@ -201,12 +200,14 @@
 }
 
 // broken decides what to do when a stream ended before its end.
-func (s *serving) broken(in targets.Instance, err error) step {
+func (s *serving) broken(in targets.Instance, silent *watch, err error) step {
 	if s.ctx.Err() != nil {
 		s.giveUp(TimedOut, 0)
 		return finished
 	}
-	s.judge(in, balance.Doubted, "cut")
+	if !silent.fired.Load() {
+		s.judge(in, balance.Doubted, "cut")
+	}
 	s.tried[in.ID] = true
 	if s.mayMove() {
 		s.note("stream goes on elsewhere", in, "error", err.Error())
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -181,7 +182,7 @@
 	var c balance.Choice
 	var ok bool
 	s.g.view.Table(func(t *balance.Table) {
-		c, ok = t.Pick(time.Now(), s.service, s.tried)
+		c, ok = t.Pick(time.Now(), s.service, s.tried, rand.Float64())
 		if ok && s.fits(c) {
 			t.Began(c.Instance.ID)
 		}
@@ -217,7 +218,7 @@
 	call.After = max(call.After, s.last)
 	ctx, cancel := context.WithCancel(s.ctx)
 	defer cancel()
-	silent := newWatch(s.firstWait(c), s.mayMove(), cancel, func() { s.judge(c.Instance, balance.Unfit, "silent") })
+	silent := newWatch(s.firstWait(c), s.mayMove(), cancel, func() { s.silent(c.Instance) })
 	defer silent.stop()
 	ans, err := s.g.sender.Send(ctx, c.Instance, &call)
 	silent.stop()
@@ -272,6 +273,18 @@
 	return time.Duration(gapShare * float64(s.route.GapWithin))
 }
 
+// silent judges a target that has not answered in time. One whose agent tells of
+// it is only busy: to eject it would push its load on the others.
+func (s *serving) silent(in targets.Instance) {
+	alive := false
+	s.g.view.Table(func(t *balance.Table) { alive = t.Alive(time.Now(), in.ID) })
+	if alive {
+		s.g.metrics.Count("slow_answer")
+		return
+	}
+	s.judge(in, balance.Unfit, "silent")
+}
+
 func (s *serving) judge(in targets.Instance, v balance.Verdict, why string) {
 	var ejected time.Duration
 	s.g.view.Table(func(t *balance.Table) { ejected = t.Judge(time.Now(), in.ID, v) })
--- a/runner/run.go
+++ b/runner/run.go
@@ -80,7 +80,7 @@
 	if err != nil {
 		why = reason(ctx, err)
 	}
-	to, failed := r.ended(ctx, c, w, in, outcome, err)
+	to, failed := r.ended(ctx, c, w, in, outcome, err, from, began)
 	r.cfg.Log.Info("item run ended", logging.F("job", c.open.Job), logging.F("item", c.open.Item.GetId()),
 		logging.F("instance", in.ID), logging.F("why", why), logging.F("from_event", from), logging.F("to_event", to),
 		logging.F("took_ms", time.Since(began).Milliseconds()), logging.F("failed", failed))
@@ -104,7 +104,7 @@
 
 // ended takes what came of an attempt. It returns the last event and the failed
 // attempts of the item.
-func (r *Runner) ended(ctx context.Context, c candidate, w *work, in targets.Instance, o *jobs.Outcome, err error) (uint64, int) {
+func (r *Runner) ended(ctx context.Context, c candidate, w *work, in targets.Instance, o *jobs.Outcome, err error, from uint64, began time.Time) (uint64, int) {
 	r.mu.Lock()
 	w.running, w.cancel = false, nil
 	r.running--
@@ -114,7 +114,9 @@
 	}
 	if o != nil {
 		w.backoff = 0
+		r.pace.Whole(w.last)
 	}
+	r.pace.Ran(w.last-from, time.Since(began))
 	last, failed, ended := w.last, w.failed, w.ended
 	r.mu.Unlock()
 	switch {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -21,6 +21,7 @@
 	"pumiceford/jobstore"
 	"pumiceford/logging"
 	"pumiceford/metrics"
+	"pumiceford/schedule"
 	"pumiceford/seats"
 	"pumiceford/store"
 	"pumiceford/targets"
@@ -74,6 +75,7 @@
 	mine     map[int]bool // proposed partitions; true once their progress was read
 	work     map[jobstore.ItemKey]*work
 	running  int
+	pace     *schedule.Pace
 	finished map[int][]jobs.Outcome // to be listed, by partition
 	leaving  bool
 	wake     chan struct{}
@@ -107,8 +109,8 @@
 func New(cfg Config) *Runner {
 	return &Runner{
 		cfg: cfg, mine: make(map[int]bool), work: make(map[jobstore.ItemKey]*work),
-		finished: make(map[int][]jobs.Outcome),
-		wake:     make(chan struct{}, 1), list: make(chan struct{}, 1),
+		finished: make(map[int][]jobs.Outcome), pace: schedule.NewPace(),
+		wake: make(chan struct{}, 1), list: make(chan struct{}, 1),
 	}
 }
 
@@ -125,6 +127,11 @@
 	all.Wait()
 }
 
+// Wake looks at the open items at once, when a seat may have become free.
+func (r *Runner) Wake() {
+	poke(r.wake)
+}
+
 func poke(ch chan struct{}) {
 	select {
 	case ch <- struct{}{}:
@@ -136,7 +143,7 @@
 type candidate struct {
 	open jobstore.OpenItem
 	part int
-	due  time.Time
+	schedule.Item
 }
 
 // dispatch starts open items, the earliest due first.
@@ -188,19 +195,34 @@
 		for _, it := range items {
 			open[jobstore.ItemKey{Job: it.Job, Item: it.Index}] = true
 			if r.mayStart(now, part, it) {
-				due := time.UnixMilli(it.Spec.GetDueUnixMs())
-				out = append(out, candidate{open: it, part: part, due: due})
+				out = append(out, candidate{open: it, part: part})
 			}
 		}
 	}
 	r.stopClosed(parts, open)
-	slices.SortStableFunc(out, func(a, b candidate) int {
-		if c := a.due.Compare(b.due); c != 0 {
+	return r.order(now, out)
+}
+
+// order puts the items in the order in which they are to get seats.
+func (r *Runner) order(now time.Time, all []candidate) []candidate {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := range all {
+		c := &all[i]
+		w := r.work[jobstore.ItemKey{Job: c.open.Job, Item: c.open.Index}]
+		c.Item = schedule.Item{
+			Due:   time.UnixMilli(c.open.Spec.GetDueUnixMs()),
+			Left:  r.pace.Left(w.last),
+			Begun: w.last > 0,
+		}
+	}
+	slices.SortStableFunc(all, func(a, b candidate) int {
+		if c := schedule.Compare(now, a.Item, b.Item); c != 0 {
 			return c
 		}
 		return cmp.Compare(a.open.Index, b.open.Index)
 	})
-	return out
+	return all
 }
 
 func (r *Runner) mayStart(now time.Time, part int, it jobstore.OpenItem) bool {
@@ -256,7 +278,7 @@
 	if r.cfg.Store.Refresh(ctx, c.part, startAge) != nil {
 		return // whether the job still runs cannot be told
 	}
-	seat, in := r.seat(ctx, service, c.due)
+	seat, in := r.seat(ctx, service, c.YieldRank(time.Now()))
 	if seat == nil {
 		full[service] = true
 		return
