--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -364,7 +364,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	g, ctx := errgroup.WithContext(ctx)
-	a := seats.NewAgent(seats.AgentConfig{Gauge: gauge, Log: log})
+	a := seats.NewAgent(seats.AgentConfig{Name: set.Name, Gauge: gauge, Log: log})
 	ms := metrics.New(set.Name)
 	g.Go(func() error { a.Run(ctx); return nil })
 	g.Go(func() error {
--- a/seats/agent.go
+++ b/seats/agent.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"pumiceford/internal/wait"
 	"pumiceford/link"
 	"pumiceford/logging"
@@ -24,8 +26,10 @@
 	pollBusy = 15 * time.Millisecond
 	// pollIdle is how often while nobody asks.
 	pollIdle = 250 * time.Millisecond
-	// tellEvery bounds how often a watcher is told of a changed load.
-	tellEvery = 50 * time.Millisecond
+	// tellEvery bounds how often a watcher is told of a changed load. At a peak
+	// ten requests come to an entry's eight peers in 50 ms, and each that was
+	// placed by an older word may wait behind another.
+	tellEvery = 10 * time.Millisecond
 	// tellAgain is when it is told an unchanged load, so that silence means that
 	// the agent is gone.
 	tellAgain   = 500 * time.Millisecond
@@ -37,6 +41,7 @@
 
 // AgentConfig says what an Agent works on.
 type AgentConfig struct {
+	Name  string // of this agent's host
 	Gauge Gauge
 	Log   logging.Logger
 }
@@ -54,10 +59,24 @@
 	leaving bool
 }
 
+// reserveShare is the part of the agents that keep a slot free of batch work.
+const reserveShare = 0.0
+
+// Reserve returns how many slots the agent of a host keeps free of batch work.
+// An online request takes one of these instead of cutting off an item; it can go
+// to any target, so some targets with a free slot serve the whole fleet.
+func Reserve(host string) int {
+	const parts = 1000
+	if float64(xxhash.Sum64String(host)%parts) < reserveShare*parts {
+		return 1
+	}
+	return 0
+}
+
 // NewAgent returns an Agent.
 func NewAgent(cfg AgentConfig) *Agent {
 	return &Agent{
-		cfg: cfg, arbiter: NewArbiter(0),
+		cfg: cfg, arbiter: NewArbiter(0, Reserve(cfg.Name)),
 		asked:   make(map[uint64]chan struct{}),
 		changed: make(chan struct{}),
 	}
--- a/seats/arbiter.go
+++ b/seats/arbiter.go
@@ -35,15 +35,17 @@
 // Arbiter decides over the seats of one target. It is pure and not safe for
 // concurrent use.
 type Arbiter struct {
-	slots  int
-	load   Load
-	leases map[uint64]*lease
-	next   uint64
+	slots   int
+	reserve int // slots that batch work leaves free
+	load    Load
+	leases  map[uint64]*lease
+	next    uint64
 }
 
-// NewArbiter returns an Arbiter for a target with slots.
-func NewArbiter(slots int) *Arbiter {
-	return &Arbiter{slots: slots, leases: make(map[uint64]*lease)}
+// NewArbiter returns an Arbiter for a target with slots, of which batch work
+// leaves some free.
+func NewArbiter(slots, reserve int) *Arbiter {
+	return &Arbiter{slots: slots, reserve: reserve, leases: make(map[uint64]*lease)}
 }
 
 // SetSlots changes the number of slots.
@@ -81,7 +83,7 @@
 
 // Acquire grants a seat to work that is due at a time, when a slot is free.
 func (a *Arbiter) Acquire(now, due time.Time) (id uint64, ok bool) {
-	if a.Free(now) <= 0 {
+	if a.Free(now) <= a.reserve {
 		return 0, false
 	}
 	a.next++
