--- a/seats/agent.go
+++ b/seats/agent.go
@@ -60,7 +60,7 @@
 }
 
 // reserveShare is the part of the agents that keep a slot free of batch work.
-const reserveShare = 1.0
+const reserveShare = 0.6
 
 // Reserve returns how many slots the agent of a host keeps free of batch work.
 // An online request takes one of these instead of cutting off an item; it can go
