--- a/balance/balance.go
+++ b/balance/balance.go
@@ -285,6 +285,19 @@
 	return last
 }
 
+// FreeElsewhere reports whether a target other than one has room for a request
+// that waits there. One free slot may be gone when the request comes, so it takes
+// two.
+func (t *Table) FreeElsewhere(now time.Time, service, instance string) bool {
+	const room = 2
+	for id, v := range t.views {
+		if id != instance && v.usable(now, service, nil, false) && v.reported(now) && v.Free(now) >= room {
+			return true
+		}
+	}
+	return false
+}
+
 // Alive reports whether a target's agent told of it lately: a request there that
 // has no answer yet waits for a slot.
 func (t *Table) Alive(now time.Time, id string) bool {
@@ -297,7 +310,7 @@
 const aliveFor = 600 * time.Millisecond
 
 func (v *View) usable(now time.Time, service string, tried map[string]bool, ejected bool) bool {
-	if v.Instance.Service != service || v.Instance.Draining || tried[v.Instance.ID] {
+	if v.Instance.Service != service || v.Instance.Draining || v.Instance.Superseded || tried[v.Instance.ID] {
 		return false
 	}
 	return ejected || !now.Before(v.ejected)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -4,6 +4,8 @@
 package fleet
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -160,6 +162,7 @@
 }
 
 func (v *View) replaceTargets(recs []store.Record, from string) {
+	slices.SortFunc(recs, func(a, b store.Record) int { return cmp.Compare(a.Offset, b.Offset) })
 	var all []targets.Instance
 	raw := make(map[string][]byte)
 	for _, r := range recs {
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"io"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,32 +19,59 @@
 // before any of it is sent, so that a broken one can be asked for again.
 const wholeBytes = 1 << 20
 
-// watch ends a send whose target stays silent.
+// watch looks at a send whose target keeps it waiting, and ends it when the
+// request is better off elsewhere.
 type watch struct {
-	timer *time.Timer
-	wait  time.Duration
-	fired atomic.Bool
+	wait  time.Duration // until the first look
+	every time.Duration // between the looks after it
+	look  func() bool   // reports whether to end the send
+	end   context.CancelFunc
+
+	mu      sync.Mutex
+	timer   *time.Timer
+	stopped bool
+	fired   bool // the send was ended
 }
 
-// newWatch tells silent after wait, and cancels when the request may move on.
-func newWatch(wait time.Duration, move bool, cancel context.CancelFunc, silent func()) *watch {
-	w := &watch{wait: wait}
-	w.timer = time.AfterFunc(wait, func() {
-		silent()
-		if move {
-			w.fired.Store(true)
-			cancel()
-		}
-	})
+func newWatch(wait, every time.Duration, end context.CancelFunc, look func() bool) *watch {
+	w := &watch{wait: wait, every: every, look: look, end: end}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(wait, w.check)
 	return w
 }
 
+func (w *watch) check() {
+	end := w.look()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped {
+		return
+	}
+	if end {
+		w.fired = true
+		w.end()
+		return
+	}
+	w.timer.Reset(w.every)
+}
+
+// alive starts the wait anew.
 func (w *watch) alive() {
-	w.timer.Reset(w.wait)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.stopped && !w.fired {
+		w.timer.Reset(w.wait)
+	}
 }
 
-func (w *watch) stop() {
+// stop ends the watch. It reports whether the send was ended by it.
+func (w *watch) stop() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
 	w.timer.Stop()
+	return w.fired
 }
 
 // afterError decides what to do when a send has no usable answer.
@@ -153,7 +180,7 @@
 // resume goes on with a stream that another target began.
 func (s *serving) resume(ans *exchange.Answer, c balance.Choice, cancel context.CancelFunc) step {
 	if !ans.Events || ans.Outcome != exchange.Done {
-		return s.broken(c.Instance, &watch{}, errNoStream)
+		return s.broken(c.Instance, false, errNoStream)
 	}
 	return s.events(ans, c, cancel, func() {})
 }
@@ -167,7 +194,10 @@
 
 func (s *serving) events(ans *exchange.Answer, c balance.Choice, cancel context.CancelFunc, first func()) step {
 	in := c.Instance
-	silent := newWatch(s.gapWait(), s.mayMove(), cancel, func() { s.silent(in) })
+	silent := newWatch(s.gapWait(), s.gapWait(), cancel, func() bool {
+		s.silent(in)
+		return s.mayMove()
+	})
 	defer silent.stop()
 	rd := events.NewReader(ans.Body, max(s.last, s.req.After))
 	began := false
@@ -182,7 +212,7 @@
 			err = errEmpty
 		}
 		if err != nil {
-			return s.broken(in, silent, err)
+			return s.broken(in, silent.stop(), err)
 		}
 		silent.alive()
 		if !began {
@@ -200,12 +230,12 @@
 }
 
 // broken decides what to do when a stream ended before its end.
-func (s *serving) broken(in targets.Instance, silent *watch, err error) step {
+func (s *serving) broken(in targets.Instance, silent bool, err error) step {
 	if s.ctx.Err() != nil {
 		s.giveUp(TimedOut, 0)
 		return finished
 	}
-	if !silent.fired.Load() {
+	if !silent {
 		s.judge(in, balance.Doubted, "cut")
 	}
 	s.tried[in.ID] = true
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -74,6 +74,11 @@
 	// retryNone is when to come back while no target is known: a new one
 	// registers within about a second.
 	retryNone = 500 * time.Millisecond
+	// queuedAfter is when a request without an answer is taken to wait for a slot:
+	// three times what a target with a free one takes. lookEvery is left between
+	// looks for a free slot elsewhere.
+	queuedAfter = 100 * time.Millisecond
+	lookEvery   = 30 * time.Millisecond
 	// firstShare is the part of the aim for a first event after which a target
 	// with a free slot counts as silent. What is left is enough for another one,
 	// which takes some 30 ms.
@@ -218,10 +223,10 @@
 	call.After = max(call.After, s.last)
 	ctx, cancel := context.WithCancel(s.ctx)
 	defer cancel()
-	silent := newWatch(s.firstWait(c), s.mayMove(), cancel, func() { s.silent(c.Instance) })
-	defer silent.stop()
+	waiting := newWatch(queuedAfter, lookEvery, cancel, s.waitingLook(c))
+	defer waiting.stop()
 	ans, err := s.g.sender.Send(ctx, c.Instance, &call)
-	silent.stop()
+	waiting.stop()
 	if err != nil {
 		return s.afterError(c.Instance, err)
 	}
@@ -273,6 +278,27 @@
 	return time.Duration(gapShare * float64(s.route.GapWithin))
 }
 
+// waitingLook returns the look at a request that has no answer yet: it moves on
+// when its target counts as silent, or when another has a slot free for it now.
+func (s *serving) waitingLook(c balance.Choice) func() bool {
+	sent, judged := time.Now(), false
+	return func() bool {
+		if time.Since(sent) >= s.firstWait(c) {
+			if !judged {
+				judged = true
+				s.silent(c.Instance)
+			}
+			return s.mayMove()
+		}
+		if !s.mayMove() {
+			return false
+		}
+		free := false
+		s.g.view.Table(func(t *balance.Table) { free = t.FreeElsewhere(time.Now(), s.service, c.Instance.ID) })
+		return free
+	}
+}
+
 // silent judges a target that has not answered in time. One whose agent tells of
 // it is only busy: to eject it would push its load on the others.
 func (s *serving) silent(in targets.Instance) {
--- a/targets/targets.go
+++ b/targets/targets.go
@@ -16,6 +16,9 @@
 	DataCentre string
 	Slots      int // requests that run at the same time
 	Draining   bool
+	// Superseded says that another instance has registered at the same address
+	// since. This one is gone, whatever its registration still says.
+	Superseded bool
 	Seq        int64 // of its registration; rises when more than a heartbeat changes
 }
 
@@ -26,6 +29,7 @@
 
 // Set is the known instances. It is not safe for concurrent use.
 type Set struct {
+	holder map[string]string // the instance that registered last, by address
 	byID    map[string]*Instance
 	lapsing map[string]time.Time // instances without an entry, gone at that time
 	outage  time.Time            // end of the last outage of the registry; zero for none
@@ -34,7 +38,7 @@
 
 // NewSet returns an empty Set.
 func NewSet() *Set {
-	return &Set{byID: make(map[string]*Instance), lapsing: make(map[string]time.Time)}
+	return &Set{holder: make(map[string]string), byID: make(map[string]*Instance), lapsing: make(map[string]time.Time)}
 }
 
 // Put takes a registration. Draining is final for an instance: an old heartbeat
@@ -46,7 +50,16 @@
 			return
 		}
 		in.Draining = in.Draining || old.Draining
+		in.Superseded = old.Superseded
+		*old = in
+		return
+	}
+	// Registrations of dead targets stay for seconds. Without this, requests went
+	// to an address whose new instance turned each of them away.
+	if before := s.byID[s.holder[in.Addr]]; before != nil {
+		before.Superseded = true
 	}
+	s.holder[in.Addr] = in.ID
 	s.byID[in.ID] = &in
 }
 
@@ -66,11 +79,15 @@
 }
 
 func (s *Set) remove(id string) {
+	if in := s.byID[id]; in != nil && s.holder[in.Addr] == id {
+		delete(s.holder, in.Addr)
+	}
 	delete(s.byID, id)
 	delete(s.lapsing, id)
 }
 
-// Replace takes the whole registry; what it does not name is dropped.
+// Replace takes the whole registry, the newest registrations last; what it does
+// not name is dropped.
 func (s *Set) Replace(now time.Time, all []Instance) {
 	named := make(map[string]bool)
 	for _, in := range all {
