--- a/targets/targets.go
+++ b/targets/targets.go
@@ -29,7 +29,7 @@
 
 // Set is the known instances. It is not safe for concurrent use.
 type Set struct {
-	holder map[string]string // the instance that registered last, by address
+	holder  map[string]string // the instance that registered last, by address
 	byID    map[string]*Instance
 	lapsing map[string]time.Time // instances without an entry, gone at that time
 	outage  time.Time            // end of the last outage of the registry; zero for none
