Test the shared store's followers and the job store under drawn faults

An in-memory stand-in of the shared store (standin/sharedstore) with refusals, silence, lost and late answers, forgotten history, groups.

--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -250,10 +250,10 @@
 		if err := proto.Unmarshal(data, f); err != nil {
 			return err
 		}
-		if old := j.failures[number]; f.GetFailed() >= old.GetFailed() {
-			f.Impossible = f.GetImpossible() || old.GetImpossible()
-			j.failures[number] = f
-		}
+		old := j.failures[number]
+		f.Failed = max(f.GetFailed(), old.GetFailed())
+		f.Impossible = f.GetImpossible() || old.GetImpossible()
+		j.failures[number] = f
 	case kindEnd:
 		j.Ended = true
 	}
--- /dev/null
+++ b/standin/sharedstore/sharedstore.go
@@ -0,0 +1,359 @@
+// Package sharedstore models the shared store in memory: partitioned logs of keyed
+// records, groups, and their faults as single hosts see them.
+package sharedstore
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pumiceford/store"
+)
+
+// Fault is what happens to a host's calls.
+type Fault int
+
+// The faults.
+const (
+	None       Fault = iota
+	Refuse           // turned away, nothing done
+	Silent           // no answer, nothing done
+	LoseAnswer       // done, but no answer comes
+	Late             // done after LateBy if it still can be; no answer comes
+)
+
+// LateBy is when a late append is carried out.
+const LateBy = 2 * time.Second
+
+// Store is the store. Its zero value is not usable; see New.
+type Store struct {
+	parts int
+
+	mu      sync.Mutex
+	logs    map[store.Partition]*log
+	faults  map[string]Fault
+	groups  map[string]*group
+	changed chan struct{} // closed and replaced at each change
+	calls   int
+}
+
+type log struct {
+	first   int64 // lowest offset still kept
+	records []store.Record
+	newest  map[string]store.Record
+}
+
+type group struct {
+	generation uint64
+	topics     []string
+	members    map[string]time.Time // by member, when its time is over
+	owners     map[store.Partition]string
+}
+
+// New returns an empty Store whose topics have so many partitions.
+func New(parts int) *Store {
+	return &Store{
+		parts: parts, logs: make(map[store.Partition]*log), faults: make(map[string]Fault),
+		groups: make(map[string]*group), changed: make(chan struct{}),
+	}
+}
+
+// SetFault sets what happens to a host's calls from now on.
+func (s *Store) SetFault(host string, f Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults[host] = f
+	s.wakeLocked()
+}
+
+// Calls returns how many calls were made.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Forget drops the history of a partition; the newest record of each key stays.
+func (s *Store) Forget(p store.Partition) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.logLocked(p)
+	l.first += int64(len(l.records))
+	l.records = nil
+	s.wakeLocked()
+}
+
+// Records returns what a partition still holds of its history.
+func (s *Store) Records(p store.Partition) []store.Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.logLocked(p).records)
+}
+
+// Put appends a record as an operator or target does, without faults.
+func (s *Store) Put(p store.Partition, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.appendLocked(p, []store.Record{{Key: key, Value: value}})
+}
+
+// Rebalance deals all partitions of a group anew at once.
+func (s *Store) Rebalance(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if g := s.groups[name]; g != nil {
+		g.deal(s.parts, 1)
+	}
+}
+
+func (s *Store) wakeLocked() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Store) logLocked(p store.Partition) *log {
+	l := s.logs[p]
+	if l == nil {
+		l = &log{newest: make(map[string]store.Record)}
+		s.logs[p] = l
+	}
+	return l
+}
+
+func (l *log) end() int64 {
+	return l.first + int64(len(l.records))
+}
+
+func (s *Store) appendLocked(p store.Partition, recs []store.Record) {
+	l := s.logLocked(p)
+	for _, r := range recs {
+		r.Offset = l.end()
+		r.Value = slices.Clone(r.Value)
+		l.records = append(l.records, r)
+		if len(r.Value) == 0 {
+			delete(l.newest, r.Key)
+			continue
+		}
+		l.newest[r.Key] = r
+	}
+	s.wakeLocked()
+}
+
+// For returns the store as a host sees it.
+func (s *Store) For(host string) *Face {
+	return &Face{store: s, host: host}
+}
+
+// Face implements store.Client for one host.
+type Face struct {
+	store *Store
+	host  string
+}
+
+var _ store.Client = (*Face)(nil)
+
+// enter counts a call and applies the host's fault. It returns the fault when the
+// call is still to be carried out.
+func (f *Face) enter(ctx context.Context) (Fault, error) {
+	s := f.store
+	s.mu.Lock()
+	s.calls++
+	fault := s.faults[f.host]
+	s.mu.Unlock()
+	switch fault {
+	case Refuse:
+		return fault, store.ErrRefused
+	case Silent:
+		<-ctx.Done()
+		return fault, errors.Mark(ctx.Err(), store.ErrUnavailable)
+	case None, LoseAnswer, Late:
+	}
+	return fault, ctx.Err()
+}
+
+// Append implements store.Log.
+func (f *Face) Append(ctx context.Context, p store.Partition, recs []store.Record, at int64) (int64, error) {
+	fault, err := f.enter(ctx)
+	if err != nil {
+		return 0, err
+	}
+	if fault == Late {
+		time.AfterFunc(LateBy, func() { _, _ = f.store.append(p, recs, at) })
+		<-ctx.Done()
+		return 0, errors.Mark(ctx.Err(), store.ErrUnavailable)
+	}
+	end, err := f.store.append(p, recs, at)
+	if fault == LoseAnswer {
+		<-ctx.Done()
+		return 0, errors.Mark(ctx.Err(), store.ErrUnavailable)
+	}
+	return end, err
+}
+
+func (s *Store) append(p store.Partition, recs []store.Record, at int64) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if end := s.logLocked(p).end(); at != store.AnyEnd && at != end {
+		return 0, &store.ConflictError{End: end}
+	}
+	s.appendLocked(p, recs)
+	return s.logLocked(p).end(), nil
+}
+
+// Read implements store.Log.
+func (f *Face) Read(ctx context.Context, p store.Partition, from int64, wait time.Duration) (store.Page, error) {
+	if _, err := f.enter(ctx); err != nil {
+		return store.Page{}, err
+	}
+	until := time.NewTimer(wait)
+	defer until.Stop()
+	for {
+		page, changed, err := f.store.page(p, from)
+		if err != nil || len(page.Records) > 0 {
+			return page, err
+		}
+		select {
+		case <-changed:
+		case <-until.C:
+			return page, nil
+		case <-ctx.Done():
+			return page, errors.Mark(ctx.Err(), store.ErrUnavailable)
+		}
+	}
+}
+
+func (s *Store) page(p store.Partition, from int64) (store.Page, chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.logLocked(p)
+	page := store.Page{First: l.first, End: l.end()}
+	if from < l.first {
+		return page, nil, &store.TrimmedError{First: l.first}
+	}
+	if from < l.end() {
+		page.Records = slices.Clone(l.records[from-l.first:])
+	}
+	return page, s.changed, nil
+}
+
+// newestPage is how many keys one page of newest records has.
+const newestPage = 500
+
+// Newest implements store.Log.
+func (f *Face) Newest(ctx context.Context, p store.Partition, after string) (store.Snapshot, error) {
+	if _, err := f.enter(ctx); err != nil {
+		return store.Snapshot{}, err
+	}
+	s := f.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.logLocked(p)
+	snap := store.Snapshot{End: l.end()}
+	var keys []string
+	for k := range l.newest {
+		if k > after {
+			keys = append(keys, k)
+		}
+	}
+	slices.Sort(keys)
+	if len(keys) > newestPage {
+		keys, snap.More = keys[:newestPage], true
+	}
+	for _, k := range keys {
+		snap.Records = append(snap.Records, l.newest[k])
+	}
+	return snap, nil
+}
+
+// Join implements store.Groups.
+func (f *Face) Join(ctx context.Context, req store.JoinRequest) (store.Membership, error) {
+	if _, err := f.enter(ctx); err != nil {
+		return store.Membership{}, err
+	}
+	s := f.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g := s.groups[req.Group]
+	if g == nil {
+		g = &group{members: make(map[string]time.Time), topics: req.Topics}
+		s.groups[req.Group] = g
+	}
+	now := time.Now()
+	_, known := g.members[req.Member]
+	g.members[req.Member] = now.Add(req.TTL)
+	if g.expire(now) || !known {
+		g.deal(s.parts, 0)
+	}
+	m := store.Membership{Generation: g.generation}
+	for p, owner := range g.owners {
+		if owner == req.Member {
+			m.Partitions = append(m.Partitions, p)
+		}
+	}
+	return m, nil
+}
+
+func (g *group) expire(now time.Time) bool {
+	gone := false
+	for m, until := range g.members {
+		if now.After(until) {
+			delete(g.members, m)
+			gone = true
+		}
+	}
+	return gone
+}
+
+// deal gives the partitions to the members in turn.
+func (g *group) deal(parts, shift int) {
+	g.generation++
+	g.owners = make(map[store.Partition]string)
+	var members []string
+	for m := range g.members {
+		members = append(members, m)
+	}
+	slices.Sort(members)
+	if len(members) == 0 {
+		return
+	}
+	for _, topic := range g.topics {
+		for n := range parts {
+			g.owners[store.Partition{Topic: topic, Number: n}] = members[(n+shift)%len(members)]
+		}
+	}
+}
+
+// Leave implements store.Groups.
+func (f *Face) Leave(ctx context.Context, name, member string) error {
+	if _, err := f.enter(ctx); err != nil {
+		return err
+	}
+	s := f.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if g := s.groups[name]; g != nil {
+		delete(g.members, member)
+		g.deal(s.parts, 0)
+	}
+	return nil
+}
+
+// Owners implements store.Groups.
+func (f *Face) Owners(ctx context.Context, name string) ([]store.Owner, error) {
+	if _, err := f.enter(ctx); err != nil {
+		return nil, err
+	}
+	s := f.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []store.Owner
+	if g := s.groups[name]; g != nil {
+		for p, m := range g.owners {
+			out = append(out, store.Owner{Partition: p, Member: m})
+		}
+	}
+	return out, nil
+}
--- /dev/null
+++ b/store/failover_test.go
@@ -0,0 +1,104 @@
+package store_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pumiceford/standin/sharedstore"
+	"pumiceford/store"
+)
+
+func failover(s *sharedstore.Store) *store.Failover {
+	return store.NewFailover(s.For("a"), func() []store.Peer { return []store.Peer{s.For("b"), s.For("c")} })
+}
+
+// Symptom: an entry takes no jobs in and learns of no change while others work.
+// Sequence: the store refuses the one host, or answers it nothing.
+// Cause: no way to the store but the direct one.
+func TestRefusedHostGoesThroughPeers(t *testing.T) {
+	for _, fault := range []sharedstore.Fault{sharedstore.Refuse, sharedstore.Silent} {
+		synctest.Test(t, func(t *testing.T) {
+			s := sharedstore.New(1)
+			s.Put(part, "k", []byte("v"))
+			s.SetFault("a", fault)
+			f := failover(s)
+			page, err := f.Read(t.Context(), part, 0, 0)
+			if err != nil || len(page.Records) != 1 {
+				t.Fatalf("read through a peer: %v %v", page, err)
+			}
+			if _, err := f.Append(t.Context(), part, []store.Record{{Key: "l", Value: []byte("w")}}, 1); err != nil {
+				t.Fatalf("append through a peer: %v", err)
+			}
+			if m, err := f.Join(t.Context(), store.JoinRequest{Group: "g", Member: "a", Topics: []string{"t"}, TTL: time.Second}); err != nil || len(m.Partitions) != 1 {
+				t.Fatalf("join through a peer: %v %v", m, err)
+			}
+		})
+	}
+}
+
+// Symptom: a record stands twice.
+// Sequence: an append without a condition is carried out, its answer is lost, and
+// it is sent again through a peer.
+// Cause: an unknown effect was taken for none.
+func TestAppendWithoutAnswerIsNotRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := sharedstore.New(1)
+		s.SetFault("a", sharedstore.LoseAnswer)
+		_, err := failover(s).Append(t.Context(), part, []store.Record{{Key: "k", Value: []byte("v")}}, store.AnyEnd)
+		if !errors.Is(err, store.ErrUnavailable) {
+			t.Fatalf("got %v, want no answer", err)
+		}
+		if n := len(s.Records(part)); n != 1 {
+			t.Fatalf("%d records", n)
+		}
+	})
+}
+
+// Symptom: the store's call limit is used up by calls that fail, and each call
+// of every entry takes three times as long.
+// Sequence: the store is down for all.
+// Cause: peers were asked for each call, although they are refused as well.
+func TestPeersAreLeftAloneWhileTheyFailToo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := sharedstore.New(1)
+		for _, h := range []string{"a", "b", "c"} {
+			s.SetFault(h, sharedstore.Refuse)
+		}
+		f := failover(s)
+		const calls = 50
+		for range calls {
+			_, err := f.Read(t.Context(), part, 0, 0)
+			if !errors.Is(err, store.ErrRefused) {
+				t.Fatalf("got %v", err)
+			}
+		}
+		// The first call tries two peers; the others within the second do not.
+		if got := s.Calls(); got > calls+2 {
+			t.Fatalf("%d calls for %d", got, calls)
+		}
+	})
+}
+
+// Symptom: each call takes as long as the silence of the direct way.
+// Sequence: the store answers this host nothing; many calls follow each other.
+// Cause: the direct way was tried first each time.
+func TestSilentDirectWayIsTriedLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := sharedstore.New(1)
+		s.SetFault("a", sharedstore.Silent)
+		f := failover(s)
+		began := time.Now()
+		for range 10 {
+			if _, err := f.Newest(context.WithoutCancel(t.Context()), part, ""); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if took := time.Since(began); took > time.Second {
+			t.Fatalf("ten calls took %s of virtual time", took)
+		}
+	})
+}
