--- a/jobstore/read.go
+++ b/jobstore/read.go
@@ -159,6 +159,11 @@
 	return out
 }
 
+// AsOf returns the moment up to which a partition's state is known.
+func (s *Store) AsOf(number int) time.Time {
+	return s.at(number).follow.AsOf()
+}
+
 // Refresh makes sure that a partition's state is at most maxAge old.
 func (s *Store) Refresh(ctx context.Context, number int, maxAge time.Duration) error {
 	return s.at(number).follow.Catch(ctx, maxAge)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -62,6 +62,12 @@
 	// after a failure of a target.
 	backoffFirst = 50 * time.Millisecond
 	backoffMost  = time.Second
+	// outageMost is how long items are started on what was known before the store
+	// fell silent. A host that is cut off alone is not told of ended jobs.
+	outageMost = 30 * time.Second
+	// unlistedMost bounds the bytes of results that wait for the store: a fifth of
+	// the smallest entry's memory.
+	unlistedMost = 36 << 20
 	// clockMargin is how far the wall clocks of two hosts may differ: an item is
 	// not given up before its time by any of them.
 	clockMargin = 3 * time.Second
@@ -77,6 +83,7 @@
 	running  int
 	pace     *schedule.Pace
 	finished map[int][]jobs.Outcome // to be listed, by partition
+	unlisted int                    // bytes of results that are not listed yet
 	leaving  bool
 	wake     chan struct{}
 	list     chan struct{}
@@ -275,8 +282,8 @@
 	if !ok || full[service] {
 		return
 	}
-	if r.cfg.Store.Refresh(ctx, c.part, startAge) != nil {
-		return // whether the job still runs cannot be told
+	if !r.stillOpen(ctx, c) {
+		return
 	}
 	seat, in := r.seat(ctx, service, c.YieldRank(time.Now()))
 	if seat == nil {
@@ -303,6 +310,22 @@
 	}()
 }
 
+// stillOpen reports whether an item may be started by what is known of its job.
+// While the store does not answer, items of accepted jobs go on: nobody can end a
+// job meanwhile, and waiting left half of the slots idle through an outage. What
+// finishes is held until it can be listed, up to unlistedMost.
+func (r *Runner) stillOpen(ctx context.Context, c candidate) bool {
+	if r.cfg.Store.Refresh(ctx, c.part, startAge) == nil {
+		return true
+	}
+	if time.Since(r.cfg.Store.AsOf(c.part)) > outageMost {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.unlisted < unlistedMost
+}
+
 // settled lists an item that needs no run: it can never be done, failed too
 // often, or may be given up.
 func (r *Runner) settled(c candidate, w *work) bool {
@@ -334,6 +357,7 @@
 func (r *Runner) finish(w *work, part int, o jobs.Outcome) {
 	r.mu.Lock()
 	w.done = true
+	r.unlisted += len(o.Text)
 	r.finished[part] = append(r.finished[part], o)
 	r.mu.Unlock()
 	poke(r.list)
--- a/runner/upkeep.go
+++ b/runner/upkeep.go
@@ -105,6 +105,7 @@
 	var drop []jobstore.Progress
 	r.mu.Lock()
 	for _, o := range outs {
+		r.unlisted -= len(o.Text)
 		k := jobstore.ItemKey{Job: o.Job, Item: o.Item}
 		if w := r.work[k]; w != nil && w.saved > 0 {
 			drop = append(drop, jobstore.Progress{Key: k, Done: true})
--- a/store/follower.go
+++ b/store/follower.go
@@ -27,8 +27,8 @@
 	// Pause is left between reads that return records, so that a busy partition
 	// costs a bounded number of calls.
 	Pause time.Duration
-	// OnTrouble is told of each read that failed, OnContact of the first that
-	// succeeded after one.
+	// OnTrouble is told of the first read that fails, OnContact of the first that
+	// succeeds after it.
 	OnTrouble func(err error)
 	OnContact func(away time.Duration)
 }
@@ -88,8 +88,8 @@
 		if err != nil {
 			if since.IsZero() {
 				since = time.Now()
+				f.set.OnTrouble(err)
 			}
-			f.set.OnTrouble(err)
 			_ = wait.For(ctx, pause)
 			pause = min(2*pause, retryMost)
 			continue
