--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -52,6 +52,7 @@
 	Registry store.Partition
 	Jobs     string // topic of jobs
 	Progress string // topic of unfinished items
+	Copies   string // topic of copies of the fleet
 	Sender   TargetSender
 	// ItemHeader turns an item's headers into those of its call.
 	ItemHeader func(item map[string]string) map[string][]string
@@ -80,6 +81,12 @@
 	expireEvery   = 200 * time.Millisecond
 	ownersEvery   = 4 * time.Second
 	fetchEvery    = 300 * time.Millisecond
+	// copyAfter is how long a new process waits for the registry itself before
+	// it takes a copy.
+	copyAfter = 400 * time.Millisecond
+	// copyPartition is the partition of jobs whose runner keeps the copies, so
+	// that one process does.
+	copyPartition = 0
 	// balancerSees is how long the balancer takes to send no new connections: it
 	// asks once a second and needs two misses.
 	balancerSees = 2600 * time.Millisecond
@@ -135,6 +142,7 @@
 	runner  *runner.Runner
 	agents  *agentLinks
 	gateway *gateway.Gateway
+	copies  *fleet.Copies
 	tlsConf *tls.Config
 	leaving atomic.Bool
 }
@@ -165,6 +173,7 @@
 	linkCfg := link.Config{Node: set.Name, Incarnation: oplog.NewIncarnation(), TLS: tlsConf, Dial: netx.Dial}
 	n.ring = peers.NewRing(set.Peers, linkCfg, set.Seeds)
 	n.store = store.NewFailover(parts.Store, n.ring.Ways)
+	n.copies = fleet.NewCopies(n.store, parts.Copies, set.Store.Partitions, n.view, base.Part("fleet"))
 	n.jobs = jobstore.New(ctx, n.store, jobstore.Settings{
 		Topic: parts.Jobs, ProgressTopic: parts.Progress, Partitions: set.Store.Partitions, CallBytes: set.Store.CallBytes,
 		Keep: time.Duration(set.KeepResults),
@@ -260,11 +269,17 @@
 // watchPeers learns the other entries from the group, and asks them for a
 // catalog while none is known here.
 func (n *entryNode) watchPeers(ctx context.Context) {
-	next := time.Time{}
+	next, began := time.Time{}, time.Now()
 	for ctx.Err() == nil {
 		if !n.view.Ready() {
 			n.ring.Fetch(ctx, n.view)
 		}
+		switch {
+		case n.view.Ready() && n.runner.Holds(copyPartition):
+			n.copies.Save(ctx, time.Now())
+		case !n.view.Ready() && time.Since(began) > copyAfter:
+			n.copies.Load(ctx)
+		}
 		if now := time.Now(); now.After(next) {
 			next = now.Add(ownersEvery)
 			n.learnPeers(ctx)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -42,7 +42,8 @@
 	set      *targets.Set
 	rawByID  map[string][]byte // registrations as they were stored, for peers
 	table    *balance.Table
-	registry bool // the registry was read, or told by a peer
+	registry bool // the registry was read, or told by a peer or copy
+	changes  uint64
 	onChange func([]targets.Instance)
 }
 
@@ -88,6 +89,7 @@
 	newer := v.current.Offer(c)
 	if newer {
 		v.raw = value
+		v.changes++
 	}
 	v.mu.Unlock()
 	if newer {
@@ -189,6 +191,7 @@
 	same := equal(before, after)
 	if !same {
 		v.table.Replace(after)
+		v.changes++
 	}
 	tell := v.onChange
 	v.mu.Unlock()
@@ -286,16 +289,23 @@
 	return v.raw, recs
 }
 
-// Import takes what a peer exported. The registry counts only while none was
-// read here.
-func (v *View) Import(raw []byte, recs []store.Record) {
+// Import takes what was exported elsewhere. The registry counts only while none
+// was read here.
+func (v *View) Import(raw []byte, recs []store.Record, from string) {
 	if len(raw) > 0 {
-		v.offerCatalog(raw, "peer")
+		v.offerCatalog(raw, from)
 	}
 	v.mu.Lock()
 	known := v.registry
 	v.mu.Unlock()
 	if !known && len(recs) > 0 {
-		v.replaceTargets(recs, "peer")
+		v.replaceTargets(recs, from)
 	}
 }
+
+// Changes counts the changes of catalog and targets so far.
+func (v *View) Changes() uint64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.changes
+}
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -36,22 +36,22 @@
 		_ = st.Send(s.call(ctx, c))
 	case call.GetCatalog() != nil:
 		raw, recs := s.View.Export()
-		_ = st.Send(&wire.CatalogReply{Catalog: raw, Targets: toWire(recs)})
+		_ = st.Send(&wire.CatalogReply{Catalog: raw, Targets: store.ToWire(recs)})
 	}
 }
 
 func (s *Server) call(ctx context.Context, c *wire.StoreCall) *wire.StoreReply {
 	switch k := c.GetKind().(type) {
 	case *wire.StoreCall_Append:
-		end, err := s.Store.Append(ctx, partition(k.Append.GetPartition()), fromWire(k.Append.GetRecords()), k.Append.GetAt())
+		end, err := s.Store.Append(ctx, partition(k.Append.GetPartition()), store.FromWire(k.Append.GetRecords()), k.Append.GetAt())
 		return reply(err, &wire.StoreReply{End: end})
 	case *wire.StoreCall_Read:
 		wait := time.Duration(k.Read.GetWaitMs()) * time.Millisecond
 		page, err := s.Store.Read(ctx, partition(k.Read.GetPartition()), k.Read.GetFrom(), wait)
-		return reply(err, &wire.StoreReply{First: page.First, End: page.End, Records: toWire(page.Records)})
+		return reply(err, &wire.StoreReply{First: page.First, End: page.End, Records: store.ToWire(page.Records)})
 	case *wire.StoreCall_Newest:
 		snap, err := s.Store.Newest(ctx, partition(k.Newest.GetPartition()), k.Newest.GetAfter())
-		return reply(err, &wire.StoreReply{End: snap.End, More: snap.More, Records: toWire(snap.Records)})
+		return reply(err, &wire.StoreReply{End: snap.End, More: snap.More, Records: store.ToWire(snap.Records)})
 	case *wire.StoreCall_Join:
 		m, err := s.Store.Join(ctx, store.JoinRequest{
 			Group: k.Join.GetGroup(), Member: k.Join.GetMember(), Topics: k.Join.GetTopics(),
@@ -111,22 +111,6 @@
 	return &wire.StorePartition{Topic: p.Topic, Number: uint32(p.Number)}
 }
 
-func toWire(recs []store.Record) []*wire.StoreRecord {
-	var out []*wire.StoreRecord
-	for _, r := range recs {
-		out = append(out, &wire.StoreRecord{Key: r.Key, Value: r.Value, Offset: r.Offset})
-	}
-	return out
-}
-
-func fromWire(recs []*wire.StoreRecord) []store.Record {
-	var out []store.Record
-	for _, r := range recs {
-		out = append(out, store.Record{Key: r.GetKey(), Value: r.GetValue(), Offset: r.GetOffset()})
-	}
-	return out
-}
-
 // Way is the way to the store through one peer. It implements store.Peer.
 type Way struct {
 	peer *link.Peer
@@ -151,7 +135,7 @@
 // Append implements store.Log.
 func (w Way) Append(ctx context.Context, p store.Partition, recs []store.Record, at int64) (int64, error) {
 	r, err := w.call(ctx, &wire.StoreCall{Kind: &wire.StoreCall_Append{Append: &wire.StoreAppend{
-		Partition: toPartition(p), Records: toWire(recs), At: at,
+		Partition: toPartition(p), Records: store.ToWire(recs), At: at,
 	}}})
 	return r.GetEnd(), err
 }
@@ -161,7 +145,7 @@
 	r, err := w.call(ctx, &wire.StoreCall{Kind: &wire.StoreCall_Read{Read: &wire.StoreRead{
 		Partition: toPartition(p), From: from, WaitMs: uint32(wait.Milliseconds()),
 	}}})
-	return store.Page{Records: fromWire(r.GetRecords()), First: r.GetFirst(), End: r.GetEnd()}, err
+	return store.Page{Records: store.FromWire(r.GetRecords()), First: r.GetFirst(), End: r.GetEnd()}, err
 }
 
 // Newest implements store.Log.
@@ -169,7 +153,7 @@
 	r, err := w.call(ctx, &wire.StoreCall{Kind: &wire.StoreCall_Newest{Newest: &wire.StoreNewest{
 		Partition: toPartition(p), After: after,
 	}}})
-	return store.Snapshot{Records: fromWire(r.GetRecords()), More: r.GetMore(), End: r.GetEnd()}, err
+	return store.Snapshot{Records: store.FromWire(r.GetRecords()), More: r.GetMore(), End: r.GetEnd()}, err
 }
 
 // Join implements store.Joiner.
@@ -270,7 +254,7 @@
 		err := p.Call(one, link.Control, &wire.Call{Kind: &wire.Call_Catalog{Catalog: &wire.CatalogFetch{}}}, reply)
 		cancel()
 		if err == nil && len(reply.GetCatalog()) > 0 {
-			view.Import(reply.GetCatalog(), fromWire(reply.GetTargets()))
+			view.Import(reply.GetCatalog(), store.FromWire(reply.GetTargets()), "peer")
 			return
 		}
 	}
--- a/runner/member.go
+++ b/runner/member.go
@@ -51,6 +51,14 @@
 	}
 }
 
+// Holds reports whether a partition is proposed to this process.
+func (r *Runner) Holds(part int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, ok := r.mine[part]
+	return ok
+}
+
 func (r *Runner) isLeaving() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
