--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -80,10 +80,10 @@
 	registryPause = 250 * time.Millisecond
 	expireEvery   = 200 * time.Millisecond
 	ownersEvery   = 4 * time.Second
-	fetchEvery    = 300 * time.Millisecond
+	fetchEvery    = 100 * time.Millisecond
 	// copyAfter is how long a new process waits for the registry itself before
 	// it takes a copy.
-	copyAfter = 400 * time.Millisecond
+	copyAfter = 150 * time.Millisecond
 	// copyPartition is the partition of jobs whose runner keeps the copies, so
 	// that one process does.
 	copyPartition = 0
