--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -83,7 +83,9 @@
 	fetchEvery    = 100 * time.Millisecond
 	// copyAfter is how long a new process waits for the registry itself before
 	// it takes a copy.
-	copyAfter = 150 * time.Millisecond
+	copyAfter = 50 * time.Millisecond
+	// copyEvery is how often a change of the fleet is looked for to be copied.
+	copyEvery = 250 * time.Millisecond
 	// copyPartition is the partition of jobs whose runner keeps the copies, so
 	// that one process does.
 	copyPartition = 0
@@ -206,7 +208,7 @@
 		return link.Serve(ctx, listeners[2], link.Config{Node: n.set.Name, Handle: peerServer.Handle, TLS: n.tlsConf})
 	})
 	g.Go(func() error { return serve(ctx, n.httpServer(metricsHandler(n.metrics)), listeners[3]) })
-	for _, loop := range []func(context.Context){n.follow, n.watchPeers, n.expire, n.runner.Run} {
+	for _, loop := range []func(context.Context){n.follow, n.watchPeers, n.keepCopies, n.expire, n.runner.Run} {
 		g.Go(func() error { loop(ctx); return nil })
 	}
 	g.Go(func() error { onReload(ctx, n.log, func() error { return n.reload(file) }); return nil })
@@ -266,20 +268,14 @@
 	n.log.Info("store answers again", logging.F("read", what), logging.F("away_ms", away.Milliseconds()))
 }
 
-// watchPeers learns the other entries from the group, and asks them for a
-// catalog while none is known here.
+// watchPeers learns the other entries from the group, and asks them for catalog
+// and targets while these are not known here.
 func (n *entryNode) watchPeers(ctx context.Context) {
-	next, began := time.Time{}, time.Now()
+	next := time.Time{}
 	for ctx.Err() == nil {
 		if !n.view.Ready() {
 			n.ring.Fetch(ctx, n.view)
 		}
-		switch {
-		case n.view.Ready() && n.runner.Holds(copyPartition):
-			n.copies.Save(ctx, time.Now())
-		case !n.view.Ready() && time.Since(began) > copyAfter:
-			n.copies.Load(ctx)
-		}
 		if now := time.Now(); now.After(next) {
 			next = now.Add(ownersEvery)
 			n.learnPeers(ctx)
@@ -288,6 +284,21 @@
 	}
 }
 
+// keepCopies takes the fleet from a copy when its own partitions cannot be read
+// at the start, and keeps the copies afterwards.
+func (n *entryNode) keepCopies(ctx context.Context) {
+	n.view.Await(ctx, copyAfter)
+	for !n.view.Ready() && ctx.Err() == nil {
+		n.copies.Load(ctx)
+		n.view.Await(ctx, fetchEvery)
+	}
+	for wait.For(ctx, copyEvery) == nil {
+		if n.runner.Holds(copyPartition) {
+			n.copies.Save(ctx, time.Now())
+		}
+	}
+}
+
 func (n *entryNode) learnPeers(ctx context.Context) {
 	owners, err := n.store.Owners(ctx, jobGroup)
 	if err != nil {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"context"
 	"slices"
 	"sync"
 	"time"
@@ -42,7 +43,8 @@
 	set      *targets.Set
 	rawByID  map[string][]byte // registrations as they were stored, for peers
 	table    *balance.Table
-	registry bool // the registry was read, or told by a peer or copy
+	registry bool          // the registry was read, or told by a peer or copy
+	ready    chan struct{} // closed once catalog and registry are known
 	changes  uint64
 	onChange func([]targets.Instance)
 }
@@ -51,7 +53,8 @@
 func NewView(dec Decoder, salt uint64, log logging.Logger, ms *metrics.Set) *View {
 	return &View{
 		decoder: dec, log: log, metrics: ms,
-		set: targets.NewSet(), rawByID: make(map[string][]byte),
+		ready: make(chan struct{}),
+		set:   targets.NewSet(), rawByID: make(map[string][]byte),
 		table:    balance.NewTable(salt),
 		onChange: func([]targets.Instance) {},
 	}
@@ -70,11 +73,32 @@
 	return v.current.Get()
 }
 
-// Ready reports whether requests can be served: a catalog and targets are known.
+// Ready reports whether requests can be served: catalog and registry are known.
 func (v *View) Ready() bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.current.Get() != nil && v.registry
+	select {
+	case <-v.ready:
+		return true
+	default:
+		return false
+	}
+}
+
+// Await waits until the view is ready, for at most limit.
+func (v *View) Await(ctx context.Context, limit time.Duration) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-v.ready:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// noteReadyLocked closes ready when both are known. v.mu is held.
+func (v *View) noteReadyLocked() {
+	if v.current.Get() != nil && v.registry && !v.Ready() {
+		close(v.ready)
+	}
 }
 
 // offerCatalog takes a stored configuration.
@@ -90,6 +114,7 @@
 	if newer {
 		v.raw = value
 		v.changes++
+		v.noteReadyLocked()
 	}
 	v.mu.Unlock()
 	if newer {
@@ -179,6 +204,9 @@
 		v.rawByID = raw
 		v.registry = true
 	})
+	v.mu.Lock()
+	v.noteReadyLocked()
+	v.mu.Unlock()
 	v.log.Info("registry read", logging.F("from", from), logging.F("targets", len(all)))
 }
 
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,129 @@
+package fleet_test
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	"pumiceford/catalog"
+	"pumiceford/fleet"
+	"pumiceford/logging"
+	"pumiceford/metrics"
+	"pumiceford/standin/sharedstore"
+	"pumiceford/store"
+	"pumiceford/targets"
+)
+
+// decoder reads a catalog that is its version, and an instance that is its address.
+type decoder struct{}
+
+func (decoder) CatalogKey() string { return "c" }
+
+func (decoder) Catalog(value []byte) (*catalog.Catalog, error) {
+	v, err := strconv.ParseInt(string(value), 10, 64)
+	return catalog.New(v, catalog.Limits{}, nil, nil), err
+}
+
+func (decoder) Instance(id string, value []byte) (targets.Instance, error) {
+	return targets.Instance{ID: id, Addr: string(value), Service: "s", Slots: 1}, nil
+}
+
+func newView() *fleet.View {
+	return fleet.NewView(decoder{}, 1, logging.Logger{}, metrics.New("test"))
+}
+
+func filled(version string, ids ...string) *fleet.View {
+	v := newView()
+	v.CatalogSink().Reset([]store.Record{{Key: "c", Value: []byte(version)}})
+	var recs []store.Record
+	for i, id := range ids {
+		recs = append(recs, store.Record{Key: id, Value: []byte(id), Offset: int64(i)})
+	}
+	v.TargetSink().Reset(recs)
+	return v
+}
+
+const parts = 24
+
+// Symptom: sound targets, and every request refused for three seconds.
+// Sequence: all processes are killed while the store is down for a third of its
+// partitions, the registry's among them.
+// Cause: the registry was the only place that names the targets.
+func TestACopyStandsInForTheRegistry(t *testing.T) {
+	s := sharedstore.New(parts)
+	c := fleet.NewCopies(s.For("a"), "copies", parts, filled("7", "i0", "i1"), logging.Logger{})
+	c.Save(t.Context(), time.Now())
+	// Two of the three copies are down as well.
+	s.SetDown(store.Partition{Topic: "copies", Number: 0}, true)
+	s.SetDown(store.Partition{Topic: "copies", Number: 8}, true)
+	v := newView()
+	fleet.NewCopies(s.For("b"), "copies", parts, v, logging.Logger{}).Load(t.Context())
+	if !v.Ready() || v.Catalog().Version != 7 || len(v.Instances()) != 2 {
+		t.Fatalf("ready %v, %d targets", v.Ready(), len(v.Instances()))
+	}
+}
+
+// Symptom: an old copy takes back what is in force, or brings gone targets back.
+func TestACopyNeverWinsOverWhatIsKnown(t *testing.T) {
+	s := sharedstore.New(parts)
+	fleet.NewCopies(s.For("a"), "copies", parts, filled("7", "old"), logging.Logger{}).Save(t.Context(), time.Now())
+	v := filled("9", "new")
+	fleet.NewCopies(s.For("b"), "copies", parts, v, logging.Logger{}).Load(t.Context())
+	if got := v.Instances(); v.Catalog().Version != 9 || len(got) != 1 || got[0].ID != "new" {
+		t.Fatalf("version %d, targets %v", v.Catalog().Version, got)
+	}
+	// And the registry itself replaces what a copy told.
+	late := newView()
+	fleet.NewCopies(s.For("b"), "copies", parts, late, logging.Logger{}).Load(t.Context())
+	late.TargetSink().Reset([]store.Record{{Key: "now", Value: []byte("now")}})
+	if got := late.Instances(); len(got) != 1 || got[0].ID != "now" {
+		t.Fatalf("targets %v", got)
+	}
+}
+
+// The newest of the copies that can be read counts, and nothing is written when
+// nothing changed.
+func TestTheNewestCopyCounts(t *testing.T) {
+	s := sharedstore.New(parts)
+	old := fleet.NewCopies(s.For("a"), "copies", parts, filled("7"), logging.Logger{})
+	old.Save(t.Context(), time.UnixMilli(1000))
+	before := s.Calls()
+	old.Save(t.Context(), time.UnixMilli(2000))
+	if s.Calls() != before {
+		t.Fatal("the same was copied again")
+	}
+	s.SetDown(store.Partition{Topic: "copies", Number: 0}, true)
+	fleet.NewCopies(s.For("a"), "copies", parts, filled("8"), logging.Logger{}).Save(t.Context(), time.UnixMilli(3000))
+	s.SetDown(store.Partition{Topic: "copies", Number: 0}, false)
+	v := newView()
+	fleet.NewCopies(s.For("b"), "copies", parts, v, logging.Logger{}).Load(t.Context())
+	if v.Catalog().Version != 8 {
+		t.Fatalf("version %d", v.Catalog().Version)
+	}
+}
+
+// Symptom: a record that cannot be read leaves a node without configuration.
+func TestWhatCannotBeReadChangesNothing(t *testing.T) {
+	v := filled("3", "i0")
+	v.CatalogSink().Apply(store.Record{Key: "c", Value: []byte("not a number")})
+	v.CatalogSink().Apply(store.Record{Key: "other", Value: []byte("99")})
+	if v.Catalog().Version != 3 {
+		t.Fatalf("version %d", v.Catalog().Version)
+	}
+}
+
+// Symptom: connections to targets that are gone stay open, and new ones get none.
+func TestChangesAreTold(t *testing.T) {
+	v := newView()
+	var told []string
+	v.OnChange(func(all []targets.Instance) { told = append(told, fmt.Sprint(len(all))) })
+	sink := v.TargetSink()
+	sink.Reset([]store.Record{{Key: "a", Value: []byte("a")}})
+	sink.Apply(store.Record{Key: "a", Value: []byte("a"), Offset: 1}) // a heartbeat
+	sink.Apply(store.Record{Key: "b", Value: []byte("b"), Offset: 2})
+	sink.Apply(store.Record{Key: "a", Offset: 3})
+	if got := fmt.Sprint(told); got != "[1 2 1]" {
+		t.Fatalf("told %v", told)
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -68,6 +68,9 @@
 	// free each 90 ms or so at 8 slots, and an answer is late after 300 ms: a
 	// longer queue only holds answers that come too late.
 	waitingMost = 0.5
+	// startWait is how long after its start a process holds requests until it
+	// knows catalog and targets.
+	startWait = 250 * time.Millisecond
 	// retryFull is when to come back after an overload: three or four slots have
 	// come free at each target by then.
 	retryFull = 300 * time.Millisecond
@@ -104,15 +107,23 @@
 	sender  exchange.Sender
 	log     logging.Logger
 	metrics *metrics.Set
+	started time.Time
 }
 
 // New returns a Gateway.
 func New(view *fleet.View, sender exchange.Sender, log logging.Logger, ms *metrics.Set) *Gateway {
-	return &Gateway{view: view, sender: sender, log: log, metrics: ms}
+	return &Gateway{view: view, sender: sender, log: log, metrics: ms, started: time.Now()}
 }
 
-// Route returns the route of a request, or why there is none.
-func (g *Gateway) Route(host, path string) (*catalog.Route, *Refusal) {
+// Route returns the route of a request, or why there is none. A process that has
+// just started waits a moment for what it needs to know: that takes some 30 ms,
+// and a caller that is told to come back loses ten times as much.
+func (g *Gateway) Route(ctx context.Context, host, path string) (*catalog.Route, *Refusal) {
+	if !g.view.Ready() {
+		if left := startWait - time.Since(g.started); left > 0 {
+			g.view.Await(ctx, left)
+		}
+	}
 	cat := g.view.Catalog()
 	if cat == nil {
 		return nil, &Refusal{Reason: NotReady, NotRun: true, RetryAfter: retryNone}
@@ -205,10 +216,10 @@
 	return c, true
 }
 
-// fits reports whether waiting at the chosen target is still useful. A stream
-// that has begun always goes on.
+// fits reports whether waiting at the chosen target is still useful. A request
+// that was sent before is not turned away any more: it may have been run.
 func (s *serving) fits(c balance.Choice) bool {
-	if s.started {
+	if s.runs > 0 {
 		return true
 	}
 	return float64(c.Waiting) < max(1, waitingMost*float64(c.Instance.Slots))
@@ -278,24 +289,24 @@
 	return time.Duration(gapShare * float64(s.route.GapWithin))
 }
 
-// waitingLook returns the look at a request that has no answer yet: it moves on
-// when its target counts as silent, or when another has a slot free for it now.
+// waitingLook returns the look at a request that has no answer yet. It moves on
+// when another target has a slot free for it now, or when its target counts as
+// silent. To leave a queue for another queue would only lose its place.
 func (s *serving) waitingLook(c balance.Choice) func() bool {
 	sent, judged := time.Now(), false
 	return func() bool {
-		if time.Since(sent) >= s.firstWait(c) {
-			if !judged {
-				judged = true
-				s.silent(c.Instance)
-			}
-			return s.mayMove()
-		}
-		if !s.mayMove() {
-			return false
+		now := time.Now()
+		var alive, free bool
+		s.g.view.Table(func(t *balance.Table) {
+			alive = t.Alive(now, c.Instance.ID)
+			free = t.FreeElsewhere(now, s.service, c.Instance.ID)
+		})
+		silent := !alive && now.Sub(sent) >= s.firstWait(c)
+		if silent && !judged {
+			judged = true
+			s.judge(c.Instance, balance.Unfit, "silent")
 		}
-		free := false
-		s.g.view.Table(func(t *balance.Table) { free = t.FreeElsewhere(time.Now(), s.service, c.Instance.ID) })
-		return free
+		return s.mayMove() && (free || silent)
 	}
 }
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -152,7 +152,7 @@
 
 func (w *world) serve(ctx context.Context) *caller {
 	c := &caller{}
-	route, refusal := w.gw.Route("h", "/x")
+	route, refusal := w.gw.Route(ctx, "h", "/x")
 	if refusal != nil {
 		c.refusal = refusal
 		return c
@@ -382,10 +382,62 @@
 
 // A node that knows no configuration yet says so, and never "no such route".
 func TestNoCatalogIsNoMissingRoute(t *testing.T) {
-	ms := metrics.New("test")
-	g := gateway.New(fleet.NewView(decoder{}, 1, logging.Logger{}, ms), &script{}, logging.Logger{}, ms)
-	_, r := g.Route("h", "/x")
-	if r == nil || r.Reason != gateway.NotReady || !r.NotRun || r.RetryAfter == 0 {
-		t.Fatalf("refusal %+v", r)
-	}
+	bubble(t, func(t *testing.T) {
+		ms := metrics.New("test")
+		g := gateway.New(fleet.NewView(decoder{}, 1, logging.Logger{}, ms), &script{}, logging.Logger{}, ms)
+		time.Sleep(time.Second)
+		began := time.Now()
+		_, r := g.Route(t.Context(), "h", "/x")
+		if r == nil || r.Reason != gateway.NotReady || !r.NotRun || r.RetryAfter == 0 || time.Since(began) > 0 {
+			t.Fatalf("refusal %+v after %s", r, time.Since(began))
+		}
+	})
+}
+
+// Symptom: callers are told to come back by a process that serves 30 ms later.
+// Sequence: all processes were killed; the first requests come before the new
+// ones have read configuration and registry.
+// Cause: what is not known yet was taken for unknown.
+func TestAStartingProcessHoldsRequestsForAMoment(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		ms := metrics.New("test")
+		route := catalog.Route{Name: "r", Host: "h", PathPrefix: "/"}
+		v := fleet.NewView(decoder{route}, 1, logging.Logger{}, ms)
+		g := gateway.New(v, &script{}, logging.Logger{}, ms)
+		time.AfterFunc(30*time.Millisecond, func() {
+			v.CatalogSink().Reset([]store.Record{{Key: "c", Value: []byte("1")}})
+			v.TargetSink().Reset(nil)
+		})
+		if got, r := g.Route(t.Context(), "h", "/x"); r != nil || got.Name != "r" {
+			t.Fatalf("refusal %+v", r)
+		}
+	})
+}
+
+// Symptom: a request that waited for its turn is refused, and may have run.
+// Sequence: all targets have queues; after 300 ms without an answer it leaves its
+// place, and finds the other queues too long.
+// Cause: a queue was left for another queue.
+func TestAQueueIsNotLeftForAQueue(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		slow := func(ctx context.Context, call *exchange.Call) (*exchange.Answer, error) {
+			time.Sleep(700 * time.Millisecond)
+			return answer(exchange.Done, 200, strings.NewReader(stream(1, 2)), true)(ctx, call)
+		}
+		w := newWorld(resumable, 2, slow)
+		for at := range 8 {
+			time.AfterFunc(time.Duration(at)*100*time.Millisecond, func() {
+				w.view.Table(func(tab *balance.Table) {
+					for _, id := range []string{"i0", "i1"} {
+						tab.Note(time.Now(), id, balance.Report{Active: 8, Queued: 2 + 3*min(at, 1), Slots: 8})
+					}
+				})
+			})
+		}
+		time.Sleep(time.Millisecond)
+		if c := w.serve(t.Context()); c.body.String() != stream(1, 2) || len(w.sc.calls) != 1 {
+			t.Fatalf("%q after %d sends, refusal %+v", c.body.String(), len(w.sc.calls), c.refusal)
+		}
+		time.Sleep(time.Second)
+	})
 }
--- a/standin/sharedstore/sharedstore.go
+++ b/standin/sharedstore/sharedstore.go
@@ -35,6 +35,7 @@
 	mu      sync.Mutex
 	logs    map[store.Partition]*log
 	faults  map[string]Fault
+	down    map[store.Partition]bool
 	groups  map[string]*group
 	changed chan struct{} // closed and replaced at each change
 	calls   int
@@ -59,7 +60,7 @@
 func New(parts int) *Store {
 	return &Store{
 		parts: parts, logs: make(map[store.Partition]*log), faults: make(map[string]Fault),
-		groups: make(map[string]*group), changed: make(chan struct{}),
+		down: make(map[store.Partition]bool), groups: make(map[string]*group), changed: make(chan struct{}),
 	}
 }
 
@@ -71,6 +72,13 @@
 	s.wakeLocked()
 }
 
+// SetDown makes a partition refuse all calls, or serve them again.
+func (s *Store) SetDown(p store.Partition, down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down[p] = down
+}
+
 // Calls returns how many calls were made.
 func (s *Store) Calls() int {
 	s.mu.Lock()
@@ -161,11 +169,16 @@
 
 // enter counts a call and applies the host's fault. It returns the fault when the
 // call is still to be carried out.
-func (f *Face) enter(ctx context.Context) (Fault, error) {
+func (f *Face) enter(ctx context.Context, parts ...store.Partition) (Fault, error) {
 	s := f.store
 	s.mu.Lock()
 	s.calls++
 	fault := s.faults[f.host]
+	for _, p := range parts {
+		if s.down[p] {
+			fault = Refuse
+		}
+	}
 	s.mu.Unlock()
 	switch fault {
 	case Refuse:
@@ -180,7 +193,7 @@
 
 // Append implements store.Log.
 func (f *Face) Append(ctx context.Context, p store.Partition, recs []store.Record, at int64) (int64, error) {
-	fault, err := f.enter(ctx)
+	fault, err := f.enter(ctx, p)
 	if err != nil {
 		return 0, err
 	}
@@ -209,7 +222,7 @@
 
 // Read implements store.Log.
 func (f *Face) Read(ctx context.Context, p store.Partition, from int64, wait time.Duration) (store.Page, error) {
-	if _, err := f.enter(ctx); err != nil {
+	if _, err := f.enter(ctx, p); err != nil {
 		return store.Page{}, err
 	}
 	until := time.NewTimer(wait)
@@ -248,7 +261,7 @@
 
 // Newest implements store.Log.
 func (f *Face) Newest(ctx context.Context, p store.Partition, after string) (store.Snapshot, error) {
-	if _, err := f.enter(ctx); err != nil {
+	if _, err := f.enter(ctx, p); err != nil {
 		return store.Snapshot{}, err
 	}
 	s := f.store
