--- a/runner/member.go
+++ b/runner/member.go
@@ -26,6 +26,8 @@
 	// without an answer they start anew.
 	progressTimeout = 1500 * time.Millisecond
 	leaveTimeout    = 800 * time.Millisecond
+	// takeOverPause is left between attempts to read a new partition.
+	takeOverPause = 100 * time.Millisecond
 )
 
 // errHandOver says that another process goes on with an item.
@@ -105,7 +107,13 @@
 
 // takeOver reads how far the items of a partition came, and lets them start.
 func (r *Runner) takeOver(ctx context.Context, part int) {
-	r.cfg.Store.Follow(part)
+	// The jobs have to be known before the progress counts: what belongs to no
+	// open item is forgotten.
+	for r.cfg.Store.Refresh(ctx, part, startAge) != nil {
+		if wait.For(ctx, takeOverPause) != nil || !r.Holds(part) {
+			return
+		}
+	}
 	one, cancel := context.WithTimeout(ctx, progressTimeout)
 	defer cancel()
 	all, err := r.cfg.Store.LoadProgress(one, part)
--- a/runner/run.go
+++ b/runner/run.go
@@ -106,7 +106,9 @@
 // attempts of the item.
 func (r *Runner) ended(ctx context.Context, c candidate, w *work, in targets.Instance, o *jobs.Outcome, err error, from uint64, began time.Time) (uint64, int) {
 	r.mu.Lock()
-	w.running, w.cancel = false, nil
+	// Done in the same step as the end of the run: between the two the item would
+	// look open, and was started once more.
+	w.running, w.cancel, w.done = false, nil, o != nil
 	r.running--
 	if err != nil && !stopped(ctx) {
 		w.backoff = min(max(2*w.backoff, backoffFirst), backoffMost)
--- a/seats/agent.go
+++ b/seats/agent.go
@@ -32,7 +32,7 @@
 	tellEvery = 10 * time.Millisecond
 	// tellAgain is when it is told an unchanged load, so that silence means that
 	// the agent is gone.
-	tellAgain   = 500 * time.Millisecond
+	tellAgain   = 250 * time.Millisecond
 	pollTimeout = 500 * time.Millisecond
 	// staleAfter is how long the target may go without answering before no more
 	// seats are granted.
@@ -56,6 +56,7 @@
 	heard   time.Time                // last answer of the target
 	users   int                      // open watches and seats
 	changed chan struct{}            // closed and replaced when the load changes
+	wanted  chan struct{}            // the first user came
 	leaving bool
 }
 
@@ -79,6 +80,7 @@
 		cfg: cfg, arbiter: NewArbiter(0, Reserve(cfg.Name)),
 		asked:   make(map[uint64]chan struct{}),
 		changed: make(chan struct{}),
+		wanted:  make(chan struct{}, 1),
 	}
 }
 
@@ -101,7 +103,31 @@
 		if err == nil {
 			a.report(load)
 		}
-		_ = wait.For(ctx, a.pause())
+		a.rest(ctx)
+	}
+}
+
+// rest waits until the target is to be asked again: at once when somebody starts
+// to care.
+func (a *Agent) rest(ctx context.Context) {
+	timer := time.NewTimer(a.pause())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-a.wanted:
+	case <-ctx.Done():
+	}
+}
+
+// enterLocked counts a watch or seat. a.mu is held.
+func (a *Agent) enterLocked() {
+	a.users++
+	if a.users > 1 {
+		return
+	}
+	select {
+	case a.wanted <- struct{}{}:
+	default:
 	}
 }
 
@@ -206,7 +232,7 @@
 	}
 	asked := make(chan struct{})
 	a.asked[id] = asked
-	a.users++
+	a.enterLocked()
 	return id, asked, a.loadLocked()
 }
 
@@ -241,7 +267,7 @@
 		_ = st.Recv(&wire.Load{}) // the watcher sends nothing more
 	}()
 	a.mu.Lock()
-	a.users++
+	a.enterLocked()
 	a.mu.Unlock()
 	defer func() {
 		a.mu.Lock()
--- a/seats/client.go
+++ b/seats/client.go
@@ -18,14 +18,19 @@
 
 // Seat is a granted seat. It is held until Close.
 type Seat struct {
-	st *link.Stream
+	release func()
 	// Yield is closed when the seat is to be given back at once.
 	Yield <-chan struct{}
 }
 
+// Granted returns a seat that no agent knows of.
+func Granted(yield <-chan struct{}) *Seat {
+	return &Seat{release: func() {}, Yield: yield}
+}
+
 // Close gives the seat back.
 func (s *Seat) Close() {
-	s.st.Close()
+	s.release()
 }
 
 // Acquire asks the agent at peer for a seat for work that is due at a time. It
@@ -58,7 +63,7 @@
 			close(yield)
 		}
 	}()
-	return &Seat{st: st, Yield: yield}, reply.GetLoad(), nil
+	return &Seat{release: st.Close, Yield: yield}, reply.GetLoad(), nil
 }
 
 // Watch passes on each load that the agent at peer tells, until ctx ends.
