--- /dev/null
+++ b/cmd/pumice/explain.go
@@ -0,0 +1,34 @@
+package main
+
+import (
+	"os"
+
+	"pumiceford/explain"
+)
+
+type explainCmd struct {
+	ID    string   `arg:"positional,required" help:"id of a request, job or item"`
+	Files []string `arg:"positional,required" help:"logs of the processes, one file each or several in one"`
+}
+
+// runExplain prints what the logs tell of one id.
+func runExplain(cmd *explainCmd) error {
+	var all []explain.Line
+	for _, name := range cmd.Files {
+		lines, err := readLog(name)
+		if err != nil {
+			return err
+		}
+		all = append(all, lines...)
+	}
+	return explain.Find(all, cmd.ID).Write(os.Stdout, cmd.ID)
+}
+
+func readLog(name string) ([]explain.Line, error) {
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = f.Close() }() // it was only read
+	return explain.Read(name, f)
+}
--- a/cmd/pumice/main.go
+++ b/cmd/pumice/main.go
@@ -37,7 +37,7 @@
 }
 
 type checkCmd struct {
-	Kind string `arg:"positional,required" help:"entry, agent or standin"`
+	Kind string `arg:"positional,required" help:"entry, agent, standin, gateway or seat-agent"`
 	File string `arg:"positional,required" help:"settings file"`
 }
 
@@ -94,6 +94,8 @@
 type args struct {
 	Dev     *devCmd     `arg:"subcommand:dev" help:"run a fleet with stand-ins on loopback"`
 	Check   *checkCmd   `arg:"subcommand:check" help:"check a settings file"`
+	Config  *checkCmd   `arg:"subcommand:check-config" help:"the same as check"`
+	Explain *explainCmd `arg:"subcommand:explain" help:"what logs tell of a request, job or item"`
 	Chat    *chatCmd    `arg:"subcommand:chat" help:"ask online and stream the answer"`
 	Submit  *submitCmd  `arg:"subcommand:submit" help:"submit a batch job"`
 	Jobs    *jobsCmd    `arg:"subcommand:jobs" help:"list batch jobs"`
@@ -132,6 +134,10 @@
 		return runDev(ctx, a.Dev)
 	case a.Check != nil:
 		return runCheck(a.Check)
+	case a.Config != nil:
+		return runCheck(a.Config)
+	case a.Explain != nil:
+		return runExplain(a.Explain)
 	case a.Chat != nil:
 		return runChat(ctx, a.Chat)
 	case a.Submit != nil:
@@ -175,10 +181,11 @@
 }
 
 func runCheck(cmd *checkCmd) error {
-	kinds := map[string]settings.Checker{"entry": &settings.Entry{}, "agent": &settings.Agent{}, "standin": &settings.Standin{}}
+	kinds := map[string]settings.Checker{"entry": &settings.Entry{}, "agent": &settings.Agent{}, "standin": &settings.Standin{},
+		"gateway": &settings.Gateway{}, "seat-agent": &settings.SeatAgent{}}
 	set, ok := kinds[cmd.Kind]
 	if !ok {
-		return &settings.Error{File: cmd.File, Problem: "expected entry, agent or standin before it"}
+		return &settings.Error{File: cmd.File, Problem: "expected entry, agent, standin, gateway or seat-agent before it"}
 	}
 	if err := settings.Load(cmd.File, set); err != nil {
 		return err
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -170,7 +170,12 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &entryNode{set: set, parts: parts, tlsConf: tlsConf, log: base.Part("entry"), metrics: metrics.New(set.Name)}
+	ms := metrics.New(set.Name)
+	parts.Store = store.NewObserved(parts.Store, func(call, outcome string, took time.Duration) {
+		ms.Count("store_" + call + "_" + outcome)
+		ms.Observe("store_"+call, "", took)
+	})
+	n := &entryNode{set: set, parts: parts, tlsConf: tlsConf, log: base.Part("entry"), metrics: ms}
 	n.view = fleet.NewView(parts.Decoder, xxhash.Sum64String(set.Name), base.Part("fleet"), n.metrics)
 	linkCfg := link.Config{Node: set.Name, Incarnation: oplog.NewIncarnation(), TLS: tlsConf, Dial: netx.Dial}
 	n.ring = peers.NewRing(set.Peers, linkCfg, set.Seeds)
@@ -314,7 +319,9 @@
 
 func (n *entryNode) expire(ctx context.Context) {
 	for wait.For(ctx, expireEvery) == nil {
-		n.view.Expire(time.Now())
+		now := time.Now()
+		n.view.Expire(now)
+		n.metrics.Gauge("catalog_seconds", n.view.CatalogAge(now).Seconds())
 	}
 }
 
@@ -409,8 +416,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	g, ctx := errgroup.WithContext(ctx)
-	a := seats.NewAgent(seats.AgentConfig{Name: set.Name, Gauge: gauge, Log: log})
 	ms := metrics.New(set.Name)
+	a := seats.NewAgent(seats.AgentConfig{Name: set.Name, Gauge: gauge, Log: log, Metrics: ms})
 	g.Go(func() error { a.Run(ctx); return nil })
 	g.Go(func() error {
 		return link.Serve(ctx, listeners[0], link.Config{Node: set.Name, Handle: a.Handle, TLS: tlsConf})
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -46,6 +46,7 @@
 	registry bool          // the registry was read, or told by a peer or copy
 	ready    chan struct{} // closed once catalog and registry are known
 	changes  uint64
+	since    time.Time // when the catalog in force was taken
 	onChange func([]targets.Instance)
 }
 
@@ -73,6 +74,16 @@
 	return v.current.Get()
 }
 
+// CatalogAge returns how long the catalog has been in force here.
+func (v *View) CatalogAge(now time.Time) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.since.IsZero() {
+		return 0
+	}
+	return now.Sub(v.since)
+}
+
 // Ready reports whether requests can be served: catalog and registry are known.
 func (v *View) Ready() bool {
 	select {
@@ -114,6 +125,7 @@
 	if newer {
 		v.raw = value
 		v.changes++
+		v.since = time.Now()
 		v.noteReadyLocked()
 	}
 	v.mu.Unlock()
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -285,5 +285,5 @@
 		logging.F("first_ms", first), logging.F("took_ms", now.Sub(s.req.Arrived).Milliseconds()),
 		logging.F("load", s.choice.Load), logging.F("batch", s.choice.Batch), logging.F("waiting", s.choice.Waiting),
 		logging.F("load_age_ms", s.choice.Age.Milliseconds()), logging.F("among", s.choice.Among),
-		logging.F("catalog", s.g.view.Catalog().Version))
+		logging.F("catalog", s.g.version()))
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -118,7 +118,25 @@
 // Route returns the route of a request, or why there is none. A process that has
 // just started waits a moment for what it needs to know: that takes some 30 ms,
 // and a caller that is told to come back loses ten times as much.
-func (g *Gateway) Route(ctx context.Context, host, path string) (*catalog.Route, *Refusal) {
+func (g *Gateway) Route(ctx context.Context, id, host, path string) (*catalog.Route, *Refusal) {
+	route, refusal := g.route(ctx, host, path)
+	if refusal != nil {
+		g.metrics.Count("online_" + string(refusal.Reason))
+		g.log.Info("request refused", logging.F("request", id), logging.F("outcome", refusal.Reason),
+			logging.F("host", host), logging.F("path", path), logging.F("catalog", g.version()))
+	}
+	return route, refusal
+}
+
+// version returns the version in force, -1 while none is known.
+func (g *Gateway) version() int64 {
+	if c := g.view.Catalog(); c != nil {
+		return c.Version
+	}
+	return -1
+}
+
+func (g *Gateway) route(ctx context.Context, host, path string) (*catalog.Route, *Refusal) {
 	if !g.view.Ready() {
 		if left := startWait - time.Since(g.started); left > 0 {
 			g.view.Await(ctx, left)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -152,7 +152,7 @@
 
 func (w *world) serve(ctx context.Context) *caller {
 	c := &caller{}
-	route, refusal := w.gw.Route(ctx, "h", "/x")
+	route, refusal := w.gw.Route(ctx, "r", "h", "/x")
 	if refusal != nil {
 		c.refusal = refusal
 		return c
@@ -387,7 +387,7 @@
 		g := gateway.New(fleet.NewView(decoder{}, 1, logging.Logger{}, ms), &script{}, logging.Logger{}, ms)
 		time.Sleep(time.Second)
 		began := time.Now()
-		_, r := g.Route(t.Context(), "h", "/x")
+		_, r := g.Route(t.Context(), "r", "h", "/x")
 		if r == nil || r.Reason != gateway.NotReady || !r.NotRun || r.RetryAfter == 0 || time.Since(began) > 0 {
 			t.Fatalf("refusal %+v after %s", r, time.Since(began))
 		}
@@ -408,7 +408,7 @@
 			v.CatalogSink().Reset([]store.Record{{Key: "c", Value: []byte("1")}})
 			v.TargetSink().Reset(nil)
 		})
-		if got, r := g.Route(t.Context(), "h", "/x"); r != nil || got.Name != "r" {
+		if got, r := g.Route(t.Context(), "r", "h", "/x"); r != nil || got.Name != "r" {
 			t.Fatalf("refusal %+v", r)
 		}
 	})
--- a/jobstore/jobstore.go
+++ b/jobstore/jobstore.go
@@ -132,29 +132,44 @@
 // or an earlier one.
 func (s *Store) Accept(ctx context.Context, spec *wire.JobSpec) error {
 	p := s.at(s.PartitionOf(spec.GetId()))
-	var other bool
+	began := time.Now()
+	var other, known bool
 	err := s.update(ctx, p, func(t *jobs.Table) ([]store.Record, error) {
 		if j := t.Get(spec.GetId()); j != nil {
-			other = !jobs.Same(j.Spec, spec)
+			known, other = true, !jobs.Same(j.Spec, spec)
 			return nil, nil
 		}
 		return t.Accept(spec)
 	})
 	if err == nil && other {
-		return ErrOtherJob
+		err = ErrOtherJob
 	}
+	s.tell("accepted", spec.GetId(), p.number, began, err, logging.F("items", len(spec.GetItems())), logging.F("known", known))
 	return err
 }
 
+// tell logs what became of a caller's write.
+func (s *Store) tell(what, id string, number int, began time.Time, err error, more ...logging.Field) {
+	fields := append([]logging.Field{
+		logging.F("job", id), logging.F("partition", number), logging.F("took_ms", time.Since(began).Milliseconds()),
+	}, more...)
+	if err != nil {
+		s.out.Warn("job not "+what, append(fields, logging.F("error", err.Error()))...)
+		return
+	}
+	s.out.Info("job "+what, fields...)
+}
+
 // End ends a job. Ending it again changes nothing.
 func (s *Store) End(ctx context.Context, id string) error {
 	p := s.at(s.PartitionOf(id))
-	known := false
+	began, known := time.Now(), false
 	err := s.update(ctx, p, func(t *jobs.Table) ([]store.Record, error) {
 		known = t.Get(id) != nil
 		return t.End(id)
 	})
 	if err != nil || known {
+		s.tell("ended", id, p.number, began, err)
 		return err
 	}
 	if err := p.sure(ctx); err != nil {
--- a/runner/upkeep.go
+++ b/runner/upkeep.go
@@ -90,7 +90,11 @@
 		err := r.cfg.Store.List(one, part, outs)
 		cancel()
 		if err == nil {
-			r.cfg.Metrics.Count("results_listed")
+			for _, o := range outs {
+				r.cfg.Metrics.Count("results_listed")
+				r.cfg.Log.Info("result listed", logging.F("job", o.Job), logging.F("index", o.Item),
+					logging.F("dead", o.Dead), logging.F("bytes", len(o.Text)), logging.F("partition", part))
+			}
 			r.forget(ctx, part, outs)
 			return
 		}
--- a/seats/agent.go
+++ b/seats/agent.go
@@ -10,6 +10,7 @@
 	"pumiceford/internal/wait"
 	"pumiceford/link"
 	"pumiceford/logging"
+	"pumiceford/metrics"
 	"pumiceford/wire"
 )
 
@@ -44,6 +45,8 @@
 	Name  string // of this agent's host
 	Gauge Gauge
 	Log   logging.Logger
+	// Metrics counts seats granted, refused and asked back.
+	Metrics *metrics.Set
 }
 
 // Agent grants the seats of the target beside it and tells its load.
@@ -148,7 +151,11 @@
 	for _, id := range a.arbiter.Report(load) {
 		close(a.asked[id])
 		delete(a.asked, id)
+		a.cfg.Metrics.Count("seat_asked_back")
 	}
+	a.cfg.Metrics.Gauge("target_active", float64(load.Active))
+	a.cfg.Metrics.Gauge("target_queued", float64(load.Queued))
+	a.cfg.Metrics.Gauge("seats_held", float64(a.arbiter.Held()))
 	if !same {
 		a.wakeLocked()
 	}
@@ -228,8 +235,10 @@
 	}
 	id, ok := a.arbiter.Acquire(now, due)
 	if !ok {
+		a.cfg.Metrics.Count("seat_refused")
 		return 0, nil, a.loadLocked()
 	}
+	a.cfg.Metrics.Count("seat_granted")
 	asked := make(chan struct{})
 	a.asked[id] = asked
 	a.enterLocked()
--- a/seats/agent_test.go
+++ b/seats/agent_test.go
@@ -13,6 +13,7 @@
 
 	"pumiceford/link"
 	"pumiceford/logging"
+	"pumiceford/metrics"
 	"pumiceford/seats"
 	"pumiceford/targets"
 	"pumiceford/wire"
@@ -49,7 +50,7 @@
 
 func connect(ctx context.Context, load seats.Load) *pair {
 	p := &pair{gauge: &gauge{load: load}}
-	p.agent = seats.NewAgent(seats.AgentConfig{Name: unreserved(), Gauge: p.gauge, Log: logging.Logger{}})
+	p.agent = seats.NewAgent(seats.AgentConfig{Name: unreserved(), Gauge: p.gauge, Log: logging.Logger{}, Metrics: metrics.New("test")})
 	go p.agent.Run(ctx)
 	p.peer = link.NewPeer(link.Config{Node: "entry", Dial: func(context.Context, string) (net.Conn, error) {
 		a, b := net.Pipe()
--- /dev/null
+++ b/settings/gateway_test.go
@@ -0,0 +1,63 @@
+package settings
+
+import (
+	"os"
+	"strings"
+	"testing"
+)
+
+// All mistakes of a file are named in one error.
+func TestAllMistakesOfAGatewayAreNamed(t *testing.T) {
+	good, err := os.ReadFile("../examples/gateway.hujson")
+	if err != nil {
+		t.Fatal(err)
+	}
+	bad := strings.NewReplacer(
+		`"name": "entry-0"`, `"name": ""`,
+		`127.0.0.1:8161`, `127.0.0.1:8167`,
+		`127.0.0.1:8166`, `10.0.0.1:8166`,
+		`"agent_port": 7720`, `"agent_port": 77200`,
+		`"partitions": 24`, `"partitions": 0`,
+		`"call_bytes": 2097152`, `"call_bytes": 10`,
+		`"120s"`, `"0s"`, `"8s"`, `"1s"`, `"json"`, `"xml"`, `127.0.0.1:8266`, `here`,
+	).Replace(string(good))
+	err = Parse("x", []byte(bad), &Gateway{})
+	if err == nil {
+		t.Fatal("taken")
+	}
+	for _, want := range []string{"name: missing", "is used by", "without tls only a loopback", "agent_port", "store.partitions", "store.call_bytes", "keep_results", "stop_within", "log.format", `"here" is not`} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("%q is not named in: %v", want, err.Error())
+		}
+	}
+	open := strings.Replace(string(good), `127.0.0.1:8166`, `10.0.0.1:8166`, 1)
+	open = strings.Replace(open, `"memory_mb"`, `"plain_peers": true, "memory_mb"`, 1)
+	if err := Parse("x", []byte(open), &Gateway{}); err != nil {
+		t.Errorf("plain peers on a closed network: %v", err)
+	}
+}
+
+func TestMistakesOfASeatAgent(t *testing.T) {
+	good, err := os.ReadFile("../examples/seat-agent.hujson")
+	if err != nil {
+		t.Fatal(err)
+	}
+	bad := strings.NewReplacer(`127.0.0.1:8165`, `nowhere`, `127.0.0.1:9465`, `127.0.0.1:7720`).Replace(string(good))
+	err = Parse("x", []byte(bad), &SeatAgent{})
+	for _, want := range []string{`"nowhere" is not`, "is used by"} {
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q is not named in: %v", want, err)
+		}
+	}
+}
+
+// The agent beside a target is found by the target's host.
+func TestAgentAddr(t *testing.T) {
+	g := Gateway{AgentPort: 7720}
+	if got := g.AgentAddr("10.1.2.3:80"); got != "10.1.2.3:7720" {
+		t.Errorf("got %q", got)
+	}
+	if got := g.AgentAddr("nonsense"); got != "" {
+		t.Errorf("got %q", got)
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -36,6 +36,27 @@
 	return fmt.Sprintf("%s: %s", where, e.Problem)
 }
 
+// Errors are all problems of a settings file.
+type Errors []*Error
+
+// Error implements error: one problem a line.
+func (e Errors) Error() string {
+	lines := make([]string, len(e))
+	for i, one := range e {
+		lines[i] = one.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Unwrap returns the problems.
+func (e Errors) Unwrap() []error {
+	out := make([]error, len(e))
+	for i, one := range e {
+		out[i] = one
+	}
+	return out
+}
+
 // Duration is a time.Duration written like "500ms" or "2s".
 type Duration time.Duration
 
@@ -102,9 +123,9 @@
 	if len(problems) == 0 {
 		return nil
 	}
-	var all error
+	var all Errors
 	for _, p := range problems {
-		all = errors.CombineErrors(all, &Error{File: name, Line: lineOf(raw, p.Field), Field: p.Field, Problem: p.Text})
+		all = append(all, &Error{File: name, Line: lineOf(raw, p.Field), Field: p.Field, Problem: p.Text})
 	}
 	return all
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -38,7 +38,7 @@
 }
 
 func TestExamples(t *testing.T) {
-	for name, set := range map[string]Checker{"entry": &Entry{}, "agent": &Agent{}, "standin": &Standin{}} {
+	for name, set := range map[string]Checker{"entry": &Entry{}, "agent": &Agent{}, "standin": &Standin{}, "gateway": &Gateway{}, "seat-agent": &SeatAgent{}} {
 		if err := Load(filepath.Join("../examples", name+".hujson"), set); err != nil {
 			t.Error(err)
 		}
