--- a/runner/member.go
+++ b/runner/member.go
@@ -117,6 +117,9 @@
 	one, cancel := context.WithTimeout(ctx, progressTimeout)
 	defer cancel()
 	all, err := r.cfg.Store.LoadProgress(one, part)
+	for err != nil && wait.For(one, takeOverPause) == nil {
+		all, err = r.cfg.Store.LoadProgress(one, part)
+	}
 	if err != nil {
 		r.cfg.Log.Warn("progress not read; items start anew", logging.F("partition", part), logging.F("error", err.Error()))
 	}
