See a lost answer of the store in the partition itself

Change: an append of one call ends as well when the partition is seen to move on. TestALostAnswerIsNotWaitedFor failed before (0.8 s of virtual time).

--- a/jobstore/jobstore.go
+++ b/jobstore/jobstore.go
@@ -233,7 +233,7 @@
 		if at != lost {
 			lost = noAppend
 		}
-		err = s.append(ctx, p, recs, at)
+		err = s.appendOrSee(ctx, p, recs, at)
 		switch {
 		case err == nil:
 			continue
@@ -273,6 +273,37 @@
 	return recs, at, err
 }
 
+// appendOrSee appends, and returns as well when the partition is seen to have
+// moved on: then the records are there, or never will be. The answers of a store
+// that loses them were waited for 0.8 s, while the records came back to the
+// follower within some 10 ms.
+func (s *Store) appendOrSee(ctx context.Context, p *partition, recs []store.Record, at int64) error {
+	if len(groups(recs, s.set.CallBytes)) > 1 {
+		return s.append(ctx, p, recs, at) // its own first call moves the partition on
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answered := make(chan error, 1)
+	go func() { answered <- s.append(ctx, p, recs, at) }()
+	for {
+		moved, changed := p.movedFrom(at)
+		if moved {
+			return nil
+		}
+		select {
+		case err := <-answered:
+			return err
+		case <-changed:
+		}
+	}
+}
+
+// movedFrom reports whether the partition ends beyond at.
+func (p *partition) movedFrom(at int64) (moved bool, changed <-chan struct{}) {
+	p.follow.Look(func(end int64, ch <-chan struct{}) { moved, changed = end > at, ch })
+	return moved, changed
+}
+
 // append writes records at an end, in as many calls as their size needs. Each
 // call requires the end that the one before left.
 func (s *Store) append(ctx context.Context, p *partition, recs []store.Record, at int64) error {
--- a/jobstore/jobstore_test.go
+++ b/jobstore/jobstore_test.go
@@ -84,6 +84,22 @@
 	})
 }
 
+// Symptom: a job is accepted after a second, though the store took it at once.
+// Sequence: the store carries the append out and loses its answer.
+// Cause: the answer was waited for, although the record had come back already.
+func TestALostAnswerIsNotWaitedFor(t *testing.T) {
+	inBubble(t, func(ctx context.Context, t *testing.T) {
+		s := sharedstore.New(1)
+		st := open(ctx, s.For("a"))
+		_, _ = st.Results(ctx, "none", 0, 0) // loads the partition
+		s.SetFault("a", sharedstore.LoseAnswer)
+		began := time.Now()
+		if err := st.Accept(ctx, spec("job", 1)); err != nil || time.Since(began) > 100*time.Millisecond {
+			t.Fatalf("%v after %s", err, time.Since(began))
+		}
+	})
+}
+
 // Symptom: a late append of a writer that was thought dead changes a job.
 // Sequence: a result's append gets no answer; the partition moves on; the append
 // is carried out.
@@ -138,6 +154,26 @@
 	})
 }
 
+// A job that needs several appends is whole, or not there.
+func TestAJobOfManyRecords(t *testing.T) {
+	inBubble(t, func(ctx context.Context, t *testing.T) {
+		s := sharedstore.New(1)
+		a, b := open(ctx, s.For("a")), open(ctx, s.For("b"))
+		big := spec("job", 200)
+		for _, it := range big.GetItems() {
+			it.Body = make([]byte, 20<<10)
+		}
+		if err := a.Accept(ctx, big); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(settle)
+		body, err := b.Body(ctx, "job", "job199")
+		if err != nil || len(body) != 20<<10 {
+			t.Fatalf("%d bytes, %v", len(body), err)
+		}
+	})
+}
+
 // Symptom: two jobs under one id, one of them lost.
 // Cause: a resend was taken in without looking, or another job for a resend.
 func TestResendIsTheSameJobAndAnotherIsRefused(t *testing.T) {
