Prefer targets with an idle connection

Cause: each entry drew among all targets with a free slot, so nearly each pair of entry and target came to hold connections for its own peak. Connections are dear to targets (a slot is held for a millisecond). Change: among targets with a free slot those with an idle connection weigh ten times as much; batch asks there first. TestIdleConnectionsAreUsed replays half a minute of peaks and troughs: 275 connections opened, 406 before, and 13 requests that wait against 19.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -54,6 +54,7 @@
 	online   int // own online requests there
 	atReport int // own online requests there when the report came
 	seated   int // slots not free any more since the report, for batch
+	conns    conns
 
 	failures  int
 	ejections int
@@ -110,13 +111,61 @@
 	load, slots, batch := v.load(now), v.slots(), v.batch(now)
 	switch {
 	case load < slots:
-		return tierFree, square(slots - load)
+		return tierFree, v.weigh(now, square(slots-load))
 	case batch > 0 && load-batch < slots:
 		return tierDisplace, square(slots - load + batch)
 	}
 	return tierQueue, 1 / square(1+load-slots)
 }
 
+// conns estimates the connections that this process keeps to a target.
+type conns struct {
+	busy int       // in use
+	open int       // in use or idle
+	used time.Time // when one was last taken or given back
+}
+
+// Weights and times of connections.
+const (
+	// idleFor is how long an idle connection stays open.
+	idleFor = 8 * time.Second
+	// idleWeight is how much a target with an idle connection is preferred among
+	// those that have a free slot. A new connection takes a round trip and holds a
+	// slot for a millisecond. In a replayed half minute of peaks and troughs 275 are
+	// opened with it and 406 without; as many requests wait, 13 and 19 of some 2,360.
+	idleWeight = 10
+)
+
+func (c *conns) take(now time.Time) {
+	if now.Sub(c.used) > idleFor {
+		c.open = c.busy
+	}
+	c.busy++
+	c.open = max(c.open, c.busy)
+	c.used = now
+}
+
+func (c *conns) give(now time.Time, reusable bool) {
+	c.busy--
+	if !reusable {
+		c.open--
+	}
+	c.used = now
+}
+
+// idle reports whether a connection is there that nothing uses.
+func (c *conns) idle(now time.Time) bool {
+	return c.open > c.busy && now.Sub(c.used) <= idleFor
+}
+
+// weigh returns the weight of a target among others of its tier.
+func (v *View) weigh(now time.Time, w float64) float64 {
+	if v.conns.idle(now) {
+		return idleWeight * w
+	}
+	return w
+}
+
 func square(n int) float64 {
 	return float64(n) * float64(n)
 }
@@ -162,16 +211,33 @@
 }
 
 // Began counts an online request sent to a target.
-func (t *Table) Began(id string) {
+func (t *Table) Began(now time.Time, id string) {
 	if v := t.views[id]; v != nil {
 		v.online++
+		v.conns.take(now)
 	}
 }
 
-// Ended counts an online request that ended there.
-func (t *Table) Ended(id string) {
+// Ended counts an online request that ended there, and whether its connection
+// can be used again.
+func (t *Table) Ended(now time.Time, id string, reusable bool) {
 	if v := t.views[id]; v != nil {
 		v.online--
+		v.conns.give(now, reusable)
+	}
+}
+
+// BatchBegan counts an item sent to a target.
+func (t *Table) BatchBegan(now time.Time, id string) {
+	if v := t.views[id]; v != nil {
+		v.conns.take(now)
+	}
+}
+
+// BatchEnded counts an item that ended there.
+func (t *Table) BatchEnded(now time.Time, id string, reusable bool) {
+	if v := t.views[id]; v != nil {
+		v.conns.give(now, reusable)
 	}
 }
 
@@ -321,10 +387,11 @@
 type Room struct {
 	Instance targets.Instance
 	Free     int
+	idle     bool // a connection is there for it
 }
 
 // Rooms returns the targets of a service whose agents have seats for batch work,
-// most free first. Targets without an agent's word get no batch work: nobody would
+// those with an idle connection and then the most free first. Targets without an agent's word get no batch work: nobody would
 // notice online requests waiting behind it.
 func (t *Table) Rooms(now time.Time, service string) []Room {
 	var out []Room
@@ -333,10 +400,16 @@
 			continue
 		}
 		if free := min(v.Free(now), v.report.Room) - v.seated; free > 0 {
-			out = append(out, Room{Instance: v.Instance, Free: free})
+			out = append(out, Room{Instance: v.Instance, Free: free, idle: v.conns.idle(now)})
 		}
 	}
 	slices.SortFunc(out, func(a, b Room) int {
+		if a.idle != b.idle {
+			if a.idle {
+				return -1
+			}
+			return 1
+		}
 		if a.Free != b.Free {
 			return b.Free - a.Free
 		}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -98,7 +98,7 @@
 			for k := 0; k < len(runs); k++ {
 				if runs[k].end.Before(now) {
 					f.load[runs[k].id]--
-					f.entries[runs[k].entry].Ended(runs[k].id)
+					f.entries[runs[k].entry].Ended(now, runs[k].id, true)
 					runs = append(runs[:k], runs[k+1:]...)
 					k--
 				}
@@ -112,7 +112,7 @@
 				}
 				id = c.Instance.ID
 			}
-			f.entries[e].Began(id)
+			f.entries[e].Began(now, id)
 			if f.load[id] >= slots {
 				waited++
 			}
@@ -232,3 +232,72 @@
 		t.Fatalf("heard of long ago: %v", rooms)
 	}
 }
+
+// A calm half minute: peaks of 150 and troughs of 30 requests a second in turn at
+// eight entries, 18 targets, each request 0.75 s long.
+//
+// Symptom: 406 connections to targets, of which 131 are needed only because
+// entries choose targets to which they have none.
+// Cause: the choice did not know of idle connections.
+func TestIdleConnectionsAreUsed(t *testing.T) {
+	const n, slots, entries, holds = 18, 8, 8, 750 * time.Millisecond
+	requests := 0
+	replay := func(know bool) (opened, waited int) {
+		requests = 0
+		rnd := rand.New(rand.NewPCG(3, 4))
+		f := newFleet(entries, n, slots)
+		type pair struct {
+			entry int
+			id    string
+		}
+		busy, open := make(map[pair]int), make(map[pair]int)
+		type run struct {
+			end time.Time
+			pair
+		}
+		var runs []run
+		nextTell := start
+		for now := start; now.Before(start.Add(30 * time.Second)); {
+			rate := 30.0
+			if now.Sub(start)%(6*time.Second) > 3600*time.Millisecond {
+				rate = 150
+			}
+			now = now.Add(time.Duration(rnd.ExpFloat64() / rate * float64(time.Second)))
+			for len(runs) > 0 && runs[0].end.Before(now) {
+				f.load[runs[0].id]--
+				busy[runs[0].pair]--
+				if know {
+					f.entries[runs[0].entry].Ended(now, runs[0].id, true)
+				} else {
+					f.entries[runs[0].entry].Ended(now, runs[0].id, false) // as if it were closed
+				}
+				runs = runs[1:]
+			}
+			if now.After(nextTell) {
+				nextTell = now.Add(25 * time.Millisecond)
+				f.tell(now, n, slots)
+			}
+			requests++
+			e := rnd.IntN(entries)
+			c, _ := f.entries[e].Pick(now, "s", nil, rnd.Float64())
+			p := pair{e, c.Instance.ID}
+			f.entries[e].Began(now, p.id)
+			if f.load[p.id] >= slots {
+				waited++
+			}
+			f.load[p.id]++
+			if busy[p]++; busy[p] > open[p] {
+				open[p]++
+				opened++
+			}
+			runs = append(runs, run{now.Add(holds), p})
+		}
+		return opened, waited
+	}
+	with, waitedWith := replay(true)
+	without, waitedWithout := replay(false)
+	t.Logf("connections opened: knowing of idle ones %d, not knowing %d; requests that waited: %d and %d of %d", with, without, waitedWith, waitedWithout, requests)
+	if with*4 > without*3 || waitedWith > waitedWithout+10 {
+		t.Fatalf("opened %d and %d, waited %d and %d", with, without, waitedWith, waitedWithout)
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -218,7 +218,7 @@
 	s.g.view.Table(func(t *balance.Table) {
 		c, ok = t.Pick(time.Now(), s.service, s.tried, rand.Float64())
 		if ok && s.fits(c) {
-			t.Began(c.Instance.ID)
+			t.Began(time.Now(), c.Instance.ID)
 		}
 	})
 	switch {
@@ -250,7 +250,11 @@
 
 // attempt sends the request to one target and passes its answer on.
 func (s *serving) attempt(c balance.Choice) step {
-	defer s.g.view.Table(func(t *balance.Table) { t.Ended(c.Instance.ID) })
+	defer func() {
+		// A send that was not read to its end costs its connection.
+		whole := s.outcome == "served"
+		s.g.view.Table(func(t *balance.Table) { t.Ended(time.Now(), c.Instance.ID, whole) })
+	}()
 	s.sends++
 	s.runs++ // until the target says otherwise
 	call := s.req.Call
--- a/runner/run.go
+++ b/runner/run.go
@@ -75,7 +75,9 @@
 		case <-ctx.Done():
 		}
 	}()
+	r.cfg.View.Table(func(t *balance.Table) { t.BatchBegan(began, in.ID) })
 	outcome, err := r.attempt(ctx, c, w, in)
+	r.cfg.View.Table(func(t *balance.Table) { t.BatchEnded(time.Now(), in.ID, err == nil) })
 	why := "complete"
 	if err != nil {
 		why = reason(ctx, err)
