Leave an address that has another instance

An instance whose address answered as another one gets nothing more. TestAnAddressWithAnotherInstanceIsLeft failed before.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -268,6 +268,8 @@
 		switch {
 		case !known && len(before) > 0: // a first reading is told as one line
 			v.log.Info("target joined", logging.F("instance", in.ID), logging.F("addr", in.Addr), logging.F("service", in.Service))
+		case in.Superseded && !was.Superseded:
+			v.log.Info("target's address has another instance", logging.F("instance", in.ID), logging.F("addr", in.Addr))
 		case in.Draining && !was.Draining:
 			v.log.Info("target is leaving", logging.F("instance", in.ID), logging.F("seq", in.Seq))
 		}
@@ -277,6 +279,12 @@
 	}
 }
 
+// Supersede notes that another instance answered at an instance's address: the
+// registrations of dead targets stay for seconds.
+func (v *View) Supersede(id string) {
+	v.changeTargets(func() { v.set.Supersede(id) })
+}
+
 // RegistryAway notes that the registry does not answer.
 func (v *View) RegistryAway(error) {
 	v.mu.Lock()
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -117,7 +117,7 @@
 	why := "full"
 	if ans.Outcome == exchange.OtherInstance {
 		why = "other_instance"
-		s.judge(in, balance.Unfit, why)
+		s.g.view.Supersede(in.ID)
 	}
 	if s.sends < maxSends {
 		s.note("sent elsewhere; the target did not run it", in, "why", why)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -216,6 +216,31 @@
 	}
 }
 
+// Symptom: after a power loss requests are turned away four times in a row and then
+// refused, for seconds.
+// Sequence: all targets started anew; the registry still names the old instances.
+// Cause: an address that has another instance was tried again and again.
+func TestAnAddressWithAnotherInstanceIsLeft(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		other := answer(exchange.OtherInstance, 421, strings.NewReader(""), false)
+		w := newWorld(once, 2, other)
+		for range 20 {
+			w.sc.replies = append(w.sc.replies, func(ctx context.Context, call *exchange.Call) (*exchange.Answer, error) {
+				return answer(exchange.Done, 200, strings.NewReader("ok"), false)(ctx, call)
+			})
+		}
+		for range 20 {
+			w.serve(t.Context())
+			time.Sleep(time.Second)
+		}
+		for _, id := range w.sc.to[1:] {
+			if id == w.sc.to[0] {
+				t.Fatalf("%s was tried again", id)
+			}
+		}
+	})
+}
+
 // Symptom: "not run" although a target had run it.
 // Sequence: the first target may have run it, the others say they did not.
 // Cause: the last answer decided.
--- a/runner/run.go
+++ b/runner/run.go
@@ -209,7 +209,7 @@
 	failed := ans.Outcome == exchange.Failed && ans.Status == http.StatusInternalServerError
 	never := ans.Outcome == exchange.Done && ans.Status == statusImpossible
 	if ans.Outcome == exchange.OtherInstance {
-		r.judge(in, balance.Unfit)
+		r.cfg.View.Supersede(in.ID)
 	}
 	if failed || never {
 		r.mu.Lock()
--- a/targets/targets.go
+++ b/targets/targets.go
@@ -63,6 +63,13 @@
 	s.byID[in.ID] = &in
 }
 
+// Supersede notes that another instance answered at an instance's address.
+func (s *Set) Supersede(id string) {
+	if in := s.byID[id]; in != nil {
+		in.Superseded = true
+	}
+}
+
 // Drop takes the end of a registration. Around an outage of the registry it is
 // held back for a while: the entries of live targets lapse then and come back.
 func (s *Set) Drop(now time.Time, id string) {
