--- /dev/null
+++ b/balance/rooms.go
@@ -0,0 +1,61 @@
+package balance
+
+import (
+	"slices"
+	"time"
+
+	"pumiceford/routing"
+	"pumiceford/targets"
+)
+
+// Room is a target with the slots that are estimated to be free there.
+type Room struct {
+	Instance targets.Instance
+	Free     int
+	idle     bool // a connection is there for it
+}
+
+// Rooms returns the targets of a service whose agents have seats for batch work,
+// those with an idle connection and then the most free first. Targets without an agent's word get no batch work: nobody would
+// notice online requests waiting behind it.
+func (t *Table) Rooms(now time.Time, service string) []Room {
+	var out []Room
+	for _, v := range t.views {
+		if !v.usable(now, service, nil, false) || !v.reported(now) {
+			continue
+		}
+		if free := min(v.Free(now), v.report.Room) - v.seated; free > 0 {
+			out = append(out, Room{Instance: v.Instance, Free: free, idle: v.conns.idle(now)})
+		}
+	}
+	slices.SortFunc(out, func(a, b Room) int {
+		if a.idle != b.idle {
+			if a.idle {
+				return -1
+			}
+			return 1
+		}
+		if a.Free != b.Free {
+			return b.Free - a.Free
+		}
+		if routing.Score(a.Instance.ID, t.salt) > routing.Score(b.Instance.ID, t.salt) {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// Seated notes the answer of an agent that was asked for a seat. Until its next
+// report a refusal means that nothing is free there.
+func (t *Table) Seated(id string, granted bool) {
+	v := t.views[id]
+	if v == nil {
+		return
+	}
+	if granted {
+		v.seated++
+		return
+	}
+	v.seated = v.slots()
+}
--- a/daemon/agentlinks.go
+++ b/daemon/agentlinks.go
@@ -95,3 +95,8 @@
 	}
 	return seat, err
 }
+
+// loadReport turns an agent's word into what the balance works with.
+func loadReport(l *wire.Load) balance.Report {
+	return balance.Report{Active: int(l.GetActive()), Queued: int(l.GetQueued()), Batch: int(l.GetBatch()), Slots: int(l.GetSlots()), Room: int(l.GetRoom())}
+}
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -5,19 +5,14 @@
 	"crypto/tls"
 	"io"
 	stdlog "log"
-	"net"
 	"net/http"
 	"os"
-	"runtime/debug"
 	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/cockroachdb/errors"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"golang.org/x/sync/errgroup"
 
-	"pumiceford/balance"
 	"pumiceford/catalog"
 	"pumiceford/exchange"
 	"pumiceford/fleet"
@@ -31,11 +26,9 @@
 	"pumiceford/oplog"
 	"pumiceford/peers"
 	"pumiceford/runner"
-	"pumiceford/seats"
 	"pumiceford/settings"
 	"pumiceford/store"
 	"pumiceford/targets"
-	"pumiceford/wire"
 )
 
 // TargetSender sends to targets and forgets those that are gone.
@@ -101,36 +94,8 @@
 	headerBytes = 16 << 10
 	jobGroup    = "runners"
 	maxRunning  = 256
-	// memoryShare is the part of a process's limit that the runtime stays under
-	// by collecting sooner.
-	memoryShare = 0.8
 )
 
-// limitMemory makes the runtime collect before the platform kills the process.
-func limitMemory(megabytes int) {
-	if megabytes > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(megabytes<<20)))
-	}
-}
-
-// takeLibraryLog sends what libraries write to the standard log, such as answers
-// that nobody asked for, to ours.
-func takeLibraryLog(log logging.Logger) {
-	stdlog.SetFlags(0)
-	stdlog.SetOutput(libraryLog{log})
-}
-
-type libraryLog struct{ log logging.Logger }
-
-// libraryLineBytes bounds one line: it may quote what a target sent.
-const libraryLineBytes = 120
-
-// Write implements io.Writer.
-func (l libraryLog) Write(p []byte) (int, error) {
-	l.log.Warn("library reports", logging.F("text", string(p[:min(len(p), libraryLineBytes)])))
-	return len(p), nil
-}
-
 // entryNode is one running entry.
 type entryNode struct {
 	set     *settings.Gateway
@@ -248,83 +213,6 @@
 	}
 }
 
-// follow follows the configuration and the registry.
-func (n *entryNode) follow(ctx context.Context) {
-	config := store.NewFollower(n.store, n.parts.Catalog, n.view.CatalogSink(), store.FollowSettings{
-		Wait:      catalogWait,
-		OnTrouble: func(err error) { n.trouble("configuration", err) },
-		OnContact: func(d time.Duration) { n.contact("configuration", d) },
-	})
-	registry := store.NewFollower(n.store, n.parts.Registry, n.view.TargetSink(), store.FollowSettings{
-		Wait: catalogWait, Pause: registryPause,
-		OnTrouble: n.view.RegistryAway,
-		OnContact: n.view.RegistryBack,
-	})
-	go registry.Run(ctx)
-	config.Run(ctx)
-}
-
-func (n *entryNode) trouble(what string, err error) {
-	n.metrics.Count("store_failures")
-	n.log.Warn("store does not answer; what is known stays in force", logging.F("read", what), logging.F("error", err.Error()))
-}
-
-func (n *entryNode) contact(what string, away time.Duration) {
-	n.log.Info("store answers again", logging.F("read", what), logging.F("away_ms", away.Milliseconds()))
-}
-
-// watchPeers learns the other entries from the group, and asks them for catalog
-// and targets while these are not known here.
-func (n *entryNode) watchPeers(ctx context.Context) {
-	next := time.Time{}
-	for ctx.Err() == nil {
-		if !n.view.Ready() {
-			n.ring.Fetch(ctx, n.view)
-		}
-		if now := time.Now(); now.After(next) {
-			next = now.Add(ownersEvery)
-			n.learnPeers(ctx)
-		}
-		_ = wait.For(ctx, fetchEvery)
-	}
-}
-
-// keepCopies takes the fleet from a copy when its own partitions cannot be read
-// at the start, and keeps the copies afterwards.
-func (n *entryNode) keepCopies(ctx context.Context) {
-	n.view.Await(ctx, copyAfter)
-	for !n.view.Ready() && ctx.Err() == nil {
-		n.copies.Load(ctx)
-		n.view.Await(ctx, fetchEvery)
-	}
-	for wait.For(ctx, copyEvery) == nil {
-		if n.runner.Holds(copyPartition) {
-			n.copies.Save(ctx, time.Now())
-		}
-	}
-}
-
-func (n *entryNode) learnPeers(ctx context.Context) {
-	owners, err := n.store.Owners(ctx, jobGroup)
-	if err != nil {
-		n.metrics.Count("group_failures")
-		return // who was known stays
-	}
-	var addrs []string
-	for _, o := range owners {
-		addrs = append(addrs, o.Member)
-	}
-	n.ring.Set(append(addrs, n.set.Seeds...))
-}
-
-func (n *entryNode) expire(ctx context.Context) {
-	for wait.For(ctx, expireEvery) == nil {
-		now := time.Now()
-		n.view.Expire(now)
-		n.metrics.Gauge("catalog_seconds", n.view.CatalogAge(now).Seconds())
-	}
-}
-
 // reload takes what may change while running: the seeds. All else counts at the
 // next start.
 func (n *entryNode) reload(file string) error {
@@ -360,89 +248,3 @@
 	}
 	n.log.Info("stopped")
 }
-
-func listenAll(addrs ...string) ([]net.Listener, error) {
-	var out []net.Listener
-	for _, a := range addrs {
-		ln, err := settings.Listen(a)
-		if err != nil {
-			return nil, err
-		}
-		out = append(out, ln)
-	}
-	return out, nil
-}
-
-// serve serves until ctx ends.
-func serve(ctx context.Context, s *http.Server, ln net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
-	defer stop()
-	err := s.Serve(ln)
-	if ctx.Err() != nil {
-		return nil
-	}
-	if errors.Is(err, http.ErrServerClosed) {
-		<-ctx.Done() // a graceful shutdown goes on
-		return nil
-	}
-	return err
-}
-
-func metricsHandler(ms *metrics.Set) http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle("/metrics", promhttp.HandlerFor(ms.Registry, promhttp.HandlerOpts{}))
-	return mux
-}
-
-// loadReport turns an agent's word into what the balance works with.
-func loadReport(l *wire.Load) balance.Report {
-	return balance.Report{Active: int(l.GetActive()), Queued: int(l.GetQueued()), Batch: int(l.GetBatch()), Slots: int(l.GetSlots()), Room: int(l.GetRoom())}
-}
-
-// RunSeatAgent runs an agent beside a target until stop ends.
-func RunSeatAgent(stop context.Context, file string, set *settings.SeatAgent, gauge seats.Gauge) error {
-	tlsConf, err := set.TLS.Config()
-	if err != nil {
-		return err
-	}
-	listeners, err := listenAll(set.Listen, set.Metrics)
-	if err != nil {
-		return err
-	}
-	out := logging.NewAsync(os.Stdout)
-	defer out.Close(logFlush)
-	limitMemory(set.MemoryMB)
-	log := logging.New(logging.Settings{Level: set.Log.Level, Format: set.Log.Format, Writer: out}).Part("agent")
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	g, ctx := errgroup.WithContext(ctx)
-	ms := metrics.New(set.Name)
-	a := seats.NewAgent(seats.AgentConfig{Name: set.Name, Gauge: gauge, Log: log, Metrics: ms})
-	g.Go(func() error { a.Run(ctx); return nil })
-	g.Go(func() error {
-		return link.Serve(ctx, listeners[0], link.Config{Node: set.Name, Handle: a.Handle, TLS: tlsConf})
-	})
-	g.Go(func() error {
-		return serve(ctx, &http.Server{Handler: metricsHandler(ms), ReadHeaderTimeout: headerTime}, listeners[1])
-	})
-	g.Go(func() error {
-		onReload(ctx, log, func() error {
-			// Nothing of an agent's settings changes while it runs; they are
-			// checked, so that a mistake shows before the next start.
-			return settings.Load(file, &settings.SeatAgent{})
-		})
-		return nil
-	})
-	log.Info("started", logging.F("listen", set.Listen), logging.F("target", set.Target))
-	g.Go(func() error {
-		defer cancel()
-		if waitStop(ctx, stop) {
-			log.Info("stopping")
-			a.Leave()
-			_ = wait.For(ctx, lastWords)
-			log.Info("stopped")
-		}
-		return nil
-	})
-	return g.Wait()
-}
--- /dev/null
+++ b/daemon/seatagent.go
@@ -0,0 +1,64 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"os"
+
+	"golang.org/x/sync/errgroup"
+
+	"pumiceford/internal/wait"
+	"pumiceford/link"
+	"pumiceford/logging"
+	"pumiceford/metrics"
+	"pumiceford/seats"
+	"pumiceford/settings"
+)
+
+// RunSeatAgent runs an agent beside a target until stop ends.
+func RunSeatAgent(stop context.Context, file string, set *settings.SeatAgent, gauge seats.Gauge) error {
+	tlsConf, err := set.TLS.Config()
+	if err != nil {
+		return err
+	}
+	listeners, err := listenAll(set.Listen, set.Metrics)
+	if err != nil {
+		return err
+	}
+	out := logging.NewAsync(os.Stdout)
+	defer out.Close(logFlush)
+	limitMemory(set.MemoryMB)
+	log := logging.New(logging.Settings{Level: set.Log.Level, Format: set.Log.Format, Writer: out}).Part("agent")
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	g, ctx := errgroup.WithContext(ctx)
+	ms := metrics.New(set.Name)
+	a := seats.NewAgent(seats.AgentConfig{Name: set.Name, Gauge: gauge, Log: log, Metrics: ms})
+	g.Go(func() error { a.Run(ctx); return nil })
+	g.Go(func() error {
+		return link.Serve(ctx, listeners[0], link.Config{Node: set.Name, Handle: a.Handle, TLS: tlsConf})
+	})
+	g.Go(func() error {
+		return serve(ctx, &http.Server{Handler: metricsHandler(ms), ReadHeaderTimeout: headerTime}, listeners[1])
+	})
+	g.Go(func() error {
+		onReload(ctx, log, func() error {
+			// Nothing of an agent's settings changes while it runs; they are
+			// checked, so that a mistake shows before the next start.
+			return settings.Load(file, &settings.SeatAgent{})
+		})
+		return nil
+	})
+	log.Info("started", logging.F("listen", set.Listen), logging.F("target", set.Target))
+	g.Go(func() error {
+		defer cancel()
+		if waitStop(ctx, stop) {
+			log.Info("stopping")
+			a.Leave()
+			_ = wait.For(ctx, lastWords)
+			log.Info("stopped")
+		}
+		return nil
+	})
+	return g.Wait()
+}
