--- a/balance/view.go
+++ b/balance/view.go
@@ -12,7 +12,7 @@
 	// second, so an older word means that the agent is gone.
 	reportFor = 1500 * time.Millisecond
 	// ejectFirst and ejectMost bound how long a target that failed gets nothing.
-	// The first is some 50 steps of an engine; a target that stays down costs one
+	// The first is some 170 steps of an engine; a target that stays down costs one
 	// request each ejectMost.
 	ejectFirst = 500 * time.Millisecond
 	ejectMost  = 4 * time.Second
--- a/cmd/pumiceford/main.go
+++ b/cmd/pumiceford/main.go
@@ -2,7 +2,7 @@
 // callers, or an agent beside a target.
 package main
 
-// Importing C makes the linker use the C library, as the platform's machines need.
+// Importing C makes the linker use the C library, as the platform's hosts need.
 
 import "C"
 
--- a/runner/run.go
+++ b/runner/run.go
@@ -47,7 +47,7 @@
 	return route.Service(c.open.Item.GetId()), true
 }
 
-// seat asks the agents for a seat, the one with most free slots first.
+// seat asks the agents for a seat, the most promising first.
 func (r *Runner) seat(ctx context.Context, service string, due time.Time) (*seats.Seat, targets.Instance) {
 	var ranked []balance.Room
 	r.cfg.View.Table(func(t *balance.Table) { ranked = t.Rooms(time.Now(), service) })
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -68,6 +68,9 @@
 	// unlistedMost bounds the bytes of results that wait for the store: a fifth of
 	// the smallest entry's memory.
 	unlistedMost = 36 << 20
+	// routelessFor is how long an item may be without a route before it is given
+	// up: longer than a storm of configurations lasts.
+	routelessFor = 6 * time.Second
 	// clockMargin is how far the wall clocks of two hosts may differ: an item is
 	// not given up before its time by any of them.
 	clockMargin = 3 * time.Second
@@ -104,6 +107,7 @@
 	never     bool
 	backoff   time.Duration
 	notBefore time.Time
+	noRoute   time.Time // since when the item has no route; zero while it has one
 }
 
 // progress is the output so far.
@@ -332,12 +336,14 @@
 	r.mu.Lock()
 	failed, never := w.failed, w.never
 	r.mu.Unlock()
+	now := time.Now()
+	route, routeless := r.route(c), r.routeless(now, c, w)
 	attempts := 1
-	if route := r.route(c); route != nil {
+	if route != nil {
 		attempts = max(route.Attempts, 1)
 	}
-	late := time.Now().After(time.UnixMilli(c.open.Spec.GetAbandonUnixMs()).Add(clockMargin))
-	if !never && failed < attempts && !late {
+	late := now.After(time.UnixMilli(c.open.Spec.GetAbandonUnixMs()).Add(clockMargin))
+	if !never && failed < attempts && !late && !routeless {
 		return false
 	}
 	why := "failed too often"
@@ -346,6 +352,8 @@
 		why = "a target says that it can never be done"
 	case late:
 		why = "its time is over"
+	case routeless:
+		why = "its route was removed"
 	}
 	r.cfg.Log.Warn("item given up", logging.F("job", c.open.Job), logging.F("item", c.open.Item.GetId()),
 		logging.F("why", why), logging.F("failed", failed))
@@ -354,6 +362,21 @@
 	return true
 }
 
+// routeless reports whether an item has had no route for routelessFor. A route
+// may be missing for a moment while configurations follow each other.
+func (r *Runner) routeless(now time.Time, c candidate, w *work) bool {
+	known, route := r.cfg.View.Catalog() != nil, r.route(c)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case !known || route != nil:
+		w.noRoute = time.Time{}
+	case w.noRoute.IsZero():
+		w.noRoute = now
+	}
+	return !w.noRoute.IsZero() && now.Sub(w.noRoute) >= routelessFor
+}
+
 func (r *Runner) finish(w *work, part int, o jobs.Outcome) {
 	r.mu.Lock()
 	w.done = true
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -40,7 +40,11 @@
 
 func (decoder) CatalogKey() string { return "c" }
 
-func (decoder) Catalog([]byte) (*catalog.Catalog, error) {
+// Catalog returns a version with the route, or without any for "none".
+func (decoder) Catalog(value []byte) (*catalog.Catalog, error) {
+	if string(value) == "none" {
+		return catalog.New(2, catalog.Limits{}, nil, nil), nil
+	}
 	r := catalog.Route{Name: "r", Host: "h", PathPrefix: "/", Kind: catalog.Batch, Attempts: 3, Shares: []catalog.Share{{Service: "s", Weight: 1}}}
 	return catalog.New(1, catalog.Limits{}, nil, []catalog.Route{r}), nil
 }
@@ -137,6 +141,7 @@
 
 // node is one process that runs items.
 type node struct {
+	view   *fleet.View
 	jobs   *jobstore.Store
 	runner *runner.Runner
 	seats  *plenty
@@ -156,7 +161,7 @@
 		}
 	}()
 	face := s.For(name)
-	n := &node{stop: cancel, seats: &plenty{}}
+	n := &node{view: view, stop: cancel, seats: &plenty{}}
 	n.jobs = jobstore.New(ctx, face, jobstore.Settings{Topic: "jobs", ProgressTopic: "progress", Partitions: parts, CallBytes: 2 << 20, Keep: time.Minute}, logging.Logger{})
 	n.runner = runner.New(runner.Config{
 		Member: name, Group: "g", Store: n.jobs, Groups: face, View: view, Sender: e, Seats: n.seats,
@@ -411,6 +416,25 @@
 	})
 }
 
+// Symptom: a job stays open for good after its route was removed.
+// Cause: its items had no service to run at, and were neither run nor given up.
+func TestItemsWithoutARouteAreGivenUp(t *testing.T) {
+	bubble(t, func(ctx context.Context, t *testing.T, s *sharedstore.Store, e *engine) {
+		a := startNode(ctx, s, e, "a")
+		time.Sleep(joined)
+		a.view.CatalogSink().Apply(store.Record{Key: "c", Value: []byte("none")})
+		accept(ctx, t, a, "job", 1)
+		time.Sleep(4 * time.Second)
+		if res, err := a.jobs.Results(ctx, "job", 0, 0); err != nil || len(res.Items) != 0 {
+			t.Fatalf("given up at once: %v %v", res, err)
+		}
+		time.Sleep(4 * time.Second)
+		if res, err := a.jobs.Results(ctx, "job", 0, 0); err != nil || len(res.Items) != 1 || !res.Items[0].Dead {
+			t.Fatalf("still open: %v %v", res, err)
+		}
+	})
+}
+
 // Symptom: a killed runner's items are never done, or its attempts do not count.
 func TestAKilledRunnerIsReplaced(t *testing.T) {
 	bubble(t, func(ctx context.Context, t *testing.T, s *sharedstore.Store, e *engine) {
--- a/seats/agent.go
+++ b/seats/agent.go
@@ -22,8 +22,8 @@
 // Intervals of an agent.
 const (
 	// pollBusy is how often the target is asked while batch work runs there or
-	// an entry watches: a waiting online request is seen within it. A call costs
-	// some 150 us of processor time.
+	// an entry watches: a waiting online request is seen within it. An agent
+	// spends 1.1 % of a core in all on a busy day.
 	pollBusy = 15 * time.Millisecond
 	// pollIdle is how often while nobody asks.
 	pollIdle = 250 * time.Millisecond
