Keep the header limit in force, and keep idle connections longer than any limit

Cause, found by reading: the bounds of a connection were constants at the users' present values. A deployment with a longer idle limit would have had connections closed under requests on their way, one with a larger header limit refusals of proper requests. The constants are bounds above now, the header limit of the configuration is kept by the handler (TestBadInputIsAnswered).

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -89,9 +89,13 @@
 	// to be done.
 	lastBefore  = 700 * time.Millisecond
 	logFlush    = 200 * time.Millisecond
-	headerTime  = 3 * time.Second
-	idleTime    = 30 * time.Second
-	headerBytes = 16 << 10
+	// headerTime, idleTime and headerBytes bound a connection whatever operators
+	// set: they are above the limits in force, which the handler of callers keeps.
+	// A server that closed idle connections sooner than these allow would cross
+	// with requests on them.
+	headerTime  = 15 * time.Second
+	idleTime    = 2 * time.Minute
+	headerBytes = 256 << 10
 	jobGroup    = "runners"
 	maxRunning  = 256
 )
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -35,18 +35,19 @@
 
 // The reasons.
 const (
-	NoRoute   Reason = "no_route"  // no route has the host and path
-	NotReady  Reason = "not_ready" // no catalog is known yet
-	NoTarget  Reason = "no_target" // no target of the service may get it
-	Overload  Reason = "overload"  // it would wait longer than is useful
-	Lost      Reason = "lost"      // a target may have run it; its answer is lost
-	TimedOut  Reason = "timed_out" // the time for it is over
-	Leaving   Reason = "leaving"   // this process stops
-	Malformed Reason = "malformed" // the request makes no sense
-	TooLarge  Reason = "too_large" // its body is over the limit
-	Unsure    Reason = "unsure"    // the shared store does not answer
-	Unknown   Reason = "unknown"   // there is no such job
-	Conflict  Reason = "conflict"  // another job has the id
+	NoRoute        Reason = "no_route"         // no route has the host and path
+	NotReady       Reason = "not_ready"        // no catalog is known yet
+	NoTarget       Reason = "no_target"        // no target of the service may get it
+	Overload       Reason = "overload"         // it would wait longer than is useful
+	Lost           Reason = "lost"             // a target may have run it; its answer is lost
+	TimedOut       Reason = "timed_out"        // the time for it is over
+	Leaving        Reason = "leaving"          // this process stops
+	Malformed      Reason = "malformed"        // the request makes no sense
+	TooLarge       Reason = "too_large"        // its body is over the limit
+	HeaderTooLarge Reason = "header_too_large" // its header is
+	Unsure         Reason = "unsure"           // the shared store does not answer
+	Unknown        Reason = "unknown"          // there is no such job
+	Conflict       Reason = "conflict"         // another job has the id
 )
 
 // Refusal is the final answer to a request that is given up.
