Never take a live target for superseded for good

Ruled out: no runner for the partition (all 24 were proposed), seats that leak (agents' holders end with their sessions). Change: what is told and copied keeps its offsets; the instance heard of last has the address, so that a late word of a dead one lasts until the live one's next heartbeat.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -41,7 +41,7 @@
 	mu       sync.Mutex
 	raw      []byte // newest catalog as it was stored, for peers
 	set      *targets.Set
-	rawByID  map[string][]byte // registrations as they were stored, for peers
+	rawByID  map[string]store.Record // registrations as they were stored, for peers
 	table    *balance.Table
 	registry bool          // the registry was read, or told by a peer or copy
 	ready    chan struct{} // closed once catalog and registry are known
@@ -55,7 +55,7 @@
 	return &View{
 		decoder: dec, log: log, metrics: ms,
 		ready: make(chan struct{}),
-		set:   targets.NewSet(), rawByID: make(map[string][]byte),
+		set:   targets.NewSet(), rawByID: make(map[string]store.Record),
 		table:    balance.NewTable(salt),
 		onChange: func([]targets.Instance) {},
 	}
@@ -186,7 +186,7 @@
 	}
 	v.changeTargets(func() {
 		v.set.Put(in)
-		v.rawByID[r.Key] = r.Value
+		v.rawByID[r.Key] = r
 	})
 }
 
@@ -203,11 +203,11 @@
 func (v *View) replaceTargets(recs []store.Record, from string) {
 	slices.SortFunc(recs, func(a, b store.Record) int { return cmp.Compare(a.Offset, b.Offset) })
 	var all []targets.Instance
-	raw := make(map[string][]byte)
+	raw := make(map[string]store.Record)
 	for _, r := range recs {
 		if in, ok := v.decode(r); ok {
 			all = append(all, in)
-			raw[r.Key] = r.Value
+			raw[r.Key] = r
 		}
 	}
 	now := time.Now()
@@ -331,8 +331,8 @@
 func (v *View) Export() (raw []byte, recs []store.Record) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	for id, value := range v.rawByID {
-		recs = append(recs, store.Record{Key: id, Value: value})
+	for _, r := range v.rawByID {
+		recs = append(recs, r) // with its offset: the last one heard of has an address
 	}
 	return v.raw, recs
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -26,6 +26,9 @@
 }
 
 func (decoder) Instance(id string, value []byte) (targets.Instance, error) {
+	if len(value) == 0 {
+		return targets.Instance{}, strconv.ErrSyntax
+	}
 	return targets.Instance{ID: id, Addr: string(value), Service: "s", Slots: 1}, nil
 }
 
@@ -64,6 +67,39 @@
 	}
 }
 
+// Symptom: one entry gives live targets nothing for good; items of its partitions
+// are left lying.
+// Sequence: all hosts lost power; new instances have registered at the addresses of
+// the old ones, whose registrations are still there; an entry starts and learns
+// of them from a peer or a copy before the registry.
+// Cause: what was told had no order, so the old instances seemed the last to
+// register.
+func TestWhatAPeerTellsKeepsItsOrder(t *testing.T) {
+	const pairs = 20
+	v := newView()
+	var recs []store.Record
+	for i := range pairs {
+		addr := []byte(fmt.Sprint("10.0.0.", i))
+		recs = append(recs, store.Record{Key: fmt.Sprint("old", i), Value: addr, Offset: int64(i)},
+			store.Record{Key: fmt.Sprint("new", i), Value: addr, Offset: int64(pairs + i)})
+	}
+	v.CatalogSink().Reset([]store.Record{{Key: "c", Value: []byte("1")}})
+	v.TargetSink().Reset(recs)
+	s := sharedstore.New(parts)
+	fleet.NewCopies(s.For("a"), "copies", parts, v, logging.Logger{}).Save(t.Context(), time.Now())
+	fromCopy, fromPeer := newView(), newView()
+	fleet.NewCopies(s.For("b"), "copies", parts, fromCopy, logging.Logger{}).Load(t.Context())
+	raw, told := v.Export()
+	fromPeer.Import(raw, store.FromWire(store.ToWire(told)), "peer")
+	for name, got := range map[string]*fleet.View{"copy": fromCopy, "peer": fromPeer} {
+		for _, in := range got.Instances() {
+			if in.Superseded != (in.ID[:3] == "old") {
+				t.Errorf("from a %s: %s is superseded: %v", name, in.ID, in.Superseded)
+			}
+		}
+	}
+}
+
 // Symptom: an old copy takes back what is in force, or brings gone targets back.
 func TestACopyNeverWinsOverWhatIsKnown(t *testing.T) {
 	s := sharedstore.New(parts)
--- a/targets/targets.go
+++ b/targets/targets.go
@@ -41,8 +41,8 @@
 	return &Set{holder: make(map[string]string), byID: make(map[string]*Instance), lapsing: make(map[string]time.Time)}
 }
 
-// Put takes a registration. Draining is final for an instance: an old heartbeat
-// that arrives late does not bring it back.
+// Put takes a registration or heartbeat. Draining is final for an instance: an old
+// heartbeat that arrives late does not bring it back.
 func (s *Set) Put(in Instance) {
 	delete(s.lapsing, in.ID)
 	if old := s.byID[in.ID]; old != nil {
@@ -50,17 +50,20 @@
 			return
 		}
 		in.Draining = in.Draining || old.Draining
-		in.Superseded = old.Superseded
-		*old = in
-		return
 	}
-	// Registrations of dead targets stay for seconds. Without this, requests went
-	// to an address whose new instance turned each of them away.
-	if before := s.byID[s.holder[in.Addr]]; before != nil {
+	s.hold(in.Addr, in.ID)
+	s.byID[in.ID] = &in
+}
+
+// hold gives an address to the instance that was heard of last. Registrations of
+// dead targets stay for seconds; without this, requests went to an address whose
+// new instance turned each of them away. A late word of a dead instance takes the
+// address only until the live one's next heartbeat.
+func (s *Set) hold(addr, id string) {
+	if before := s.byID[s.holder[addr]]; before != nil && before.ID != id {
 		before.Superseded = true
 	}
-	s.holder[in.Addr] = in.ID
-	s.byID[in.ID] = &in
+	s.holder[addr] = id
 }
 
 // Supersede notes that another instance answered at an instance's address.
