--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -87,8 +87,8 @@
 	balancerSees = 2600 * time.Millisecond
 	// lastBefore is how long before the platform kills a stopping process it has
 	// to be done.
-	lastBefore  = 700 * time.Millisecond
-	logFlush    = 200 * time.Millisecond
+	lastBefore = 700 * time.Millisecond
+	logFlush   = 200 * time.Millisecond
 	// headerTime, idleTime and headerBytes bound a connection whatever operators
 	// set: they are above the limits in force, which the handler of callers keeps.
 	// A server that closed idle connections sooner than these allow would cross
@@ -131,6 +131,7 @@
 	if err != nil {
 		return err
 	}
+	defer n.ring.Close()
 	return n.run(ctx, cancel, stop, file)
 }
 
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -214,6 +214,16 @@
 	}
 }
 
+// Close closes the links to all peers.
+func (r *Ring) Close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for addr, p := range r.links {
+		p.Close()
+		delete(r.links, addr)
+	}
+}
+
 // all returns the links, dialled when first used.
 func (r *Ring) all() []*link.Peer {
 	r.mu.Lock()
