Never answer for a request whose caller has gone

Finding, by the new tests of broken requests: a caller that closed its sending half right after its request got "200" with an empty body, which no target gave. Its half-close counted as leaving (as it should), the handler ended without a word, and the library writes an empty success then. The connection is cut instead.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -139,14 +139,14 @@
 		s.caller.Start(ans.Status, ans.Header, int64(len(body)))
 		s.outcome = "served"
 		if s.caller.Write(body) != nil {
-			s.outcome = "caller_left"
+			s.left()
 		}
 		return finished
 	}
 	s.started = true
 	s.caller.Start(ans.Status, ans.Header, ans.Length)
 	if s.caller.Write(body) != nil {
-		s.outcome = "caller_left"
+		s.left()
 		return finished
 	}
 	if _, err := io.Copy(writer{s.caller}, ans.Body); err != nil {
@@ -222,7 +222,7 @@
 			}
 		}
 		if s.caller.Write(ev.Raw) != nil {
-			s.outcome = "caller_left"
+			s.left()
 			return finished
 		}
 		s.last = max(s.last, ev.ID)
@@ -251,7 +251,7 @@
 // connection when the answer has begun.
 func (s *serving) giveUp(why Reason, retry time.Duration) {
 	if errors.Is(context.Cause(s.ctx), context.Canceled) {
-		s.outcome = "caller_left"
+		s.left()
 		return
 	}
 	if s.started {
@@ -262,6 +262,14 @@
 	s.caller.Refuse(Refusal{Reason: why, NotRun: s.runs == 0, RetryAfter: retry})
 }
 
+// left ends a request whose caller has gone. Its connection is cut: a handler that
+// ends without a word is answered by the library with an empty success, and a
+// caller that has only closed its sending half would take it for one.
+func (s *serving) left() {
+	s.outcome = "caller_left"
+	s.caller.Abort()
+}
+
 func (s *serving) cut(why string) {
 	s.outcome = "cut_" + why
 	s.caller.Abort()
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -402,6 +402,10 @@
 		if took := time.Since(began); took > 60*time.Millisecond || c.refusal != nil || len(w.sc.calls) != 1 {
 			t.Fatalf("after %s: refusal %+v, %d calls", took, c.refusal, len(w.sc.calls))
 		}
+		// A caller that has closed only its sending half must get no empty success.
+		if !c.aborted {
+			t.Fatal("the connection was not cut")
+		}
 	})
 }
 
