Remove what nothing reads and correct two stated figures

The load header of each answer was parsed on the path of every request and read by nobody; the balance takes its loads from the agents. Two comments gave the age and the interval of reports wrongly.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -6,7 +6,7 @@
 // first to a target with a free slot, then to one where batch work can be asked
 // to leave, and only then to the shortest queue.
 //
-// Reported loads are some 50 ms old. At a peak ten requests come to eight entries
+// Reported loads are up to 50 ms old. At a peak ten requests come to eight entries
 // in that time; all of them would meet at the one least loaded target and wait
 // there while slots are free elsewhere. So among targets with a free slot the
 // choice is drawn, by the square of the free slots.
--- a/balance/view.go
+++ b/balance/view.go
@@ -8,8 +8,8 @@
 
 // Limits and weights.
 const (
-	// reportFor is how long a reported load counts. Agents report at least each
-	// second, so an older word means that the agent is gone.
+	// reportFor is how long a reported load counts. Agents repeat themselves each
+	// 250 ms, so an older word means that the agent is gone.
 	reportFor = 1500 * time.Millisecond
 	// ejectFirst and ejectMost bound how long a target that failed gets nothing.
 	// The first is some 170 steps of an engine; a target that stays down costs one
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -126,8 +126,3 @@
 	}
 	return nil
 }
-
-// HasHost reports whether any route names a host.
-func (c *Catalog) HasHost(host string) bool {
-	return c.Match(host, "/") != nil || len(c.hosts[strings.ToLower(host)]) > 0
-}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -23,11 +23,6 @@
 	After    uint64    // resume a stream after this event; 0 for from the start
 }
 
-// Load is what a target said of itself with an answer.
-type Load struct {
-	Running, Waiting, Slots int
-}
-
 // Outcome says what became of a call that was answered.
 type Outcome int
 
@@ -51,7 +46,6 @@
 	Body    io.ReadCloser
 	Length  int64 // of the body, -1 when not told
 	Events  bool  // the body is a stream of events
-	Load    *Load // nil when not told
 }
 
 // Sender sends calls to targets.
@@ -69,7 +63,6 @@
 const (
 	FaultConnect  Fault = "connect"  // no connection to the target
 	FaultBroken   Fault = "broken"   // the connection ended before the answer
-	FaultSilent   Fault = "silent"   // no answer in time
 	FaultSpoiled  Fault = "spoiled"  // what came is no answer to this call
 	FaultCanceled Fault = "canceled" // the caller gave up
 )
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -90,7 +90,7 @@
 		s.judge(in, balance.Unfit, "connect")
 	case exchange.FaultBroken, exchange.FaultSpoiled:
 		s.judge(in, balance.Doubted, string(se.Fault))
-	case exchange.FaultSilent, exchange.FaultCanceled:
+	case exchange.FaultCanceled:
 	}
 	s.tried[in.ID] = true
 	if !se.Sent {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,7 +41,6 @@
 	Overload       Reason = "overload"         // it would wait longer than is useful
 	Lost           Reason = "lost"             // a target may have run it; its answer is lost
 	TimedOut       Reason = "timed_out"        // the time for it is over
-	Leaving        Reason = "leaving"          // this process stops
 	Malformed      Reason = "malformed"        // the request makes no sense
 	TooLarge       Reason = "too_large"        // its body is over the limit
 	HeaderTooLarge Reason = "header_too_large" // its header is
--- a/jobs/decide.go
+++ b/jobs/decide.go
@@ -1,7 +1,6 @@
 package jobs
 
 import (
-	"bytes"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -95,7 +94,7 @@
 		return false
 	}
 	for i, it := range a.GetItems() {
-		if !proto.Equal(it, b.GetItems()[i]) || !bytes.Equal(it.GetBody(), b.GetItems()[i].GetBody()) {
+		if !proto.Equal(it, b.GetItems()[i]) {
 			return false
 		}
 	}
--- a/jobstore/jobstore.go
+++ b/jobstore/jobstore.go
@@ -115,11 +115,6 @@
 	return p
 }
 
-// Follow makes sure that a partition is followed.
-func (s *Store) Follow(number int) {
-	s.at(number)
-}
-
 // sure brings a partition's state up to date before an absence is told.
 func (p *partition) sure(ctx context.Context) error {
 	if err := p.follow.Catch(ctx, sureFor); err != nil {
