--- a/jobstore/jobstore.go
+++ b/jobstore/jobstore.go
@@ -228,14 +228,14 @@
 		if at != lost {
 			lost = noAppend
 		}
-		err = s.appendOrSee(ctx, p, recs, at)
+		stopped, err := s.appendOrSee(ctx, p, recs, at)
 		switch {
 		case err == nil:
 			continue
 		case errors.Is(err, store.ErrFull):
 			return err
 		case errors.Is(err, store.ErrUnavailable):
-			lost = at
+			lost = stopped
 		}
 		if s.settle(ctx, p, err) != nil && ctx.Err() != nil {
 			return failure(ctx, lost)
@@ -271,23 +271,27 @@
 // appendOrSee appends, and returns as well when the partition is seen to have
 // moved on: then the records are there, or never will be. The answers of a store
 // that loses them were waited for 0.8 s, while the records came back to the
-// follower within some 10 ms.
-func (s *Store) appendOrSee(ctx context.Context, p *partition, recs []store.Record, at int64) error {
+// follower within some 10 ms. With an error it returns the end at which the call
+// that failed was made.
+func (s *Store) appendOrSee(ctx context.Context, p *partition, recs []store.Record, at int64) (int64, error) {
 	if len(groups(recs, s.set.CallBytes)) > 1 {
 		return s.append(ctx, p, recs, at) // its own first call moves the partition on
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	answered := make(chan error, 1)
-	go func() { answered <- s.append(ctx, p, recs, at) }()
+	go func() {
+		_, err := s.append(ctx, p, recs, at)
+		answered <- err
+	}()
 	for {
 		moved, changed := p.movedFrom(at)
 		if moved {
-			return nil
+			return at, nil
 		}
 		select {
 		case err := <-answered:
-			return err
+			return at, err
 		case <-changed:
 		}
 	}
@@ -300,17 +304,18 @@
 }
 
 // append writes records at an end, in as many calls as their size needs. Each
-// call requires the end that the one before left.
-func (s *Store) append(ctx context.Context, p *partition, recs []store.Record, at int64) error {
+// call requires the end that the one before left. With an error it returns the end
+// at which the call that failed was made: there it may still be carried out.
+func (s *Store) append(ctx context.Context, p *partition, recs []store.Record, at int64) (int64, error) {
 	part := store.Partition{Topic: s.set.Topic, Number: p.number}
 	for group := range slices.Values(groups(recs, s.set.CallBytes)) {
 		if _, err := s.log.Append(ctx, part, group, at); err != nil {
-			return err
+			return at, err
 		}
 		p.follow.Appended(group, at)
 		at += int64(len(group))
 	}
-	return nil
+	return at, nil
 }
 
 // recordOverhead is what a record takes beside its value: lengths and the key.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -71,9 +71,10 @@
 	// routelessFor is how long an item may be without a route before it is given
 	// up: longer than a storm of configurations lasts.
 	routelessFor = 6 * time.Second
-	// clockMargin is how far the wall clocks of two hosts may differ: an item is
+	// clockMargin is how far the wall clocks of two hosts may differ, each set wrong
+	// by two seconds in its own direction, with as much again for chance: an item is
 	// not given up before its time by any of them.
-	clockMargin = 3 * time.Second
+	clockMargin = 6 * time.Second
 )
 
 // Runner runs items.
