--- a/balance/overload_test.go
+++ b/balance/overload_test.go
@@ -18,6 +18,7 @@
 	trough, peak            float64       // requests a second
 	holds                   time.Duration // a slot, and 1.3 times as long at one target in three
 	lasts                   time.Duration
+	alone                   bool // entries hear of no loads but their own
 	// draw is what a waiting request draws when it looks for another target.
 	draw func(rnd *rand.Rand) float64
 
@@ -91,7 +92,9 @@
 	for i := range o.targets {
 		p := &place{id: fmt.Sprint("i", i), slow: i%3 == 0}
 		o.places[p.id] = p
-		o.after(time.Duration(i)*time.Millisecond/2, func() { o.tell(p) })
+		if !o.alone {
+			o.after(time.Duration(i)*time.Millisecond/2, func() { o.tell(p) })
+		}
 	}
 	o.arrive()
 	for o.now.Before(start.Add(o.lasts)) {
@@ -191,6 +194,17 @@
 	}
 }
 
+// late counts the first events that came after an aim of 300 ms.
+func (o *overload) late() int {
+	n := 0
+	for _, d := range o.firsts {
+		if d > 300*time.Millisecond {
+			n++
+		}
+	}
+	return n
+}
+
 func (o *overload) slowest() time.Duration {
 	return o.firsts[len(o.firsts)*99/100]
 }
@@ -218,3 +232,25 @@
 		t.Fatalf("%d moves instead of %d, slowest %s instead of %s", some.moves, all.moves, some.slowest(), all.slowest())
 	}
 }
+
+// Symptom: first events come late in peaks that need fewer slots than there are.
+// Sequence: each entry knows its own requests only, an eighth or a fortieth of all.
+// Cause: placement without the agents' word.
+func TestEntriesAloneKeepCallersWaiting(t *testing.T) {
+	for _, o := range []overload{
+		{targets: 9, slots: 8, entries: 8, trough: 16, peak: 80, holds: 700 * time.Millisecond},
+		{targets: 18, slots: 8, entries: 8, trough: 32, peak: 155, holds: 700 * time.Millisecond},
+		{targets: 56, slots: 7, entries: 40, trough: 113, peak: 440, holds: 740 * time.Millisecond},
+	} {
+		o.lasts, o.draw = 30*time.Second, (*rand.Rand).Float64
+		alone := o
+		alone.alone = true
+		o.run()
+		alone.run()
+		t.Logf("%d entries, %d targets, %d requests: late %d with the agents' word, %d without; slowest hundredth %s and %s",
+			o.entries, o.targets, o.asked, o.late(), alone.late(), o.slowest(), alone.slowest())
+		if o.late()*3 > alone.late() {
+			t.Errorf("late %d with the agents' word and %d without", o.late(), alone.late())
+		}
+	}
+}
