--- a/daemon/drain_test.go
+++ b/daemon/drain_test.go
@@ -69,7 +69,9 @@
 			return d.end(ctx, ln, srv)
 		})
 		_ = srv.Close() // ends what a test left open
-		<-served
+		if err := <-served; !errors.Is(err, net.ErrClosed) && !errors.Is(err, http.ErrServerClosed) {
+			t.Errorf("the server ended with %v", err)
+		}
 	})
 }
 
