--- /dev/null
+++ b/bench/load/replay.go
@@ -0,0 +1,413 @@
+package load
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"pumiceford/balance"
+	"pumiceford/schedule"
+	"pumiceford/seats"
+	"pumiceford/targets"
+)
+
+// Times and limits of the model. Those of the product's shells are repeated here
+// because they belong to its input and output, which the model stands in for.
+const (
+	aim        = 300 * time.Millisecond
+	firstEvent = 30 * time.Millisecond // after a slot was had
+	travels    = 2 * time.Millisecond
+	poll       = 15 * time.Millisecond // an agent asks its target
+	firstLook  = 100 * time.Millisecond
+	nextLook   = 30 * time.Millisecond
+	runnerLook = 100 * time.Millisecond
+	idleFor    = 8 * time.Second
+	queueMost  = 0.5 // of the slots
+	troughFor  = 3600 * time.Millisecond
+	cycle      = 6 * time.Second
+)
+
+// replay is one run.
+type replay struct {
+	timeline
+	shape    Shape
+	policy   Policy
+	began    time.Time
+	targets  []*target
+	byID     map[string]*target
+	entries  []*entry
+	choices  *rand.Rand
+	arrivals *rand.Rand // of requests, the same whatever is chosen
+	comes    *rand.Rand // of items, likewise
+	out      Outcome
+	used     time.Duration // of slots
+}
+
+// target is a modelled target: it admits in order of arrival.
+type target struct {
+	id      string
+	slow    bool
+	active  int
+	queue   []*work
+	arbiter *seats.Arbiter
+	seated  map[uint64]*work
+}
+
+// entry is one process that chooses.
+type entry struct {
+	table *balance.Table
+	open  map[string]*conns // own connections by target
+	batch []*work           // items that wait here
+	own   map[string]int    // own requests by target
+}
+
+// conns counts the connections of an entry to one target.
+type conns struct {
+	busy, open int
+	used       time.Time
+}
+
+// work is a request or an item.
+type work struct {
+	entry   *entry
+	at      *target
+	batch   bool
+	arrived time.Time
+	due     time.Time
+	left    time.Duration // an item still has to run
+	started time.Time
+	running bool
+	began   bool // its first event came
+	visit   int  // counts the targets it was sent to
+	seat    uint64
+}
+
+// Run replays a shape under a policy. The same seed gives the same arrivals.
+func Run(shape Shape, policy Policy, seed uint64) Outcome {
+	r := &replay{
+		shape: shape, policy: policy, byID: make(map[string]*target),
+		choices: rand.New(rand.NewPCG(seed, 1)), arrivals: rand.New(rand.NewPCG(seed, 2)), comes: rand.New(rand.NewPCG(seed, 3)),
+		out: Outcome{Shape: shape.Name, Policy: policy.Name, Batch: shape.Items > 0},
+	}
+	r.began = time.Unix(1000, 0)
+	r.now = r.began
+	r.build()
+	r.arrive()
+	if shape.Items > 0 {
+		r.arriveItem()
+	}
+	r.runUntil(r.began.Add(shape.Lasts))
+	r.conclude()
+	return r.out
+}
+
+func (r *replay) build() {
+	var all []targets.Instance
+	for i := range r.shape.Targets {
+		t := &target{
+			id: fmt.Sprint("i", i), slow: r.shape.Mixed && i%3 == 0,
+			arbiter: seats.NewArbiter(r.shape.Slots, seats.Reserve(fmt.Sprint("host", i))), seated: make(map[uint64]*work),
+		}
+		r.targets = append(r.targets, t)
+		r.byID[t.id] = t
+		all = append(all, targets.Instance{ID: t.id, Service: "s", Slots: r.shape.Slots})
+		if !r.policy.Alone && !r.policy.Forward {
+			r.after(time.Duration(i)*time.Millisecond/2, func() { r.report(t) })
+		}
+	}
+	for e := range r.shape.Entries {
+		en := &entry{table: balance.NewTable(uint64(e)), open: make(map[string]*conns), own: make(map[string]int)}
+		en.table.Replace(all)
+		r.entries = append(r.entries, en)
+		if !r.policy.Forward {
+			r.after(time.Duration(e)*time.Millisecond, func() { r.dispatch(en) })
+		}
+	}
+}
+
+// report asks a target for its load, asks seats back for what waits, and tells
+// all entries some milliseconds later.
+func (r *replay) report(t *target) {
+	load := seats.Load{Active: t.active, Queued: len(t.queue)}
+	for _, id := range t.arbiter.Report(r.now, load) {
+		w := t.seated[id]
+		r.after(travels, func() { r.yield(w, id) })
+	}
+	told := balance.Report{
+		Active: load.Active, Queued: load.Queued, Batch: t.arbiter.Held(), Slots: r.shape.Slots,
+		Room: max(t.arbiter.Room(r.now), 0),
+	}
+	r.after(travels+time.Duration(r.choices.IntN(8))*time.Millisecond, func() {
+		for _, e := range r.entries {
+			e.table.Note(r.now, t.id, told)
+		}
+	})
+	r.after(poll+time.Duration(r.choices.IntN(12))*time.Millisecond, func() { r.report(t) })
+}
+
+func (r *replay) arrive() {
+	rate := r.shape.Trough
+	if r.now.Sub(r.began)%cycle > troughFor {
+		rate = r.shape.Peak
+	}
+	w := &work{entry: r.entries[r.arrivals.IntN(len(r.entries))], arrived: r.now}
+	next := time.Duration(r.arrivals.ExpFloat64() / rate * float64(time.Second))
+	r.out.Requests++
+	r.send(w)
+	r.after(next, r.arrive)
+}
+
+func (r *replay) arriveItem() {
+	w := &work{
+		entry: r.entries[r.comes.IntN(len(r.entries))], batch: true, arrived: r.now,
+		due: r.now.Add(r.shape.DueWithin), left: r.shape.Runs,
+	}
+	next := time.Duration(r.comes.ExpFloat64() / r.shape.Items * float64(time.Second))
+	if w.due.Before(r.began.Add(r.shape.Lasts)) {
+		r.out.Items++
+	}
+	if r.policy.Forward {
+		r.send(w)
+	} else {
+		w.entry.batch = append(w.entry.batch, w)
+	}
+	r.after(next, r.arriveItem)
+}
+
+// send places an online request, or any work of the naive policy.
+func (r *replay) send(w *work) {
+	id, ok := r.choose(w)
+	if !ok {
+		r.out.Refused++
+		return
+	}
+	w.at = r.byID[id]
+	w.entry.table.Began(r.now, id)
+	if w.at.active >= r.shape.Slots {
+		r.out.Waited++
+	}
+	r.submit(w)
+	if !r.policy.Forward {
+		visit := w.visit
+		r.after(firstLook, func() { r.look(w, visit) })
+	}
+}
+
+func (r *replay) choose(w *work) (string, bool) {
+	if r.policy.Forward {
+		return r.fewest(w.entry), true
+	}
+	c, _ := w.entry.table.Pick(r.now, "s", nil, r.choices.Float64())
+	return c.Instance.ID, float64(c.Waiting) < max(1, queueMost*float64(r.shape.Slots))
+}
+
+// fewest returns the target with the fewest requests of an entry.
+func (r *replay) fewest(e *entry) string {
+	first := r.choices.IntN(len(r.targets))
+	best := r.targets[first].id
+	for i := range r.targets {
+		if id := r.targets[(first+i)%len(r.targets)].id; e.own[id] < e.own[best] {
+			best = id
+		}
+	}
+	return best
+}
+
+// submit puts work into a target's queue, over a connection.
+func (r *replay) submit(w *work) {
+	w.entry.own[w.at.id]++
+	r.connect(w)
+	visit := w.visit
+	r.after(travels, func() {
+		if w.visit == visit {
+			w.at.queue = append(w.at.queue, w)
+			r.admit(w.at)
+		}
+	})
+}
+
+func (r *replay) connect(w *work) {
+	c := w.entry.open[w.at.id]
+	if c == nil {
+		c = &conns{}
+		w.entry.open[w.at.id] = c
+	}
+	if r.now.Sub(c.used) > idleFor {
+		c.open = c.busy
+	}
+	c.busy++
+	if c.busy > c.open {
+		c.open = c.busy
+		r.out.Opened++
+	}
+}
+
+// release ends work's stay at its target. A run that was not ended by the target
+// costs its connection.
+func (r *replay) release(w *work, whole bool) {
+	c := w.entry.open[w.at.id]
+	c.busy--
+	c.used = r.now
+	if !whole {
+		c.open--
+	}
+	w.entry.own[w.at.id]--
+	if w.batch && !r.policy.Forward {
+		w.entry.table.BatchEnded(r.now, w.at.id, whole)
+		return
+	}
+	w.entry.table.Ended(r.now, w.at.id, whole && !r.policy.CloseIdle)
+}
+
+// admit gives free slots to the work that waits longest.
+func (r *replay) admit(t *target) {
+	for t.active < r.shape.Slots && len(t.queue) > 0 {
+		w := t.queue[0]
+		t.queue = t.queue[1:]
+		t.active++
+		w.running, w.started = true, r.now
+		visit, holds, first := w.visit, r.shape.Holds, firstEvent
+		if w.batch {
+			holds = w.left
+		}
+		if t.slow {
+			const slower, of = 13, 10
+			holds, first = holds*slower/of, first*slower/of
+		}
+		r.after(first, func() { r.firstCame(w, visit) })
+		r.after(holds, func() { r.finished(w, visit) })
+	}
+}
+
+func (r *replay) firstCame(w *work, visit int) {
+	if w.visit == visit && !w.batch {
+		w.began = true
+		r.out.Firsts = append(r.out.Firsts, r.now.Sub(w.arrived))
+	}
+}
+
+func (r *replay) finished(w *work, visit int) {
+	if w.visit != visit {
+		return
+	}
+	t := w.at
+	t.active--
+	r.used += r.now.Sub(w.started)
+	r.release(w, true)
+	if w.batch {
+		if w.seat != 0 {
+			t.arbiter.Release(w.seat)
+			delete(t.seated, w.seat)
+			w.seat = 0
+		}
+		if !r.now.After(w.due) && w.due.Before(r.began.Add(r.shape.Lasts)) {
+			r.out.InTime++
+		}
+	}
+	w.visit++
+	r.admit(t)
+}
+
+// look moves a request that still waits, as the choice says.
+func (r *replay) look(w *work, visit int) {
+	if w.visit != visit || w.began {
+		return
+	}
+	draw := r.choices.Float64()
+	if r.policy.MoveAll {
+		draw = 0
+	}
+	if w.entry.table.MayMove(r.now, "s", w.at.id, draw) {
+		r.out.Moves++
+		r.leave(w)
+		r.send(w)
+		return
+	}
+	r.after(nextLook, func() { r.look(w, visit) })
+}
+
+// leave takes work away from its target.
+func (r *replay) leave(w *work) {
+	t := w.at
+	w.visit++
+	if w.running {
+		w.running = false
+		t.active--
+		r.used += r.now.Sub(w.started)
+	}
+	t.queue = slices.DeleteFunc(t.queue, func(other *work) bool { return other == w })
+	r.release(w, false)
+	r.after(travels, func() { r.admit(t) })
+}
+
+// yield gives an item's seat back; what it has done stays done.
+func (r *replay) yield(w *work, seat uint64) {
+	if w.seat != seat {
+		return // it has ended meanwhile
+	}
+	if w.running {
+		ran := r.now.Sub(w.started)
+		if w.at.slow {
+			const slower, of = 13, 10
+			ran = ran * of / slower
+		}
+		w.left = max(w.left-ran, time.Millisecond)
+	}
+	r.out.CutOff++
+	w.at.arbiter.Release(seat)
+	delete(w.at.seated, seat)
+	w.seat = 0
+	r.leave(w)
+	w.entry.batch = append(w.entry.batch, w)
+}
+
+// dispatch starts the items that wait at an entry in seats that agents grant.
+func (r *replay) dispatch(e *entry) {
+	r.after(runnerLook, func() { r.dispatch(e) })
+	rank := func(w *work) schedule.Item {
+		return schedule.Item{Due: w.due, Left: w.left, Begun: w.left < r.shape.Runs}
+	}
+	slices.SortStableFunc(e.batch, func(a, b *work) int { return schedule.Compare(r.now, rank(a), rank(b)) })
+	for len(e.batch) > 0 {
+		w := e.batch[0]
+		if !r.seatFor(e, w, rank(w).YieldRank(r.now)) {
+			return
+		}
+		e.batch = e.batch[1:]
+	}
+}
+
+// seatFor asks the agents for a seat, the most promising first, and starts the
+// item there.
+func (r *replay) seatFor(e *entry, w *work, due time.Time) bool {
+	for _, room := range e.table.Rooms(r.now, "s") {
+		t := r.byID[room.Instance.ID]
+		seat, granted := t.arbiter.Acquire(r.now, due)
+		e.table.Seated(t.id, granted)
+		if granted {
+			w.at, w.seat = t, seat
+			t.seated[seat] = w
+			e.table.BatchBegan(r.now, t.id)
+			r.submit(w)
+			return true
+		}
+	}
+	return false
+}
+
+func (r *replay) conclude() {
+	o := &r.out
+	slices.Sort(o.Firsts)
+	for _, d := range o.Firsts {
+		if d > aim {
+			o.Late++
+		}
+	}
+	if n := len(o.Firsts); n > 0 {
+		const half, hundredth = 2, 100
+		o.P50, o.P99 = o.Firsts[n/half], o.Firsts[n-1-n/hundredth]
+	}
+	slots := float64(r.shape.Targets*r.shape.Slots) * r.shape.Lasts.Seconds()
+	o.Capacity = r.used.Seconds() / slots
+}
