--- a/balance/balance.go
+++ b/balance/balance.go
@@ -101,6 +101,17 @@
 	Among    int           // targets that could have been chosen
 }
 
+// waitingMost is how many online requests may wait at the chosen target before more
+// are turned away, as a part of its slots. A slot comes free each 90 ms or so at 8
+// slots, and an answer is late after 300 ms: a longer queue only holds answers that
+// come too late.
+const waitingMost = 0.5
+
+// Useful reports whether waiting at the chosen target is worth while.
+func (c Choice) Useful() bool {
+	return float64(c.Waiting) < max(1, waitingMost*float64(c.Instance.Slots))
+}
+
 // Pick chooses the target of a service for an online request. It reports false
 // when no target may get it. The draw is a random number from 0 up to 1.
 func (t *Table) Pick(now time.Time, service string, tried map[string]bool, draw float64) (Choice, bool) {
--- a/bench/load/plot.go
+++ b/bench/load/plot.go
@@ -50,11 +50,11 @@
 
 func tail(firsts []time.Duration) plotter.XYs {
 	var out plotter.XYs
+	if len(firsts) == 0 {
+		return out
+	}
 	for n := range plotPoints + 1 {
 		part := tailFrom + (1-tailFrom)*float64(n)/plotPoints
-		if len(firsts) == 0 {
-			return out
-		}
 		at := min(int(part*float64(len(firsts))), len(firsts)-1)
 		out = append(out, plotter.XY{X: part, Y: float64(firsts[at]) / float64(time.Millisecond)})
 	}
--- a/bench/load/replay.go
+++ b/bench/load/replay.go
@@ -23,7 +23,6 @@
 	nextLook   = 30 * time.Millisecond
 	runnerLook = 100 * time.Millisecond
 	idleFor    = 8 * time.Second
-	queueMost  = 0.5 // of the slots
 	troughFor  = 3600 * time.Millisecond
 	cycle      = 6 * time.Second
 )
@@ -54,6 +53,35 @@
 	seated  map[uint64]*work
 }
 
+// A slow target takes slower/of times as long as the others.
+const slower, of = 13, 10
+
+// takes returns how long a target takes for what takes others d.
+func (t *target) takes(d time.Duration) time.Duration {
+	if t.slow {
+		return d * slower / of
+	}
+	return d
+}
+
+// did returns how long others would have taken for what a target did in d.
+func (t *target) did(d time.Duration) time.Duration {
+	if t.slow {
+		return d * of / slower
+	}
+	return d
+}
+
+// giveBack returns the seat of an item, if it has one.
+func (t *target) giveBack(w *work) {
+	if w.seat == 0 {
+		return
+	}
+	t.arbiter.Release(w.seat)
+	delete(t.seated, w.seat)
+	w.seat = 0
+}
+
 // entry is one process that chooses.
 type entry struct {
 	table *balance.Table
@@ -199,7 +227,7 @@
 		return r.fewest(w.entry), true
 	}
 	c, _ := w.entry.table.Pick(r.now, "s", nil, r.choices.Float64())
-	return c.Instance.ID, float64(c.Waiting) < max(1, queueMost*float64(r.shape.Slots))
+	return c.Instance.ID, c.Useful()
 }
 
 // fewest returns the target with the fewest requests of an entry.
@@ -271,10 +299,7 @@
 		if w.batch {
 			holds = w.left
 		}
-		if t.slow {
-			const slower, of = 13, 10
-			holds, first = holds*slower/of, first*slower/of
-		}
+		holds, first = t.takes(holds), t.takes(first)
 		r.after(first, func() { r.firstCame(w, visit) })
 		r.after(holds, func() { r.finished(w, visit) })
 	}
@@ -296,11 +321,7 @@
 	r.used += r.now.Sub(w.started)
 	r.release(w, true)
 	if w.batch {
-		if w.seat != 0 {
-			t.arbiter.Release(w.seat)
-			delete(t.seated, w.seat)
-			w.seat = 0
-		}
+		t.giveBack(w)
 		if !r.now.After(w.due) && w.due.Before(r.began.Add(r.shape.Lasts)) {
 			r.out.InTime++
 		}
@@ -347,17 +368,10 @@
 		return // it has ended meanwhile
 	}
 	if w.running {
-		ran := r.now.Sub(w.started)
-		if w.at.slow {
-			const slower, of = 13, 10
-			ran = ran * of / slower
-		}
-		w.left = max(w.left-ran, time.Millisecond)
+		w.left = max(w.left-w.at.did(r.now.Sub(w.started)), time.Millisecond)
 	}
 	r.out.CutOff++
-	w.at.arbiter.Release(seat)
-	delete(w.at.seated, seat)
-	w.seat = 0
+	w.at.giveBack(w)
 	r.leave(w)
 	w.entry.batch = append(w.entry.batch, w)
 }
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -20,8 +20,8 @@
 	// host with a seventh of a core a request that had come 235 ms before was still
 	// unread; some looks let what is waiting for the processor run.
 	idleRests = 200 * time.Millisecond
-	// newRests is how long a new connection may take to its first byte: callers open
-	// them for a request.
+	// newRests is how long a new connection may take to the end of its first header:
+	// callers open them for a request.
 	newRests = 2 * time.Second
 )
 
@@ -54,13 +54,17 @@
 		delete(d.conns, c)
 		return
 	}
-	before := d.conns[c]
-	if before != nil && before.expired {
+	s := d.conns[c]
+	if s == nil {
+		s = &drained{}
+		d.conns[c] = s
+	}
+	if s.expired {
 		// A request was read just before: it is answered, and its caller must not be
 		// taken for one that has gone.
 		_ = c.SetReadDeadline(time.Time{}) // fails only when it is closed
 	}
-	d.conns[c] = &drained{state: next, since: time.Now()}
+	s.state, s.since, s.expired = next, time.Now(), false
 }
 
 // expire ends the connections on which nothing is read, answered or awaited, and
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,11 +63,6 @@
 	// maxSends bounds the targets asked for one request when they say that they
 	// did not run it.
 	maxSends = 4
-	// waitingMost is how many online requests may wait at the least loaded
-	// target before more are turned away, as a part of its slots. A slot comes
-	// free each 90 ms or so at 8 slots, and an answer is late after 300 ms: a
-	// longer queue only holds answers that come too late.
-	waitingMost = 0.5
 	// startWait is how long after its start a process holds requests until it
 	// knows catalog and targets.
 	startWait = 250 * time.Millisecond
@@ -245,7 +240,7 @@
 	if s.runs > 0 {
 		return true
 	}
-	return float64(c.Waiting) < max(1, waitingMost*float64(c.Instance.Slots))
+	return c.Useful()
 }
 
 // attempt sends the request to one target and passes its answer on.
