Read whole partitions two at a time; give a slow answer of the store time

Cause, as far as traced: a host with 30 Mbit/s starts, its callers ask for jobs of all 48 partitions, and it reads them at once, each twice (its follower and the caller's look). Every page was cut off after 0.8 s and asked for again, of two peers as well. Ruled out: a group that does not hand the partition on; a runner that has no seats.

--- a/jobstore/jobstore.go
+++ b/jobstore/jobstore.go
@@ -45,6 +45,9 @@
 	conflictPause = 5 * time.Millisecond
 	// refusedPause is left after the store turned an append away.
 	refusedPause = 60 * time.Millisecond
+	// loadsAtOnce is how many partitions are read whole at a time: two megabytes
+	// come over the narrowest link within the time for one.
+	loadsAtOnce = 2
 	// keepMargin is added to Keep for clocks that differ.
 	keepMargin = 30 * time.Second
 )
@@ -71,6 +74,7 @@
 
 	mu    sync.Mutex
 	parts map[int]*partition
+	loads store.Loads
 }
 
 // partition is one followed partition. Its table is only touched inside the
@@ -84,7 +88,7 @@
 
 // New returns a Store whose followers run until ctx ends.
 func New(ctx context.Context, log store.Log, set Settings, out logging.Logger) *Store {
-	return &Store{log: log, set: set, out: out, base: ctx, parts: make(map[int]*partition)}
+	return &Store{log: log, set: set, out: out, base: ctx, parts: make(map[int]*partition), loads: store.NewLoads(loadsAtOnce)}
 }
 
 // PartitionOf returns the partition of a job.
@@ -113,7 +117,15 @@
 	}
 	p := &partition{number: number, table: jobs.NewTable(unreadable), write: make(chan struct{}, 1)}
 	part := store.Partition{Topic: s.set.Topic, Number: number}
-	p.follow = store.NewFollower(s.log, part, p.table, store.FollowSettings{Wait: followWait})
+	p.follow = store.NewFollower(s.log, part, p.table, store.FollowSettings{
+		Wait: followWait, Loads: s.loads,
+		OnTrouble: func(err error) {
+			s.out.Warn("partition of jobs does not answer", logging.F("partition", number), logging.F("error", err.Error()))
+		},
+		OnContact: func(away time.Duration) {
+			s.out.Info("partition of jobs answers again", logging.F("partition", number), logging.F("away_ms", away.Milliseconds()))
+		},
+	})
 	s.parts[number] = p
 	go p.follow.Run(s.base)
 	return p
--- a/store/failover.go
+++ b/store/failover.go
@@ -13,6 +13,9 @@
 	// callTimeout bounds a call that waits for nothing: three times the 240 ms
 	// that a store takes at its slowest seen.
 	callTimeout = 800 * time.Millisecond
+	// bulkTimeout bounds an answer beyond the time after which another way is
+	// tried as well: a megabyte takes 0.4 s over the narrowest link alone.
+	bulkTimeout = 4 * time.Second
 	// avoidFor is how long a way that failed is tried last: long enough that a
 	// silent store does not hold up each call, short enough to return to the
 	// direct way soon.
@@ -53,42 +56,46 @@
 // Append implements Log. An append without an answer is not repeated here: the
 // caller reads what became of it first.
 func (f *Failover) Append(ctx context.Context, p Partition, recs []Record, at int64) (int64, error) {
-	var end int64
-	err := f.call(ctx, callTimeout, false, func(ctx context.Context, way Peer) (err error) {
-		end, err = way.Append(ctx, p, recs, at)
-		return err
-	})
-	return end, err
+	var last error
+	for _, way := range f.ways() {
+		one, cancel := context.WithTimeout(ctx, callTimeout)
+		end, err := way.Append(one, p, recs, at)
+		cancel()
+		if err == nil || !passing(err) {
+			f.note(way, nil)
+			return end, err
+		}
+		if ctx.Err() != nil {
+			return 0, err
+		}
+		f.note(way, err)
+		last = err
+		if errors.Is(err, ErrUnavailable) {
+			break
+		}
+	}
+	return 0, last
 }
 
 // Read implements Log.
 func (f *Failover) Read(ctx context.Context, p Partition, from int64, wait time.Duration) (Page, error) {
-	var page Page
-	err := f.call(ctx, wait+callTimeout, true, func(ctx context.Context, way Peer) (err error) {
-		page, err = way.Read(ctx, p, from, wait)
-		return err
+	return firstAnswer(ctx, f, wait+callTimeout, func(ctx context.Context, way Peer) (Page, error) {
+		return way.Read(ctx, p, from, wait)
 	})
-	return page, err
 }
 
 // Newest implements Log.
 func (f *Failover) Newest(ctx context.Context, p Partition, after string) (Snapshot, error) {
-	var snap Snapshot
-	err := f.call(ctx, callTimeout, true, func(ctx context.Context, way Peer) (err error) {
-		snap, err = way.Newest(ctx, p, after)
-		return err
+	return firstAnswer(ctx, f, callTimeout, func(ctx context.Context, way Peer) (Snapshot, error) {
+		return way.Newest(ctx, p, after)
 	})
-	return snap, err
 }
 
 // Join implements Groups.
 func (f *Failover) Join(ctx context.Context, req JoinRequest) (Membership, error) {
-	var m Membership
-	err := f.call(ctx, callTimeout, true, func(ctx context.Context, way Peer) (err error) {
-		m, err = way.Join(ctx, req)
-		return err
+	return firstAnswer(ctx, f, callTimeout, func(ctx context.Context, way Peer) (Membership, error) {
+		return way.Join(ctx, req)
 	})
-	return m, err
 }
 
 // Leave implements Groups.
@@ -105,29 +112,63 @@
 	return f.direct.Owners(ctx, group)
 }
 
-// call makes a call by the direct way and then by peers, the direct way last
-// while it is avoided. Only calls that change nothing, or the same again, are
-// repeated after no answer.
-func (f *Failover) call(ctx context.Context, timeout time.Duration, repeat bool, do func(context.Context, Peer) error) error {
-	var last error
-	for _, way := range f.ways() {
-		one, cancel := context.WithTimeout(ctx, timeout)
-		err := do(one, way)
-		cancel()
-		if err == nil || !passing(err) {
-			f.note(way, nil)
-			return err
-		}
-		if ctx.Err() != nil {
-			return err
+// firstAnswer makes a call that changes nothing, or the same again, by the ways in
+// turn: the next one when a way fails, or has not answered after quiet. A way that
+// is only slow goes on meanwhile, for bulkTimeout: on a narrow link an answer of
+// a megabyte that was cut off after quiet was asked for again for ever.
+func firstAnswer[T any](ctx context.Context, f *Failover, quiet time.Duration, do func(context.Context, Peer) (T, error)) (T, error) {
+	type answer struct {
+		way Peer
+		got T
+		err error
+	}
+	var none T
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ways := f.ways()
+	answers := make(chan answer, len(ways))
+	timer := time.NewTimer(quiet)
+	defer timer.Stop()
+	begun, running := 0, 0
+	begin := func() {
+		if begun == len(ways) {
+			return
 		}
-		f.note(way, err)
-		last = err
-		if !repeat && errors.Is(err, ErrUnavailable) {
-			return err
+		way := ways[begun]
+		begun++
+		running++
+		timer.Reset(quiet)
+		go func() {
+			one, cancel := context.WithTimeout(ctx, quiet+bulkTimeout)
+			defer cancel()
+			got, err := do(one, way)
+			answers <- answer{way, got, err}
+		}()
+	}
+	begin()
+	var last error
+	for running > 0 {
+		select {
+		case a := <-answers:
+			running--
+			if a.err == nil || !passing(a.err) {
+				f.note(a.way, nil)
+				return a.got, a.err
+			}
+			if ctx.Err() != nil {
+				return none, a.err
+			}
+			f.note(a.way, a.err)
+			last = a.err
+			begin()
+		case <-timer.C:
+			f.note(ways[begun-1], ErrUnavailable)
+			begin()
+		case <-ctx.Done():
+			return none, errors.Mark(ctx.Err(), ErrUnavailable)
 		}
 	}
-	return last
+	return none, last
 }
 
 // passing reports whether another way may serve a call that failed so.
--- a/store/follower.go
+++ b/store/follower.go
@@ -31,6 +31,32 @@
 	// succeeds after it.
 	OnTrouble func(err error)
 	OnContact func(away time.Duration)
+	// Loads bounds the whole partitions that are read at a time; nil sets no bound.
+	Loads Loads
+}
+
+// Loads bounds how many whole partitions a process reads at a time. After a
+// restart a process reads each partition that its callers ask for. On a link of
+// 30 Mbit/s forty of these at once all ran into their time, and were all read
+// again from the start, for as long as the process lived.
+type Loads chan struct{}
+
+// NewLoads returns Loads that let n partitions be read at a time.
+func NewLoads(n int) Loads {
+	return make(Loads, n)
+}
+
+// enter waits for a turn. The caller calls leave when it has read its partition.
+func (l Loads) enter(ctx context.Context) (leave func(), err error) {
+	if l == nil {
+		return func() {}, nil
+	}
+	select {
+	case l <- struct{}{}:
+		return func() { <-l }, nil
+	case <-ctx.Done():
+		return nil, errors.Mark(ctx.Err(), ErrUnavailable)
+	}
 }
 
 // Bounds of following.
@@ -42,6 +68,9 @@
 	// well under the second within which results must be readable everywhere.
 	retryFirst = 50 * time.Millisecond
 	retryMost  = 400 * time.Millisecond
+	// loadTimeout bounds reading a whole partition: some megabytes over the
+	// narrowest link, shared with the callers' requests.
+	loadTimeout = 8 * time.Second
 	// checkTimeout bounds one look at the end of a partition.
 	checkTimeout = time.Second
 )
@@ -55,8 +84,10 @@
 	mu      sync.Mutex
 	sink    Sink
 	loaded  bool
-	next    int64     // offset of the next record to apply
-	asOf    time.Time // the state is known to be complete up to this moment
+	loads   int           // how often the whole partition was read
+	loading chan struct{} // one load of this partition at a time
+	next    int64         // offset of the next record to apply
+	asOf    time.Time     // the state is known to be complete up to this moment
 	checker chan struct{}
 	changed chan struct{} // closed and replaced at each change
 }
@@ -72,6 +103,7 @@
 	return &Follower{
 		log: log, part: part, sink: sink, set: set,
 		checker: make(chan struct{}, 1),
+		loading: make(chan struct{}, 1),
 		changed: make(chan struct{}),
 	}
 }
@@ -116,8 +148,35 @@
 	return f.read(ctx, from, f.set.Wait)
 }
 
+// load reads the whole partition. Callers at the same time share one load: two
+// of them would take twice the link for the same records.
 func (f *Follower) load(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, f.set.Wait+readSlack)
+	before := f.loadCount()
+	select {
+	case f.loading <- struct{}{}:
+	case <-ctx.Done():
+		return errors.Mark(ctx.Err(), ErrUnavailable)
+	}
+	defer func() { <-f.loading }()
+	if f.loadCount() != before {
+		return nil
+	}
+	leave, err := f.set.Loads.enter(ctx)
+	if err != nil {
+		return err
+	}
+	defer leave()
+	return f.loadNow(ctx)
+}
+
+func (f *Follower) loadCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.loads
+}
+
+func (f *Follower) loadNow(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	began := time.Now()
 	snap, err := NewestAll(ctx, f.log, f.part)
@@ -126,8 +185,9 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.loads++
 	if f.loaded && snap.End < f.next {
-		return nil // another load came first
+		return nil // it went on by reads meanwhile
 	}
 	f.sink.Reset(snap.Records)
 	f.loaded, f.next = true, snap.End
@@ -215,7 +275,10 @@
 		loaded, from := f.loaded, f.next
 		f.mu.Unlock()
 		if !loaded {
-			return f.load(ctx)
+			if err := f.load(ctx); err != nil {
+				return err
+			}
+			continue // a load that was shared may have begun before this was asked
 		}
 		got, err := f.read(ctx, from, 0)
 		if err != nil || !got {
