Take a target that starts again under its id; read foreign registrations strictly

Symptom (from reading): a target that starts again under its id counts its registrations from the start, so its entries were dropped as old, and a drain of the life before held for good. An entry of another writer with missing fields named a target at an empty address. Change: the time of its start tells lives apart, in the registry, the balance table (load, failures, ejection) and the connections kept to it; words of an earlier life change nothing. Ruled out: comparing times of start across ids at one address (a foreign entry with a time in the future would hold the address for good; who was heard last still has it).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -38,7 +38,9 @@
 	named := make(map[string]bool, len(all))
 	for _, in := range all {
 		named[in.ID] = true
-		if v := t.views[in.ID]; v != nil {
+		// What an earlier life did, its load and its failures, says nothing of a
+		// target that has started again.
+		if v := t.views[in.ID]; v != nil && v.Instance.Born == in.Born {
 			v.Instance = in
 			continue
 		}
@@ -72,7 +74,7 @@
 // can be used again.
 func (t *Table) Ended(now time.Time, id string, reusable bool) {
 	if v := t.views[id]; v != nil {
-		v.online--
+		v.online = max(v.online-1, 0) // it may have begun in an earlier life
 		v.conns.give(now, reusable)
 	}
 }
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -232,3 +232,28 @@
 		t.Fatalf("heard of long ago: %v", rooms)
 	}
 }
+
+// Symptom: a target that has started again gets nothing for seconds, or counts as
+// full.
+// Sequence: it dies with requests in flight and is ejected; it starts again under
+// its id.
+// Cause: its load and failures were kept by id alone.
+func TestANewLifeStartsWithoutTheOldOnesRecord(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tab := balance.NewTable(0)
+	old := targets.Instance{ID: "a", Born: 1, Service: "s", Slots: 1}
+	tab.Replace([]targets.Instance{old})
+	tab.Began(now, "a")
+	tab.Judge(now, "a", balance.Unfit)
+	again := old
+	again.Born = 2
+	tab.Replace([]targets.Instance{again})
+	c, ok := tab.Pick(now, "s", nil, 0)
+	if !ok || c.Load != 0 {
+		t.Fatalf("%+v %v", c, ok)
+	}
+	tab.Ended(now, "a", false) // the old life's request
+	if c, _ := tab.Pick(now, "s", nil, 0); c.Load != 0 {
+		t.Fatalf("load is %d after an end of the old life", c.Load)
+	}
+}
--- a/balance/view.go
+++ b/balance/view.go
@@ -140,9 +140,9 @@
 }
 
 func (c *conns) give(now time.Time, reusable bool) {
-	c.busy--
+	c.busy = max(c.busy-1, 0)
 	if !reusable {
-		c.open--
+		c.open = max(c.open-1, 0)
 	}
 	c.used = now
 }
--- a/daemon/agentlinks.go
+++ b/daemon/agentlinks.go
@@ -32,8 +32,9 @@
 }
 
 type agentLink struct {
-	peer *link.Peer
-	stop context.CancelFunc
+	target string // address of the target beside the agent
+	peer   *link.Peer
+	stop   context.CancelFunc
 }
 
 func newAgentLinks(cfg link.Config, addr func(string) string, view *fleet.View) *agentLinks {
@@ -56,7 +57,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for id, l := range a.links {
-		if !keep[id] {
+		if !keep[id] || l.target != byID[id].Addr {
 			l.stop()
 			l.peer.Close()
 			delete(a.links, id)
@@ -71,7 +72,7 @@
 
 func (a *agentLinks) watch(ctx context.Context, in targets.Instance) *agentLink {
 	ctx, cancel := context.WithCancel(ctx)
-	l := &agentLink{peer: link.NewPeer(a.cfg, a.addr(in.Addr)), stop: cancel}
+	l := &agentLink{target: in.Addr, peer: link.NewPeer(a.cfg, a.addr(in.Addr)), stop: cancel}
 	go seats.Watch(ctx, l.peer, in, func(load *wire.Load) {
 		a.view.Table(func(t *balance.Table) { t.Note(time.Now(), in.ID, loadReport(load)) })
 		if load.GetRoom() > 0 {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -182,6 +182,9 @@
 	}
 	in, ok := v.decode(r)
 	if !ok {
+		// It may have overwritten a live target's registration: that one gets
+		// nothing until its own next heartbeat says that it is there.
+		v.Supersede(r.Key)
 		return
 	}
 	v.changeTargets(func() {
@@ -268,8 +271,11 @@
 		switch {
 		case !known && len(before) > 0: // a first reading is told as one line
 			v.log.Info("target joined", logging.F("instance", in.ID), logging.F("addr", in.Addr), logging.F("service", in.Service))
+		case known && in.Born != was.Born:
+			v.log.Info("target started again", logging.F("instance", in.ID), logging.F("addr", in.Addr),
+				logging.F("born", in.Born), logging.F("before", was.Born))
 		case in.Superseded && !was.Superseded:
-			v.log.Info("target's address has another instance", logging.F("instance", in.ID), logging.F("addr", in.Addr))
+			v.log.Info("target's registration no longer holds", logging.F("instance", in.ID), logging.F("addr", in.Addr))
 		case in.Draining && !was.Draining:
 			v.log.Info("target is leaving", logging.F("instance", in.ID), logging.F("seq", in.Seq))
 		}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -15,6 +15,9 @@
 	"pumiceford/targets"
 )
 
+// unreadable is a value that no registration has.
+const unreadable = "\xff\x00"
+
 // decoder reads a catalog that is its version, and an instance that is its address.
 type decoder struct{}
 
@@ -26,7 +29,7 @@
 }
 
 func (decoder) Instance(id string, value []byte) (targets.Instance, error) {
-	if len(value) == 0 {
+	if len(value) == 0 || string(value) == unreadable {
 		return targets.Instance{}, strconv.ErrSyntax
 	}
 	return targets.Instance{ID: id, Addr: string(value), Service: "s", Slots: 1}, nil
@@ -163,3 +166,34 @@
 		t.Fatalf("told %v", told)
 	}
 }
+
+// Symptom: all targets of a service are unknown, or one is used that nobody
+// vouches for any more.
+// Sequence: another writer puts bytes that cannot be read into the registry, also
+// over a live target's entry; the target's next heartbeat follows.
+// Cause: one bad entry spoiled the rest, or the one before it was still believed.
+func TestAnUnreadableRegistrationCostsOnlyItself(t *testing.T) {
+	v := newView()
+	v.TargetSink().Reset([]store.Record{
+		{Key: "a", Value: []byte("10.0.0.1:1")}, {Key: "bad", Value: []byte(unreadable), Offset: 1}, {Key: "b", Value: []byte("10.0.0.2:1"), Offset: 2},
+	})
+	if got := v.Instances(); len(got) != 2 {
+		t.Fatalf("targets %v", got)
+	}
+	v.TargetSink().Apply(store.Record{Key: "a", Value: []byte(unreadable), Offset: 3})
+	used := func() (out []string) {
+		for _, in := range v.Instances() {
+			if !in.Superseded {
+				out = append(out, in.ID)
+			}
+		}
+		return out
+	}
+	if got := used(); len(got) != 1 || got[0] != "b" {
+		t.Fatalf("used %v", got)
+	}
+	v.TargetSink().Apply(store.Record{Key: "a", Value: []byte("10.0.0.1:1"), Offset: 4})
+	if got := used(); len(got) != 2 {
+		t.Fatalf("used %v after the next heartbeat", got)
+	}
+}
--- a/targets/targets.go
+++ b/targets/targets.go
@@ -8,9 +8,11 @@
 	"time"
 )
 
-// Instance is one start of a target.
+// Instance is a target as its registration names it. A target that starts again
+// may keep its id: it then knows nothing of its life before and counts anew.
 type Instance struct {
-	ID         string // new at each start
+	ID         string
+	Born       int64 // Unix milliseconds of its start; 0 when not told
 	Service    string
 	Addr       string // IP and port
 	DataCentre string
@@ -22,6 +24,18 @@
 	Seq        int64 // of its registration; rises when more than a heartbeat changes
 }
 
+// Life names one life of an instance: what was learned of an earlier one, its
+// connections, failures and drain, says nothing of this one.
+type Life struct {
+	ID   string
+	Born int64
+}
+
+// Life returns which life this is.
+func (in Instance) Life() Life {
+	return Life{in.ID, in.Born}
+}
+
 // goneAfter is how long a registration that lapsed around an outage of the
 // registry may take to come back. The platform's operators name about two
 // seconds after the registry's return.
@@ -41,16 +55,24 @@
 	return &Set{holder: make(map[string]string), byID: make(map[string]*Instance), lapsing: make(map[string]time.Time)}
 }
 
-// Put takes a registration or heartbeat. Draining is final for an instance: an old
-// heartbeat that arrives late does not bring it back.
+// Put takes a registration or heartbeat. Draining is final for a life: an old
+// heartbeat that arrives late does not bring it back. A later life replaces all
+// that was known of the one before, whatever its numbers; a word of an earlier
+// life, read late or told by a peer, changes nothing.
 func (s *Set) Put(in Instance) {
-	delete(s.lapsing, in.ID)
 	if old := s.byID[in.ID]; old != nil {
-		if in.Seq < old.Seq {
+		if in.Born < old.Born {
 			return
 		}
-		in.Draining = in.Draining || old.Draining
+		if in.Born == old.Born {
+			if in.Seq < old.Seq {
+				delete(s.lapsing, in.ID)
+				return
+			}
+			in.Draining = in.Draining || old.Draining
+		}
 	}
+	delete(s.lapsing, in.ID)
 	s.hold(in.Addr, in.ID)
 	s.byID[in.ID] = &in
 }
--- a/targets/targets_test.go
+++ b/targets/targets_test.go
@@ -118,3 +118,42 @@
 		t.Fatalf("have %v", all)
 	}
 }
+
+func born(id, addr string, seq, at int64) targets.Instance {
+	i := in(id, addr, seq)
+	i.Born = at
+	return i
+}
+
+// Symptom: a target that has started again stays out of use for good.
+// Sequence: it drains or dies; it starts again under the id that it had, counts
+// its registrations from the start, and registers as ready.
+// Cause: a lower number was taken for an old heartbeat, and draining for final.
+func TestATargetThatStartedAgainIsUsed(t *testing.T) {
+	s := targets.NewSet()
+	leaving := born("a", "1:1", 9, 1000)
+	leaving.Draining = true
+	s.Put(leaving)
+	s.Supersede("a")
+	s.Put(born("a", "1:2", 1, 2000))
+	if got := s.Get("a"); got.Draining || got.Superseded || got.Addr != "1:2" || got.Seq != 1 {
+		t.Fatalf("%+v", got)
+	}
+}
+
+// Symptom: a target that has started again is taken for draining, or asked at its
+// old address.
+// Sequence: its later life is known; a peer, a copy or a late read of the registry
+// tells of the earlier one, with a higher number.
+// Cause: numbers of two lives were compared.
+func TestAnEarlierLifeDoesNotComeBack(t *testing.T) {
+	s := targets.NewSet()
+	s.Put(born("a", "1:2", 1, 2000))
+	old := born("a", "1:1", 9, 1000)
+	old.Draining = true
+	s.Put(old)
+	s.Replace(start, []targets.Instance{old})
+	if got := s.Get("a"); got == nil || got.Draining || got.Addr != "1:2" || got.Born != 2000 {
+		t.Fatalf("%+v", got)
+	}
+}
