Keep a job as a hint in another partition while its own is away

With the store silent, each try was held for up to 1.5 s by every entry for itself. Ruled out: a second home for good, homes drawn at acceptance, two copies at once (docs/design/outages.md has the races), and results listed elsewhere (counterexample there). Change: hinted handoff. A known outage is refused at once, with a time to come back that follows how long it has lasted; a probe that no caller waits for finds its end.

--- a/jobs/decide.go
+++ b/jobs/decide.go
@@ -16,6 +16,9 @@
 	Item int
 	Dead bool
 	Text []byte
+	// HandOff is the job's spec when it was taken in elsewhere: a partition that
+	// does not have it yet takes it in together with its first results.
+	HandOff *wire.JobSpec
 }
 
 // Accept returns the records that take a job in, none when it is there already.
@@ -26,6 +29,24 @@
 	return split(spec.GetId(), kindSpec, 0, spec)
 }
 
+// HintRecords returns the records by which a partition keeps a job for another.
+func HintRecords(spec *wire.JobSpec) ([]store.Record, error) {
+	return split(spec.GetId(), kindHint, 0, spec)
+}
+
+// DropHint returns the records that forget a job that was taken in for another
+// partition.
+func (t *Table) DropHint(id string) []store.Record {
+	if t.Hint(id) == nil {
+		return nil
+	}
+	var out []store.Record
+	for k := range t.jobs[id].keys {
+		out = append(out, store.Record{Key: k})
+	}
+	return out
+}
+
 // End returns the record that ends a job, none when it has ended or is unknown.
 func (t *Table) End(id string) ([]store.Record, error) {
 	j := t.Get(id)
@@ -36,8 +57,15 @@
 }
 
 // List returns the records that list outcomes at the next free positions. An
-// item that is listed already, or whose job is gone, is left out.
+// item that is listed already, or whose job is gone, is left out. A job that has
+// still to be handed off is taken in first; its outcomes are listed on the state
+// after that.
 func (t *Table) List(outcomes []Outcome) ([]store.Record, error) {
+	for _, o := range outcomes {
+		if o.HandOff != nil && t.Get(o.Job) == nil {
+			return t.Accept(o.HandOff)
+		}
+	}
 	var out []store.Record
 	next := make(map[string]int)
 	taken := make(map[string]map[int]bool)
@@ -88,8 +116,8 @@
 	return out
 }
 
-// Same reports whether two specs ask for the same work. When they came is left
-// out: a client that got no answer sends its job again later.
+// Same reports whether two specs ask for the same work. When they came and where
+// they run is left out: a client that got no answer sends its job again later.
 func Same(a, b *wire.JobSpec) bool {
 	if a.GetHost() != b.GetHost() || a.GetPath() != b.GetPath() || len(a.GetItems()) != len(b.GetItems()) {
 		return false
--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -29,6 +29,9 @@
 	kindResult   = "result"   // by position
 	kindFailures = "failures" // by item
 	kindEnd      = "end"
+	// kindHint is a job that was taken in here because the partition of its id
+	// was away. It is handed off to that partition, where all else of it is.
+	kindHint = "hint"
 )
 
 // Result is one listed result.
@@ -43,6 +46,7 @@
 	ID    string
 	Spec  *wire.JobSpec // nil until all of it was read
 	Ended bool          // its client ended it
+	hint  *wire.JobSpec // nil unless the job was taken in for another partition
 
 	results  map[int]*Result // by position
 	listed   map[int]bool    // by item
@@ -140,6 +144,26 @@
 	return out
 }
 
+// Hint returns a job that was taken in here for another partition, nil when there
+// is none.
+func (t *Table) Hint(id string) *wire.JobSpec {
+	if j := t.jobs[id]; j != nil {
+		return j.hint
+	}
+	return nil
+}
+
+// Hints returns all jobs that were taken in here for other partitions.
+func (t *Table) Hints() []*wire.JobSpec {
+	var out []*wire.JobSpec
+	for _, j := range t.jobs {
+		if j.hint != nil {
+			out = append(out, j.hint)
+		}
+	}
+	return out
+}
+
 // Reset implements store.Sink.
 func (t *Table) Reset(recs []store.Record) {
 	t.jobs = make(map[string]*Job)
@@ -253,6 +277,12 @@
 		j.failures[number] = f
 	case kindEnd:
 		j.Ended = true
+	case kindHint:
+		hint := &wire.JobSpec{}
+		if err := proto.Unmarshal(data, hint); err != nil {
+			return err
+		}
+		j.hint = hint
 	}
 	return nil
 }
--- a/jobstore/jobstore.go
+++ b/jobstore/jobstore.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"slices"
 	"sync"
 	"time"
@@ -18,7 +17,6 @@
 	"pumiceford/jobs"
 	"pumiceford/logging"
 	"pumiceford/store"
-	"pumiceford/wire"
 )
 
 // Settings shape a Store.
@@ -75,6 +73,7 @@
 	mu    sync.Mutex
 	parts map[int]*partition
 	loads store.Loads
+	tries health // of all partitions together
 }
 
 // partition is one followed partition. Its table is only touched inside the
@@ -84,6 +83,9 @@
 	table  *jobs.Table
 	follow *store.Follower
 	write  chan struct{} // one writer of this process at a time
+	tries  health        // of taking jobs in
+	// probing holds the place of the one look at a partition that seems away.
+	probing chan struct{}
 }
 
 // New returns a Store whose followers run until ctx ends.
@@ -91,13 +93,6 @@
 	return &Store{log: log, set: set, out: out, base: ctx, parts: make(map[int]*partition), loads: store.NewLoads(loadsAtOnce)}
 }
 
-// PartitionOf returns the partition of a job.
-func (s *Store) PartitionOf(id string) int {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(id)) // a hash's Write never fails
-	return int(h.Sum32() % uint32(s.set.Partitions))
-}
-
 // Topic returns the topic of all partitions.
 func (s *Store) Topic() string {
 	return s.set.Topic
@@ -115,7 +110,7 @@
 		s.out.Warn("record of a job cannot be read and is left out", logging.F("partition", number),
 			logging.F("key", key), logging.F("error", err.Error()))
 	}
-	p := &partition{number: number, table: jobs.NewTable(unreadable), write: make(chan struct{}, 1)}
+	p := &partition{number: number, table: jobs.NewTable(unreadable), write: make(chan struct{}, 1), probing: make(chan struct{}, 1)}
 	part := store.Partition{Topic: s.set.Topic, Number: number}
 	p.follow = store.NewFollower(s.log, part, p.table, store.FollowSettings{
 		Wait: followWait, Loads: s.loads,
@@ -139,26 +134,6 @@
 	return nil
 }
 
-// Accept takes a job in. When it returns nil, the job is durable, by this call
-// or an earlier one.
-func (s *Store) Accept(ctx context.Context, spec *wire.JobSpec) error {
-	p := s.at(s.PartitionOf(spec.GetId()))
-	began := time.Now()
-	var other, known bool
-	err := s.update(ctx, p, func(t *jobs.Table) ([]store.Record, error) {
-		if j := t.Get(spec.GetId()); j != nil {
-			known, other = true, !jobs.Same(j.Spec, spec)
-			return nil, nil
-		}
-		return t.Accept(spec)
-	})
-	if err == nil && other {
-		err = ErrOtherJob
-	}
-	s.tell("accepted", spec.GetId(), p.number, began, err, logging.F("items", len(spec.GetItems())), logging.F("known", known))
-	return err
-}
-
 // tell logs what became of a caller's write.
 func (s *Store) tell(what, id string, number int, began time.Time, err error, more ...logging.Field) {
 	fields := append([]logging.Field{
@@ -171,34 +146,13 @@
 	s.out.Info("job "+what, fields...)
 }
 
-// End ends a job. Ending it again changes nothing.
-func (s *Store) End(ctx context.Context, id string) error {
-	p := s.at(s.PartitionOf(id))
-	began, known := time.Now(), false
-	err := s.update(ctx, p, func(t *jobs.Table) ([]store.Record, error) {
-		known = t.Get(id) != nil
-		return t.End(id)
-	})
-	if err != nil || known {
-		s.tell("ended", id, p.number, began, err)
-		return err
-	}
-	if err := p.sure(ctx); err != nil {
-		return err
-	}
-	if p.has(id) {
-		return s.End(ctx, id)
-	}
-	return ErrUnknownJob
-}
-
 func (p *partition) has(id string) bool {
 	found := false
 	p.follow.Look(func(int64, <-chan struct{}) { found = p.table.Get(id) != nil })
 	return found
 }
 
-// List lists outcomes of one partition's jobs.
+// List lists outcomes of the jobs whose partition is number.
 func (s *Store) List(ctx context.Context, number int, outcomes []jobs.Outcome) error {
 	return s.update(ctx, s.at(number), func(t *jobs.Table) ([]store.Record, error) {
 		return t.List(outcomes)
@@ -223,6 +177,11 @@
 // asks for nothing more. An append without an answer is looked up first: its
 // records either came, or cannot come any more once the partition has moved on.
 func (s *Store) update(ctx context.Context, p *partition, decide func(*jobs.Table) ([]store.Record, error)) error {
+	return s.updateUntil(ctx, p, func(error) bool { return false }, decide)
+}
+
+// updateUntil is update that gives up after a failed append when enough says so.
+func (s *Store) updateUntil(ctx context.Context, p *partition, enough func(error) bool, decide func(*jobs.Table) ([]store.Record, error)) error {
 	select {
 	case p.write <- struct{}{}:
 	case <-ctx.Done():
@@ -253,8 +212,11 @@
 		case errors.Is(err, store.ErrUnavailable):
 			lost = stopped
 		}
+		if enough(err) {
+			return failure(err, lost)
+		}
 		if s.settle(ctx, p, err) != nil && ctx.Err() != nil {
-			return failure(ctx, lost)
+			return failure(ctx.Err(), lost)
 		}
 	}
 }
@@ -262,11 +224,11 @@
 // noAppend says that no append of this update is without an answer.
 const noAppend int64 = -1
 
-func failure(ctx context.Context, lost int64) error {
+func failure(cause error, lost int64) error {
 	if lost != noAppend {
-		return errors.Mark(ctx.Err(), ErrUnknownEffect)
+		return errors.Mark(cause, ErrUnknownEffect)
 	}
-	return errors.Mark(ctx.Err(), ErrUnsure)
+	return errors.Mark(cause, ErrUnsure)
 }
 
 func (p *partition) loaded(ctx context.Context) error {
@@ -319,7 +281,7 @@
 	return moved, changed
 }
 
-// append writes records at an end, in as many calls as their size needs. Each
+// append writes records at an end, or at any, in as many calls as their size needs. Each
 // call requires the end that the one before left. With an error it returns the end
 // at which the call that failed was made: there it may still be carried out.
 func (s *Store) append(ctx context.Context, p *partition, recs []store.Record, at int64) (int64, error) {
@@ -328,8 +290,10 @@
 		if _, err := s.log.Append(ctx, part, group, at); err != nil {
 			return at, err
 		}
-		p.follow.Appended(group, at)
-		at += int64(len(group))
+		if at != store.AnyEnd {
+			p.follow.Appended(group, at)
+			at += int64(len(group))
+		}
 	}
 	return at, nil
 }
--- a/jobstore/read.go
+++ b/jobstore/read.go
@@ -28,14 +28,9 @@
 // Results returns the results from a position on. With none there it waits up to
 // wait for one.
 func (s *Store) Results(ctx context.Context, id string, from int, wait time.Duration) (Results, error) {
-	p := s.at(s.PartitionOf(id))
-	if !p.has(id) {
-		if err := p.sure(ctx); err != nil {
-			return Results{}, err
-		}
-		if !p.has(id) {
-			return Results{}, ErrUnknownJob
-		}
+	p, err := s.find(ctx, id)
+	if err != nil {
+		return Results{}, err
 	}
 	until := time.NewTimer(wait)
 	defer until.Stop()
@@ -93,13 +88,16 @@
 	}
 }
 
-// Body returns the body of an item that is not listed yet.
+// Body returns the body of an item that is not listed yet. It is the same in the
+// job's own partition and in one that keeps the job for it.
 func (s *Store) Body(ctx context.Context, id, item string) ([]byte, error) {
-	p := s.at(s.PartitionOf(id))
-	if body, ok := p.body(id, item); ok {
-		return body, nil
+	if hint, _ := s.knownHint(id); hint != nil {
+		if body, ok := bodyIn(hint, item); ok {
+			return body, nil
+		}
 	}
-	if err := p.sure(ctx); err != nil {
+	p, err := s.find(ctx, id)
+	if err != nil {
 		return nil, err
 	}
 	if body, ok := p.body(id, item); ok {
@@ -110,25 +108,34 @@
 
 func (p *partition) body(id, item string) (body []byte, ok bool) {
 	p.follow.Look(func(int64, <-chan struct{}) {
-		j := p.table.Get(id)
-		if j == nil {
-			return
-		}
-		if i := j.Item(item); i >= 0 {
-			body, ok = j.Spec.GetItems()[i].GetBody(), true
+		if j := p.table.Get(id); j != nil {
+			body, ok = bodyIn(j.Spec, item)
 		}
 	})
 	return body, ok
 }
 
+func bodyIn(spec *wire.JobSpec, item string) ([]byte, bool) {
+	for _, it := range spec.GetItems() {
+		if it.GetId() == item {
+			return it.GetBody(), true
+		}
+	}
+	return nil, false
+}
+
 // OpenItem is an item that still has to run.
 type OpenItem struct {
+	Home       int // partition where its result is listed
 	Job        string
 	Index      int
 	Spec       *wire.JobSpec
 	Item       *wire.JobItem
 	Failed     int // attempts that failed, as far as written down
 	Impossible bool
+	// HandOff is the spec for the job's own partition when that may not have it
+	// yet, nil otherwise.
+	HandOff *wire.JobSpec
 }
 
 // Key returns what names the item.
@@ -136,30 +143,56 @@
 	return ItemKey{Job: o.Job, Item: o.Index}
 }
 
-// Open returns the items of a partition that still have to run, how old that
-// knowledge may be at most, and a channel that is closed at the next change.
-func (s *Store) Open(number int) (items []OpenItem, asOf time.Time, changed <-chan struct{}) {
+// Open returns the items that the runner of a partition still has to run: those of
+// its own jobs and of the jobs that it keeps for other partitions. Other partitions
+// are looked at after it, never at the same time: two followers are not locked
+// together.
+func (s *Store) Open(number int) []OpenItem {
 	p := s.at(number)
-	asOf = p.follow.AsOf()
-	p.follow.Look(func(_ int64, ch <-chan struct{}) {
-		changed = ch
+	var items []OpenItem
+	var hints []*wire.JobSpec
+	p.follow.Look(func(int64, <-chan struct{}) {
 		for _, j := range p.table.Jobs() {
-			if j.Open() {
-				items = append(items, openItems(j)...)
+			if j.Open() && runFrom(j.Spec, number) == number {
+				items = append(items, openItems(j, number)...)
 			}
 		}
+		hints = p.table.Hints()
+	})
+	for _, hint := range hints {
+		items = append(items, s.openHint(hint, number)...)
+	}
+	return items
+}
+
+// openHint returns the open items of a job that a partition keeps for another.
+func (s *Store) openHint(hint *wire.JobSpec, number int) (items []OpenItem) {
+	home := s.at(s.PartitionOf(hint.GetId()))
+	there := false
+	home.follow.Look(func(int64, <-chan struct{}) {
+		j := home.table.Get(hint.GetId())
+		if there = j != nil; there && j.Open() && runFrom(j.Spec, home.number) == number {
+			items = openItems(j, home.number)
+		}
 	})
-	return items, asOf, changed
+	if there {
+		return items
+	}
+	spec := handedOff(hint, number)
+	for i, it := range spec.GetItems() {
+		items = append(items, OpenItem{Home: home.number, Job: spec.GetId(), Index: i, Spec: spec, Item: it, HandOff: spec})
+	}
+	return items
 }
 
-func openItems(j *jobs.Job) []OpenItem {
+func openItems(j *jobs.Job, home int) []OpenItem {
 	var out []OpenItem
 	for i, it := range j.Spec.GetItems() {
 		if j.Done(i) {
 			continue
 		}
 		failed, impossible := j.Failures(i)
-		out = append(out, OpenItem{Job: j.ID, Index: i, Spec: j.Spec, Item: it, Failed: failed, Impossible: impossible})
+		out = append(out, OpenItem{Home: home, Job: j.ID, Index: i, Spec: j.Spec, Item: it, Failed: failed, Impossible: impossible})
 	}
 	return out
 }
--- a/runner/run.go
+++ b/runner/run.go
@@ -127,7 +127,7 @@
 	case o != nil:
 		r.cfg.Metrics.Count("item_complete")
 		r.judge(in, balance.Sound)
-		r.finish(w, c.part, *o)
+		r.finish(w, c, *o)
 	case stopped(ctx):
 		r.cfg.Metrics.Count("item_stopped")
 	default:
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -129,7 +129,7 @@
 // Run runs items until ctx ends.
 func (r *Runner) Run(ctx context.Context) {
 	var all sync.WaitGroup
-	for _, loop := range []func(context.Context){r.membership, r.dispatch, r.lister, r.saver, r.sweeper} {
+	for _, loop := range []func(context.Context){r.membership, r.dispatch, r.lister, r.saver, r.sweeper, r.handOffs} {
 		all.Add(1)
 		go func() {
 			defer all.Done()
@@ -203,8 +203,7 @@
 	parts := r.partitions()
 	open := make(map[jobstore.ItemKey]bool)
 	for _, part := range parts {
-		items, _, _ := r.cfg.Store.Open(part)
-		for _, it := range items {
+		for _, it := range r.cfg.Store.Open(part) {
 			open[it.Key()] = true
 			if r.mayStart(now, part, it) {
 				out = append(out, candidate{open: it, part: part})
@@ -320,12 +319,23 @@
 // job meanwhile, and waiting left half of the slots idle through an outage. What
 // finishes is held until it can be listed, up to unlistedMost.
 func (r *Runner) stillOpen(ctx context.Context, c candidate) bool {
-	if r.cfg.Store.Refresh(ctx, c.part, startAge) == nil {
-		return true
+	parts := []int{c.part}
+	if c.open.Home != c.part {
+		parts = append(parts, c.open.Home)
 	}
-	if time.Since(r.cfg.Store.AsOf(c.part)) > outageMost {
-		return false
+	for _, part := range parts {
+		if r.cfg.Store.Refresh(ctx, part, startAge) == nil {
+			continue
+		}
+		if time.Since(r.cfg.Store.AsOf(part)) > outageMost || !r.mayHold() {
+			return false
+		}
 	}
+	return true
+}
+
+// mayHold reports whether one more result may wait for the store.
+func (r *Runner) mayHold() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.unlisted < unlistedMost
@@ -359,7 +369,7 @@
 	r.cfg.Log.Warn("item given up", logging.F("job", c.open.Job), logging.F("item", c.open.Item.GetId()),
 		logging.F("why", why), logging.F("failed", failed))
 	r.cfg.Metrics.Count("item_given_up")
-	r.finish(w, c.part, jobs.Outcome{Job: c.open.Job, Item: c.open.Index, Dead: true})
+	r.finish(w, c, jobs.Outcome{Job: c.open.Job, Item: c.open.Index, Dead: true})
 	return true
 }
 
@@ -378,11 +388,13 @@
 	return !w.noRoute.IsZero() && now.Sub(w.noRoute) >= routelessFor
 }
 
-func (r *Runner) finish(w *work, part int, o jobs.Outcome) {
+// finish has an outcome listed at its job's own partition.
+func (r *Runner) finish(w *work, c candidate, o jobs.Outcome) {
+	o.HandOff = c.open.HandOff
 	r.mu.Lock()
 	w.done = true
 	r.unlisted += len(o.Text)
-	r.finished[part] = append(r.finished[part], o)
+	r.finished[c.open.Home] = append(r.finished[c.open.Home], o)
 	r.mu.Unlock()
 	poke(r.list)
 }
--- a/runner/upkeep.go
+++ b/runner/upkeep.go
@@ -23,6 +23,9 @@
 	// repeats of an item's five seconds. 25 running items cost 12 records each
 	// second for the whole fleet.
 	saveEvery = 1500 * time.Millisecond
+	// handOffEvery is how often jobs that are kept for another partition are looked
+	// for: their results are readable that much later.
+	handOffEvery = 250 * time.Millisecond
 	// sweepEvery is how often jobs that are over are looked for.
 	sweepEvery = 30 * time.Second
 )
@@ -40,6 +43,21 @@
 	}
 }
 
+// handOffs brings jobs that were taken in while their own partitions were away to
+// these.
+func (r *Runner) handOffs(ctx context.Context) {
+	for wait.For(ctx, handOffEvery) == nil {
+		for _, p := range r.partitions() {
+			one, cancel := context.WithTimeout(ctx, listTimeout)
+			// What fails is tried again; the job store's own line tells of it.
+			if r.cfg.Store.HandOff(one, p) != nil {
+				r.cfg.Metrics.Count("hand_off_failures")
+			}
+			cancel()
+		}
+	}
+}
+
 // saver keeps the progress of running items.
 func (r *Runner) saver(ctx context.Context) {
 	for wait.For(ctx, saveEvery) == nil {
@@ -95,7 +113,7 @@
 				r.cfg.Log.Info("result listed", logging.F("job", o.Job), logging.F("index", o.Item),
 					logging.F("dead", o.Dead), logging.F("bytes", len(o.Text)), logging.F("partition", part))
 			}
-			r.forget(ctx, part, outs)
+			r.forget(ctx, outs)
 			return
 		}
 		r.cfg.Log.Warn("results not listed; tried again", logging.F("partition", part),
@@ -105,24 +123,23 @@
 }
 
 // forget drops the progress that was kept of listed items.
-func (r *Runner) forget(ctx context.Context, part int, outs []jobs.Outcome) {
-	var drop []jobstore.Progress
+func (r *Runner) forget(ctx context.Context, outs []jobs.Outcome) {
+	drop := make(map[int][]jobstore.Progress) // by the partition that ran the item
 	r.mu.Lock()
 	for _, o := range outs {
 		r.unlisted -= len(o.Text)
 		k := jobstore.ItemKey{Job: o.Job, Item: o.Item}
 		if w := r.work[k]; w != nil && w.saved > 0 {
-			drop = append(drop, jobstore.Progress{Key: k, Done: true})
+			drop[w.part] = append(drop[w.part], jobstore.Progress{Key: k, Done: true})
 		}
 	}
 	r.mu.Unlock()
-	if len(drop) == 0 {
-		return
-	}
 	one, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	if err := r.cfg.Store.SaveProgress(one, part, drop); err != nil {
-		// It stays until the store's room is looked through; nothing reads it.
-		r.cfg.Metrics.Count("progress_not_dropped")
+	for part, all := range drop {
+		if err := r.cfg.Store.SaveProgress(one, part, all); err != nil {
+			// It stays until the store's room is looked through; nothing reads it.
+			r.cfg.Metrics.Count("progress_not_dropped")
+		}
 	}
 }
--- a/standin/sharedstore/sharedstore.go
+++ b/standin/sharedstore/sharedstore.go
@@ -35,7 +35,7 @@
 	mu      sync.Mutex
 	logs    map[store.Partition]*log
 	faults  map[string]Fault
-	down    map[store.Partition]bool
+	parted  map[store.Partition]Fault // what happens to all calls of a partition
 	groups  map[string]*group
 	changed chan struct{} // closed and replaced at each change
 	calls   int
@@ -60,7 +60,7 @@
 func New(parts int) *Store {
 	return &Store{
 		parts: parts, logs: make(map[store.Partition]*log), faults: make(map[string]Fault),
-		down: make(map[store.Partition]bool), groups: make(map[string]*group), changed: make(chan struct{}),
+		parted: make(map[store.Partition]Fault), groups: make(map[string]*group), changed: make(chan struct{}),
 	}
 }
 
@@ -74,9 +74,20 @@
 
 // SetDown makes a partition refuse all calls, or serve them again.
 func (s *Store) SetDown(p store.Partition, down bool) {
+	if down {
+		s.SetPartitionFault(p, Refuse)
+		return
+	}
+	s.SetPartitionFault(p, None)
+}
+
+// SetPartitionFault sets what happens to all hosts' calls of a partition from now
+// on.
+func (s *Store) SetPartitionFault(p store.Partition, f Fault) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.down[p] = down
+	s.parted[p] = f
+	s.wakeLocked()
 }
 
 // Calls returns how many calls were made.
@@ -175,8 +186,8 @@
 	s.calls++
 	fault := s.faults[f.host]
 	for _, p := range parts {
-		if s.down[p] {
-			fault = Refuse
+		if s.parted[p] != None {
+			fault = s.parted[p]
 		}
 	}
 	s.mu.Unlock()
@@ -234,7 +245,7 @@
 		}
 		select {
 		case <-changed:
-			if f.silent() {
+			if f.silent(p) {
 				// The connection has gone silent for good, whatever comes later.
 				<-ctx.Done()
 				return page, errors.Mark(ctx.Err(), store.ErrUnavailable)
@@ -247,10 +258,10 @@
 	}
 }
 
-func (f *Face) silent() bool {
+func (f *Face) silent(p store.Partition) bool {
 	f.store.mu.Lock()
 	defer f.store.mu.Unlock()
-	return f.store.faults[f.host] == Silent
+	return f.store.faults[f.host] == Silent || f.store.parted[p] == Silent
 }
 
 func (s *Store) page(p store.Partition, from int64) (store.Page, chan struct{}, error) {
@@ -398,3 +409,10 @@
 	}
 	return out, nil
 }
+
+// Kept returns how many keys a partition holds, whatever faults there are.
+func (f *Face) Kept(p store.Partition) int {
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	return len(f.store.logLocked(p).newest)
+}
--- a/store/follower.go
+++ b/store/follower.go
@@ -68,9 +68,9 @@
 	// well under the second within which results must be readable everywhere.
 	retryFirst = 50 * time.Millisecond
 	retryMost  = 400 * time.Millisecond
-	// loadTimeout bounds reading a whole partition: some megabytes over the
-	// narrowest link, shared with the callers' requests.
-	loadTimeout = 8 * time.Second
+	// loadTurn is how long a load that another caller has begun is waited for. It may
+	// hang on a connection that has gone silent.
+	loadTurn = 500 * time.Millisecond
 	// checkTimeout bounds one look at the end of a partition.
 	checkTimeout = time.Second
 )
@@ -152,12 +152,15 @@
 // of them would take twice the link for the same records.
 func (f *Follower) load(ctx context.Context) error {
 	before := f.loadCount()
+	timer := time.NewTimer(loadTurn)
+	defer timer.Stop()
 	select {
 	case f.loading <- struct{}{}:
+		defer func() { <-f.loading }()
+	case <-timer.C:
 	case <-ctx.Done():
 		return errors.Mark(ctx.Err(), ErrUnavailable)
 	}
-	defer func() { <-f.loading }()
 	if f.loadCount() != before {
 		return nil
 	}
@@ -176,7 +179,7 @@
 }
 
 func (f *Follower) loadNow(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	ctx, cancel := context.WithTimeout(ctx, f.set.Wait+readSlack)
 	defer cancel()
 	began := time.Now()
 	snap, err := NewestAll(ctx, f.log, f.part)
