--- a/cmd/pumice/explain.go
+++ b/cmd/pumice/explain.go
@@ -13,15 +13,24 @@
 
 // runExplain prints what the logs tell of one id.
 func runExplain(cmd *explainCmd) error {
+	all, err := readLogs(cmd.Files)
+	if err != nil {
+		return err
+	}
+	return explain.Find(all, cmd.ID).Write(os.Stdout, cmd.ID)
+}
+
+// readLogs reads the lines of several logs.
+func readLogs(names []string) ([]explain.Line, error) {
 	var all []explain.Line
-	for _, name := range cmd.Files {
+	for _, name := range names {
 		lines, err := readLog(name)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		all = append(all, lines...)
 	}
-	return explain.Find(all, cmd.ID).Write(os.Stdout, cmd.ID)
+	return all, nil
 }
 
 func readLog(name string) ([]explain.Line, error) {
--- a/jobs/decide.go
+++ b/jobs/decide.go
@@ -19,6 +19,7 @@
 	// HandOff is the job's spec when it was taken in elsewhere: a partition that
 	// does not have it yet takes it in together with its first results.
 	HandOff *wire.JobSpec
+	Due     time.Time // for the log only
 }
 
 // Accept returns the records that take a job in, none when it is there already.
--- /dev/null
+++ b/losses/losses_test.go
@@ -0,0 +1,122 @@
+package losses_test
+
+import (
+	"fmt"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"pumiceford/explain"
+	"pumiceford/losses"
+)
+
+// story is a log: each line has the second, the process and the fields.
+func story(t *testing.T, lines ...string) *losses.Report {
+	t.Helper()
+	var b strings.Builder
+	for _, l := range lines {
+		at, rest, _ := strings.Cut(l, " ")
+		source, fields, _ := strings.Cut(rest, " ")
+		_, _ = fmt.Fprintf(&b, "%s {\"time\":\"2026-01-01T00:00:%sZ\",\"level\":\"info\",%s}\n", source, at, fields) // a Builder never fails
+	}
+	all, err := explain.Read("log", strings.NewReader(b.String()))
+	if err != nil || len(all) != len(lines) {
+		t.Fatalf("%d of %d lines: %v", len(all), len(lines), err)
+	}
+	return losses.Find(all)
+}
+
+func sent(id string, more string) string {
+	return `"request":"` + id + `","message":"online: request sent"` + more
+}
+
+func ended(id, outcome string, first int) string {
+	return fmt.Sprintf(`"request":"%s","message":"online: request ended","outcome":"%s","first_ms":%d,"aim_ms":300`, id, outcome, first)
+}
+
+func TestRequestsAreSortedByCause(t *testing.T) {
+	for _, c := range []struct {
+		want  losses.Cause
+		lines []string
+	}{
+		{"", []string{"01.0 e " + sent("q", ""), "01.1 e " + ended("q", "served", 90)}},
+		{"", []string{"01.0 e " + sent("q", ""), "01.1 e " + ended("q", "caller_left", -1)}},
+		{losses.ProcessGone, []string{"01.0 e " + sent("q", "")}},
+		{losses.NotReady, []string{`01.0 e "request":"q","message":"online: request refused","outcome":"not_ready"`}},
+		{losses.NoRoute, []string{`01.0 e "request":"q","message":"online: request refused","outcome":"no_route"`}},
+		{losses.NoTarget, []string{"01.0 e " + ended("q", "no_target", -1)}},
+		{losses.Overload, []string{"01.0 e " + ended("q", "overload", -1)}},
+		{losses.AnswerLost, []string{"01.0 e " + sent("q", ""), "01.1 e " + ended("q", "cut_lost", 20)}},
+		{losses.WaitedForSlot, []string{"01.0 e " + sent("q", `,"waiting":2`), "01.5 e " + ended("q", "served", 500)}},
+		{losses.WaitedForBatch, []string{"01.0 e " + sent("q", `,"batch":2`), "01.5 e " + ended("q", "served", 500)}},
+		{losses.SlowTarget, []string{"01.0 e " + sent("q", ""), "01.5 e " + ended("q", "served", 500)}},
+		{losses.TargetSilent, []string{"01.0 e " + sent("q", ""),
+			`01.2 e "request":"q","message":"online: sent again; its answer is lost","error":"context canceled"`, "01.5 e " + ended("q", "served", 500)}},
+		{losses.OtherInstance, []string{"01.0 e " + sent("q", ""),
+			`01.2 e "request":"q","message":"online: sent elsewhere; the target did not run it","why":"other_instance"`, "01.5 e " + ended("q", "served", 500)}},
+		{losses.TargetFailed, []string{"01.0 e " + sent("q", ""),
+			`01.2 e "request":"q","message":"online: sent again after a failure","status":500`, "01.5 e " + ended("q", "served", 500)}},
+	} {
+		r := story(t, c.lines...)
+		var got losses.Cause
+		if len(r.Losses) > 0 {
+			got = r.Losses[0].Cause
+		}
+		if got != c.want || r.Requests != 1 || len(r.Losses) > 1 {
+			t.Errorf("%v: %q, want %q", c.lines, got, c.want)
+		}
+	}
+}
+
+func accepted(job string) string {
+	return `"job":"` + job + `","message":"jobs: job accepted","took_ms":5`
+}
+
+func ran(why string, took int) string {
+	return fmt.Sprintf(`"job":"j","item":"i","index":0,"message":"batch: item run ended","why":"%s","took_ms":%d`, why, took)
+}
+
+func listed(late int) string {
+	return fmt.Sprintf(`"job":"j","index":0,"message":"batch: result listed","late_ms":%d`, late)
+}
+
+func TestItemsAreSortedByWhatTookMost(t *testing.T) {
+	for _, c := range []struct {
+		want  losses.Cause
+		lines []string
+	}{
+		{"", []string{"01.0 e " + accepted("j"), "05.0 e " + ran("complete", 4000), "05.1 e " + listed(-100)}},
+		{losses.NotListed, []string{"01.0 e " + accepted("j"), "05.0 e " + ran("complete", 4000), "20.0 e " + listed(1000)}},
+		{losses.WaitedForSeat, []string{"01.0 e " + accepted("j"), "20.0 e " + ran("complete", 4000), "20.1 e " + listed(1000)}},
+		{losses.CutOff, []string{"01.0 e " + accepted("j"), "03.0 e " + ran("seat asked back", 2000), "20.0 e " + ran("complete", 3000), "20.1 e " + listed(1000)}},
+		{losses.RunBroken, []string{"01.0 e " + accepted("j"), "03.0 e " + ran("EOF", 2000), "20.0 e " + ran("complete", 3000), "20.1 e " + listed(1000)}},
+		{losses.RunnerGone, []string{"01.0 e " + accepted("j"), "03.0 e " + ran("seat asked back", 2000), "20.0 f " + ran("complete", 3000), "20.1 f " + listed(1000)}},
+		{losses.SlowRun, []string{"01.0 e " + accepted("j"), "20.0 e " + ran("complete", 18900), "20.1 e " + listed(1000)}},
+	} {
+		r := story(t, c.lines...)
+		var got losses.Cause
+		if len(r.Losses) > 0 {
+			got = r.Losses[0].Cause
+		}
+		if got != c.want || r.Items != 1 {
+			t.Errorf("%v: %q, want %q", c.lines, got, c.want)
+		}
+	}
+}
+
+func TestJobsThatCameLateOrNever(t *testing.T) {
+	r := story(t,
+		`01.0 e "job":"late","message":"jobs: job not accepted"`, "02.0 f "+accepted("late"),
+		`03.0 e "job":"never","message":"jobs: job not accepted"`, "04.0 e "+accepted("good"))
+	sums := r.Sums()
+	if r.Jobs != 3 || len(sums) != 2 || r.Losses[0].Cause != losses.JobLate || r.Losses[1].Cause != losses.JobRefused || r.Losses[1].ID != "never" {
+		t.Fatalf("%+v", r)
+	}
+	var out strings.Builder
+	if err := r.Write(&out); err != nil || !strings.Contains(out.String(), "job refused") {
+		t.Fatalf("%s %v", out.String(), err)
+	}
+	if err := r.Plot(filepath.Join(t.TempDir(), "p.svg")); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/runner/run.go
+++ b/runner/run.go
@@ -84,7 +84,7 @@
 	}
 	to, failed := r.ended(ctx, c, w, in, outcome, err, from, began)
 	r.cfg.Log.Info("item run ended", logging.F("job", c.open.Job), logging.F("item", c.open.Item.GetId()),
-		logging.F("instance", in.ID), logging.F("why", why), logging.F("from_event", from), logging.F("to_event", to),
+		logging.F("index", c.open.Index), logging.F("instance", in.ID), logging.F("why", why), logging.F("from_event", from), logging.F("to_event", to),
 		logging.F("took_ms", time.Since(began).Milliseconds()), logging.F("failed", failed))
 }
 
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -390,7 +390,7 @@
 
 // finish has an outcome listed at its job's own partition.
 func (r *Runner) finish(w *work, c candidate, o jobs.Outcome) {
-	o.HandOff = c.open.HandOff
+	o.HandOff, o.Due = c.open.HandOff, time.UnixMilli(c.open.Spec.GetDueUnixMs())
 	r.mu.Lock()
 	w.done = true
 	r.unlisted += len(o.Text)
--- a/runner/upkeep.go
+++ b/runner/upkeep.go
@@ -111,7 +111,8 @@
 			for _, o := range outs {
 				r.cfg.Metrics.Count("results_listed")
 				r.cfg.Log.Info("result listed", logging.F("job", o.Job), logging.F("index", o.Item),
-					logging.F("dead", o.Dead), logging.F("bytes", len(o.Text)), logging.F("partition", part))
+					logging.F("dead", o.Dead), logging.F("bytes", len(o.Text)), logging.F("partition", part),
+					logging.F("late_ms", time.Since(o.Due).Milliseconds()))
 			}
 			r.forget(ctx, outs)
 			return
