--- a/balance/balance.go
+++ b/balance/balance.go
@@ -203,6 +203,17 @@
 	return v != nil && !v.heard.IsZero() && now.Sub(v.heard) <= aliveFor && !v.report.Silent
 }
 
+// Serving returns how many targets of a service may get work at all.
+func (t *Table) Serving(service string) int {
+	n := 0
+	for _, v := range t.views {
+		if v.Instance.Service == service && !v.Instance.Draining && !v.Instance.Superseded {
+			n++
+		}
+	}
+	return n
+}
+
 // HasFree reports whether a target is told to have a free slot now.
 func (t *Table) HasFree(now time.Time, id string) bool {
 	v := t.views[id]
--- a/balance/rooms.go
+++ b/balance/rooms.go
@@ -12,12 +12,14 @@
 type Room struct {
 	Instance targets.Instance
 	Free     int
+	Doubtful bool // it may not answer as it should
 	idle     bool // a connection is there for it
 }
 
-// Rooms returns the targets of a service whose agents have seats for batch work,
-// those with an idle connection and then the most free first. Targets without an agent's word get no batch work: nobody would
-// notice online requests waiting behind it.
+// Rooms returns the targets of a service whose agents have seats for batch work:
+// those in doubt last, those with an idle connection and then the most free first.
+// Targets without an agent's word get no batch work: nobody would notice online
+// requests waiting behind it.
 func (t *Table) Rooms(now time.Time, service string) []Room {
 	var out []Room
 	for _, v := range t.views {
@@ -25,10 +27,16 @@
 			continue
 		}
 		if free := min(v.Free(now), v.report.Room) - v.seated; free > 0 {
-			out = append(out, Room{Instance: v.Instance, Free: free, idle: v.conns.idle(now)})
+			out = append(out, Room{Instance: v.Instance, Free: free, Doubtful: v.doubtful(now), idle: v.conns.idle(now)})
 		}
 	}
 	slices.SortFunc(out, func(a, b Room) int {
+		if a.Doubtful != b.Doubtful {
+			if b.Doubtful {
+				return -1
+			}
+			return 1
+		}
 		if a.idle != b.idle {
 			if a.idle {
 				return -1
--- a/jobstore/accept.go
+++ b/jobstore/accept.go
@@ -4,6 +4,7 @@
 	"context"
 	"hash/fnv"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,10 +20,16 @@
 	// alternates is how many other partitions may take a job in while that of its
 	// id is away. With a third of all partitions away, one job in 81 finds none.
 	alternates = 3
-	// stagger is how long one partition is waited for before the next one is asked as
-	// well: an append takes 4 ms, one that lost two races 20. Callers want their answer
-	// within half a second, so that three silent partitions may come first.
-	stagger = 100 * time.Millisecond
+	// staggerLeast and staggerMost bound how long one partition is waited for before
+	// the next one is asked as well. An append takes 4 ms, one that lost two races 20;
+	// a host with a seventh of a core needs 100 to 240 for all of it, and kept one job
+	// in four twice with a fixed 100. Callers want their answer within half a second.
+	staggerLeast = 100 * time.Millisecond
+	staggerMost  = 250 * time.Millisecond
+	// staggerTimes is what a usual try takes, times this, before another is begun.
+	staggerTimes = 4
+	// staggerLearn is the weight of a new try against what was usual.
+	staggerLearn = 0.1
 	// acceptMost bounds taking a job in. The slowest store seen takes 240 ms for an
 	// append; two hosts may race for a partition's end.
 	acceptMost = 900 * time.Millisecond
@@ -162,6 +169,7 @@
 	home := s.PartitionOf(spec.GetId())
 	ends := make(chan *try, len(places))
 	var tries []*try
+	stagger := s.pace.stagger()
 	timer := time.NewTimer(stagger)
 	defer timer.Stop()
 	begin := func() {
@@ -227,6 +235,7 @@
 func (s *Store) judge(tries []*try, won *try) {
 	s.note(won, true)
 	took := time.Since(won.began)
+	s.pace.note(took)
 	for _, t := range tries {
 		if !t.ended && t != won && time.Since(t.began) > silentTimes*took {
 			t.p.tries.note(time.Now(), false)
@@ -302,3 +311,22 @@
 	}
 	return last
 }
+
+// acceptPace learns how long a try usually takes at this process.
+type acceptPace struct {
+	mu    sync.Mutex
+	usual time.Duration
+}
+
+func (p *acceptPace) note(took time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.usual += time.Duration(staggerLearn * float64(took-p.usual))
+}
+
+// stagger returns how long to wait for one try before the next is begun.
+func (p *acceptPace) stagger() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return min(max(staggerTimes*p.usual, staggerLeast), staggerMost)
+}
--- a/jobstore/jobstore.go
+++ b/jobstore/jobstore.go
@@ -74,6 +74,7 @@
 	parts map[int]*partition
 	loads store.Loads
 	tries health // of all partitions together
+	pace  acceptPace
 }
 
 // partition is one followed partition. Its table is only touched inside the
--- a/runner/run.go
+++ b/runner/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -47,10 +48,36 @@
 	return route.Service(c.open.Item.GetId()), true
 }
 
+// suitable leaves out the rooms that an item must not try next. A target that fails
+// everything at once always has seats free: of 1,984 items 264 were given up as
+// failed too often, three times at the same few targets. An item that has failed
+// goes elsewhere, and only to a target that is not in doubt, so that what is counted
+// against it are failures of its own. Where there is no other target, it waits for
+// the doubt to pass, which takes two seconds.
+func suitable(all []balance.Room, failedAt []string) []balance.Room {
+	if len(failedAt) == 0 {
+		return all
+	}
+	var out []balance.Room
+	for _, room := range all {
+		if !room.Doubtful && !slices.Contains(failedAt, room.Instance.ID) {
+			out = append(out, room)
+		}
+	}
+	return out
+}
+
 // seat asks the agents for a seat, the most promising first.
-func (r *Runner) seat(ctx context.Context, service string, due time.Time) (*seats.Seat, targets.Instance) {
+func (r *Runner) seat(ctx context.Context, service string, failedAt []string, due time.Time) (*seats.Seat, targets.Instance) {
 	var ranked []balance.Room
-	r.cfg.View.Table(func(t *balance.Table) { ranked = t.Rooms(time.Now(), service) })
+	only := false
+	r.cfg.View.Table(func(t *balance.Table) {
+		ranked = t.Rooms(time.Now(), service)
+		only = t.Serving(service) <= len(failedAt)
+	})
+	if !only {
+		ranked = suitable(ranked, failedAt)
+	}
 	for _, room := range ranked {
 		seat, err := r.cfg.Seats.Acquire(ctx, room.Instance, due)
 		granted := seat != nil && err == nil
@@ -215,10 +242,16 @@
 		r.mu.Lock()
 		if failed {
 			w.failed++
+			w.failedAt = append(w.failedAt, in.ID)
 		}
+		first := w.failed == 1
 		w.never = w.never || never
 		count, impossible := w.failed, w.never
 		r.mu.Unlock()
+		if failed && first {
+			// One that failed elsewhere before may itself be at fault.
+			r.judge(in, balance.Doubted)
+		}
 		go r.writeDown(c, count, impossible)
 	}
 	return &statusError{ans.Status}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -102,9 +102,10 @@
 	ended     chan struct{} // closed when the run has ended
 	done      bool          // finished, about to be listed
 	cancel    context.CancelCauseFunc
-	saved     uint64 // last event that was kept on the store
-	progress         // guarded by Runner.mu
-	failed    int    // attempts that targets said had failed
+	saved     uint64   // last event that was kept on the store
+	progress           // guarded by Runner.mu
+	failed    int      // attempts that targets said had failed
+	failedAt  []string // instances that said so here, guarded by Runner.mu
 	never     bool
 	backoff   time.Duration
 	notBefore time.Time
@@ -289,9 +290,10 @@
 	if !r.stillOpen(ctx, c) {
 		return
 	}
-	seat, in := r.seat(ctx, service, c.YieldRank(time.Now()))
+	seat, in := r.seat(ctx, service, r.failedAt(w), c.YieldRank(time.Now()))
 	if seat == nil {
-		full[service] = true
+		// An item that failed before is choosy; others may still find a seat.
+		full[service] = full[service] || len(r.failedAt(w)) == 0
 		return
 	}
 	run, cancel := context.WithCancelCause(ctx)
@@ -314,6 +316,13 @@
 	}()
 }
 
+// failedAt returns the targets at which an item has failed.
+func (r *Runner) failedAt(w *work) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(w.failedAt)
+}
+
 // stillOpen reports whether an item may be started by what is known of its job.
 // While the store does not answer, items of accepted jobs go on: nobody can end a
 // job meanwhile, and waiting left half of the slots idle through an outage. What
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -154,12 +154,7 @@
 	view := fleet.NewView(decoder{}, 1, logging.Logger{}, ms)
 	view.CatalogSink().Reset([]store.Record{{Key: "c", Value: []byte("1")}})
 	view.TargetSink().Reset([]store.Record{{Key: "i0", Value: []byte("1")}})
-	go func() { // the agent's word
-		for ctx.Err() == nil {
-			view.Table(func(t *balance.Table) { t.Note(time.Now(), "i0", balance.Report{Slots: 8, Room: 8}) })
-			time.Sleep(100 * time.Millisecond)
-		}
-	}()
+	go tellLoads(ctx, view)
 	face := s.For(name)
 	n := &node{view: view, stop: cancel, seats: &plenty{}}
 	n.jobs = jobstore.New(ctx, face, jobstore.Settings{Topic: "jobs", ProgressTopic: "progress", Partitions: parts, CallBytes: 2 << 20, Keep: time.Minute}, logging.Logger{})
@@ -171,6 +166,16 @@
 	return n
 }
 
+// tellLoads is the word of the agents beside the targets.
+func tellLoads(ctx context.Context, view *fleet.View) {
+	for ctx.Err() == nil {
+		for _, in := range view.Instances() {
+			view.Table(func(t *balance.Table) { t.Note(time.Now(), in.ID, balance.Report{Slots: 8, Room: 8}) })
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
 func spec(id string, items int) *wire.JobSpec {
 	now := time.Now()
 	s := &wire.JobSpec{Id: id, Host: "h", Path: "/", AcceptedUnixMs: now.UnixMilli(), DueUnixMs: now.Add(time.Minute).UnixMilli(), AbandonUnixMs: now.Add(time.Hour).UnixMilli()}
@@ -481,3 +486,42 @@
 type broken struct{}
 
 func (broken) Read([]byte) (int, error) { return 0, errTest }
+
+// failingAt is a sender one of whose targets answers everything with a failure.
+type failingAt struct {
+	*engine
+	instance string
+}
+
+func (f *failingAt) Send(ctx context.Context, to targets.Instance, call *exchange.Call) (*exchange.Answer, error) {
+	if to.ID == f.instance {
+		return &exchange.Answer{Outcome: exchange.Failed, Status: http.StatusInternalServerError, Body: http.NoBody}, nil
+	}
+	return f.engine.Send(ctx, to, call)
+}
+
+// Symptom: items that nothing is wrong with are given up as failed too often.
+// Sequence: one of four targets fails everything at once; it always has seats free,
+// so it is asked first, and again for the second and third attempt.
+// Cause: an item went back to where it had failed.
+func TestAnItemThatFailedGoesElsewhere(t *testing.T) {
+	bubble(t, func(ctx context.Context, t *testing.T, s *sharedstore.Store, e *engine) {
+		a := startNode(ctx, s, &failingAt{e, "i0"}, "a")
+		a.view.TargetSink().Reset([]store.Record{
+			{Key: "i0", Value: []byte("1")}, {Key: "i1", Value: []byte("2")}, {Key: "i2", Value: []byte("3")}, {Key: "i3", Value: []byte("4")},
+		})
+		time.Sleep(3 * time.Second)
+		const items = 40
+		accept(ctx, t, a, "job", items)
+		time.Sleep(20 * time.Second)
+		res, err := a.jobs.Results(ctx, "job", 0, 0)
+		if err != nil || len(res.Items) != items {
+			t.Fatalf("%d results, %v", len(res.Items), err)
+		}
+		for _, it := range res.Items {
+			if it.Dead {
+				t.Errorf("%s was given up", it.ID)
+			}
+		}
+	})
+}
