Reserve the last slots of a target; let items that press use the slot kept free

Hypothesis: in peaks of the grown fleet most late requests go to a target that has one slot free by every entry's view (measured: the view is right within 0.2 to 0.3 requests; 277 of 348 late requests were sent once, to a target with 6 of 7 slots taken); several meet there. Change: with two slots free or less an entry reserves one first (three tries, 60 ms each), where the service's configuration says that slots can be reserved.

Hypothesis: with a backlog the slot that six agents in ten keep free of batch is a tenth of what batch could have. Change: an item due within 7 s may take it.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -59,7 +59,7 @@
 	if v == nil {
 		return
 	}
-	v.report, v.heard, v.atReport, v.seated = r, now, v.online, 0
+	v.report, v.heard, v.atReport, v.seated, v.full = r, now, v.online, 0, false
 }
 
 // Began counts an online request sent to a target.
@@ -93,6 +93,13 @@
 	}
 }
 
+// Full notes that a target had no slot to reserve.
+func (t *Table) Full(id string) {
+	if v := t.views[id]; v != nil {
+		v.full = true
+	}
+}
+
 // Choice is a target with what decided for it.
 type Choice struct {
 	Instance targets.Instance
--- a/balance/rooms.go
+++ b/balance/rooms.go
@@ -21,12 +21,26 @@
 // Targets without an agent's word get no batch work: nobody would notice online
 // requests waiting behind it.
 func (t *Table) Rooms(now time.Time, service string) []Room {
+	return t.rooms(now, service, false)
+}
+
+// RoomsPressing returns the targets for an item that is due soon: it may have the
+// slots as well that other items leave free.
+func (t *Table) RoomsPressing(now time.Time, service string) []Room {
+	return t.rooms(now, service, true)
+}
+
+func (t *Table) rooms(now time.Time, service string, pressing bool) []Room {
 	var out []Room
 	for _, v := range t.views {
 		if !v.usable(now, service, nil, false) || !v.reported(now) || v.report.Silent {
 			continue
 		}
-		if free := min(v.Free(now), v.report.Room) - v.seated; free > 0 {
+		room := v.report.Room
+		if pressing {
+			room += v.report.Spare
+		}
+		if free := min(v.Free(now), room) - v.seated; free > 0 {
 			out = append(out, Room{Instance: v.Instance, Free: free, Doubtful: v.doubtful(now), idle: v.conns.idle(now)})
 		}
 	}
--- a/balance/view.go
+++ b/balance/view.go
@@ -28,6 +28,7 @@
 	Batch  int // running for batch
 	Slots  int
 	Room   int // seats that batch work can have
+	Spare  int // seats more for items that are due soon
 	// Silent says that the target does not answer its agent.
 	Silent bool
 	// Witnesses is how many entries told the agent of failures there lately.
@@ -40,9 +41,10 @@
 
 	report   Report
 	heard    time.Time
-	online   int // own online requests there
-	atReport int // own online requests there when the report came
-	seated   int // slots not free any more since the report, for batch
+	online   int  // own online requests there
+	atReport int  // own online requests there when the report came
+	seated   int  // slots not free any more since the report, for batch
+	full     bool // it had no slot to reserve since the report
 	conns    conns
 
 	doubted   time.Time // it is doubted until then
@@ -57,6 +59,9 @@
 	if !v.reported(now) {
 		return v.online
 	}
+	if v.full {
+		return max(v.report.Active+v.report.Queued+v.online-v.atReport, v.slots())
+	}
 	return max(v.report.Active+v.report.Queued+v.online-v.atReport, v.online)
 }
 
--- a/bench/load/replay.go
+++ b/bench/load/replay.go
@@ -164,7 +164,7 @@
 	}
 	told := balance.Report{
 		Active: load.Active, Queued: load.Queued, Batch: t.arbiter.Held(), Slots: r.shape.Slots,
-		Room: max(t.arbiter.Room(r.now), 0),
+		Room: max(t.arbiter.Room(r.now), 0), Spare: max(t.arbiter.Spare(r.now), 0),
 	}
 	r.after(travels+time.Duration(r.choices.IntN(8))*time.Millisecond, func() {
 		for _, e := range r.entries {
@@ -395,7 +395,11 @@
 // seatFor asks the agents for a seat, the most promising first, and starts the
 // item there.
 func (r *replay) seatFor(e *entry, w *work, due time.Time) bool {
-	for _, room := range e.table.Rooms(r.now, "s") {
+	rooms := e.table.Rooms(r.now, "s")
+	if seats.Presses(r.now, due) {
+		rooms = e.table.RoomsPressing(r.now, "s")
+	}
+	for _, room := range rooms {
 		t := r.byID[room.Instance.ID]
 		seat, granted := t.arbiter.Acquire(r.now, due)
 		e.table.Seated(t.id, granted)
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -78,6 +78,9 @@
 	Name       string
 	HealthPath string
 	MaxConns   int // connections a target takes from all callers together
+	// ReserveFor is how long a target keeps a slot that was reserved; 0 where slots
+	// cannot be reserved.
+	ReserveFor time.Duration
 }
 
 // Limits bound what a caller may send.
--- a/daemon/agentlinks.go
+++ b/daemon/agentlinks.go
@@ -76,7 +76,7 @@
 	l := &agentLink{target: in.Addr, peer: link.NewPeer(a.cfg, a.addr(in.Addr)), stop: cancel}
 	go seats.Watch(ctx, l.peer, in, func(load *wire.Load) {
 		a.view.Table(func(t *balance.Table) { t.Note(time.Now(), in.ID, loadReport(load)) })
-		if load.GetRoom() > 0 {
+		if load.GetRoom()+load.GetSpare() > 0 {
 			a.told()
 		}
 	})
@@ -120,5 +120,5 @@
 // loadReport turns an agent's word into what the balance works with.
 func loadReport(l *wire.Load) balance.Report {
 	return balance.Report{Active: int(l.GetActive()), Queued: int(l.GetQueued()), Batch: int(l.GetBatch()), Slots: int(l.GetSlots()),
-		Room: int(l.GetRoom()), Silent: l.GetSilent(), Witnesses: int(l.GetWitnesses())}
+		Room: int(l.GetRoom()), Spare: int(l.GetSpare()), Silent: l.GetSilent(), Witnesses: int(l.GetWitnesses())}
 }
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -34,6 +34,7 @@
 // TargetSender sends to targets and forgets those that are gone.
 type TargetSender interface {
 	exchange.Sender
+	exchange.Reserver
 	Retain(all []targets.Instance)
 }
 
@@ -161,7 +162,7 @@
 		Seats: n.agents, Log: base.Part("batch"), Metrics: n.metrics, Headers: parts.ItemHeader, MaxRunning: maxRunning,
 	})
 	n.agents.told = n.runner.Wake
-	n.gateway = gateway.New(n.view, parts.Sender, n.agents, base.Part("online"), n.metrics)
+	n.gateway = gateway.New(n.view, parts.Sender, parts.Sender, n.agents, base.Part("online"), n.metrics)
 	n.view.OnChange(func(all []targets.Instance) {
 		parts.Sender.Retain(all)
 		n.agents.set(ctx, all)
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"pumiceford/targets"
 )
 
@@ -21,6 +23,8 @@
 	Body     []byte
 	Deadline time.Time // the target stops work then; zero for none
 	After    uint64    // resume a stream after this event; 0 for from the start
+	Tokens   int       // of the prompt and the most that comes out; 0 when not told
+	Reserved string    // slot that was reserved at the target; "" for none
 }
 
 // Outcome says what became of a call that was answered.
@@ -56,6 +60,17 @@
 	Send(ctx context.Context, to targets.Instance, call *Call) (*Answer, error)
 }
 
+// ErrFull says that a target has no slot to reserve.
+var ErrFull = errors.New("target has no free slot")
+
+// Reserver reserves slots at targets.
+type Reserver interface {
+	// Reserve reserves a slot for a request of so many tokens and returns its name. It
+	// fails with ErrFull when the target has none free. A slot that is not used comes
+	// free after keep.
+	Reserve(ctx context.Context, at targets.Instance, tokens int, keep time.Duration) (string, error)
+}
+
 // Fault names what went wrong with a call that has no usable answer.
 type Fault string
 
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -290,6 +290,6 @@
 	s.g.log.Info("request ended",
 		logging.F("request", s.req.ID), logging.F("route", s.route.Name), logging.F("outcome", s.outcome),
 		logging.F("instance", s.instance), logging.F("sends", s.sends), logging.F("events", s.last),
-		logging.F("first_ms", first), logging.F("took_ms", now.Sub(s.req.Arrived).Milliseconds()),
+		logging.F("first_ms", first), logging.F("aim_ms", s.route.FirstWithin.Milliseconds()), logging.F("took_ms", now.Sub(s.req.Arrived).Milliseconds()),
 		logging.F("load", s.choice.Load), logging.F("waiting", s.choice.Waiting), logging.F("among", s.choice.Among))
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -31,7 +31,8 @@
 func (decoder) CatalogKey() string { return "c" }
 
 func (d decoder) Catalog([]byte) (*catalog.Catalog, error) {
-	return catalog.New(1, catalog.Limits{}, nil, []catalog.Route{d.route}), nil
+	services := []catalog.Service{{Name: "s", ReserveFor: time.Second}}
+	return catalog.New(1, catalog.Limits{}, services, []catalog.Route{d.route}), nil
 }
 
 func (decoder) Instance(id string, _ []byte) (targets.Instance, error) {
@@ -128,11 +129,29 @@
 
 type world struct {
 	told *witness
+	full *slots
 	view *fleet.View
 	gw   *gateway.Gateway
 	sc   *script
 }
 
+// slots reserves slots: none at the instances that it names as full.
+type slots struct {
+	mu    sync.Mutex
+	full  map[string]bool
+	asked []string
+}
+
+func (s *slots) Reserve(_ context.Context, at targets.Instance, _ int, _ time.Duration) (string, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.asked = append(s.asked, at.ID)
+	if s.full[at.ID] {
+		return "", exchange.ErrFull
+	}
+	return "slot-" + at.ID, nil
+}
+
 // witness notes which targets were told to have failed.
 type witness struct {
 	mu  sync.Mutex
@@ -160,8 +179,8 @@
 	}
 	v.TargetSink().Reset(recs)
 	sc := &script{replies: replies}
-	told := &witness{}
-	return &world{told: told, view: v, gw: gateway.New(v, sc, told, logging.Logger{}, ms), sc: sc}
+	told, full := &witness{}, &slots{full: make(map[string]bool)}
+	return &world{told: told, full: full, view: v, gw: gateway.New(v, sc, full, told, logging.Logger{}, ms), sc: sc}
 }
 
 func (w *world) serve(ctx context.Context) *caller {
@@ -171,7 +190,7 @@
 		c.refusal = refusal
 		return c
 	}
-	w.gw.Serve(ctx, route, &gateway.Request{Call: exchange.Call{ID: "r", Method: "POST", Host: "h", URI: "/x"}, Arrived: time.Now()}, c)
+	w.gw.Serve(ctx, route, &gateway.Request{Call: exchange.Call{ID: "r", Method: "POST", Host: "h", URI: "/x", Tokens: 600}, Arrived: time.Now()}, c)
 	return c
 }
 
@@ -427,7 +446,7 @@
 func TestNoCatalogIsNoMissingRoute(t *testing.T) {
 	bubble(t, func(t *testing.T) {
 		ms := metrics.New("test")
-		g := gateway.New(fleet.NewView(decoder{}, 1, logging.Logger{}, ms), &script{}, &witness{}, logging.Logger{}, ms)
+		g := gateway.New(fleet.NewView(decoder{}, 1, logging.Logger{}, ms), &script{}, &slots{}, &witness{}, logging.Logger{}, ms)
 		time.Sleep(time.Second)
 		began := time.Now()
 		_, r := g.Route(t.Context(), "r", "h", "/x")
@@ -446,7 +465,7 @@
 		ms := metrics.New("test")
 		route := catalog.Route{Name: "r", Host: "h", PathPrefix: "/"}
 		v := fleet.NewView(decoder{route}, 1, logging.Logger{}, ms)
-		g := gateway.New(v, &script{}, &witness{}, logging.Logger{}, ms)
+		g := gateway.New(v, &script{}, &slots{}, &witness{}, logging.Logger{}, ms)
 		time.AfterFunc(30*time.Millisecond, func() {
 			v.CatalogSink().Reset([]store.Record{{Key: "c", Value: []byte("1")}})
 			v.TargetSink().Reset(nil)
@@ -530,3 +549,29 @@
 		}
 	})
 }
+
+// Symptom: first events come late at a peak although slots are free: some targets
+// have a queue, others a free slot.
+// Sequence: forty entries see the same last free slot of a target, in a word that is
+// 15 ms old; all of them send a request there.
+// Cause: nobody asked whether the slot was still free.
+func TestTheLastSlotsAreReserved(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		good := answer(exchange.Done, 200, strings.NewReader(stream(1, 2)), true)
+		w := newWorld(resumable, 3, good)
+		for _, id := range []string{"i0", "i1"} {
+			w.full.full[id] = true
+		}
+		w.view.Table(func(tab *balance.Table) {
+			for _, id := range []string{"i0", "i1", "i2"} {
+				tab.Note(time.Now(), id, balance.Report{Active: 7, Slots: 8})
+			}
+		})
+		if c := w.serve(t.Context()); c.body.String() != stream(1, 2) {
+			t.Fatalf("body %q", c.body.String())
+		}
+		if len(w.sc.to) != 1 || w.sc.to[0] != "i2" || w.sc.calls[0].Reserved != "slot-i2" {
+			t.Errorf("sent to %v with %q", w.sc.to, w.sc.calls[0].Reserved)
+		}
+	})
+}
--- a/runner/run.go
+++ b/runner/run.go
@@ -67,12 +67,20 @@
 	return out
 }
 
+// rooms returns the targets that may have a seat for an item.
+func rooms(t *balance.Table, now time.Time, service string, due time.Time) []balance.Room {
+	if seats.Presses(now, due) {
+		return t.RoomsPressing(now, service)
+	}
+	return t.Rooms(now, service)
+}
+
 // seat asks the agents for a seat, the most promising first.
 func (r *Runner) seat(ctx context.Context, service string, failedAt []string, due time.Time) (*seats.Seat, targets.Instance) {
 	var ranked []balance.Room
 	only := false
 	r.cfg.View.Table(func(t *balance.Table) {
-		ranked = t.Rooms(time.Now(), service)
+		ranked = rooms(t, time.Now(), service, due)
 		only = t.Serving(service) <= len(failedAt)
 	})
 	if !only {
--- a/seats/agent.go
+++ b/seats/agent.go
@@ -314,6 +314,7 @@
 		Slots:  uint32(max(a.arbiter.Slots(), 0)),
 		Room:   uint32(max(a.arbiter.Room(time.Now()), 0)),
 
+		Spare:  uint32(max(a.arbiter.Spare(time.Now()), 0)),
 		Silent: a.silent, Witnesses: uint32(a.witnessedLocked()),
 	}
 }
--- a/seats/arbiter.go
+++ b/seats/arbiter.go
@@ -48,6 +48,8 @@
 	// freeSince is since when a slot has been free for batch work all the time;
 	// zero while none is.
 	freeSince time.Time
+	// spareSince is since when any slot has been free.
+	spareSince time.Time
 }
 
 // NewArbiter returns an Arbiter for a target with slots, of which batch work
@@ -89,9 +91,28 @@
 	return a.slots - max(a.load.Active+a.load.Queued+unseen, len(a.leases))
 }
 
+// pressing is how long before it is due an item may take the slot that batch work
+// otherwise leaves free: it still has to run for three to five seconds, and a peak of
+// online requests may cost it two and a half. With a backlog in the whole fleet the
+// free slots were a tenth of what batch work could have had. In a replayed minute of
+// the large fleet without a backlog 7 s change nothing, 9 s make 256 first events late
+// instead of 200 of 14,654.
+const pressing = 7 * time.Second
+
+// Presses reports whether an item that is due at a time may take the last free
+// slots. One that is late anyway may not.
+func Presses(now, due time.Time) bool {
+	left := due.Sub(now)
+	return left > 0 && left < pressing
+}
+
 // Acquire grants a seat to work that is due at a time, when a slot is free.
 func (a *Arbiter) Acquire(now, due time.Time) (id uint64, ok bool) {
-	if a.Room(now) <= 0 {
+	room := a.Room(now)
+	if Presses(now, due) {
+		room += a.Spare(now)
+	}
+	if room <= 0 {
 		return 0, false
 	}
 	a.next++
@@ -108,13 +129,29 @@
 	return a.Free(now) - a.reserve
 }
 
-// note keeps since when a slot is free.
+// Spare returns how many seats more can be granted to items that press.
+func (a *Arbiter) Spare(now time.Time) int {
+	a.note(now)
+	if a.spareSince.IsZero() || now.Sub(a.spareSince) < steady {
+		return 0
+	}
+	return min(a.Free(now), a.reserve)
+}
+
+// note keeps since when a slot is free, beyond the reserve and at all.
 func (a *Arbiter) note(now time.Time) {
+	free := a.Free(now)
+	since(&a.freeSince, free > a.reserve, now)
+	since(&a.spareSince, free > 0, now)
+}
+
+// since keeps in at when a condition has begun to hold; zero while it does not.
+func since(at *time.Time, holds bool, now time.Time) {
 	switch {
-	case a.Free(now) <= a.reserve:
-		a.freeSince = time.Time{}
-	case a.freeSince.IsZero():
-		a.freeSince = now
+	case !holds:
+		*at = time.Time{}
+	case at.IsZero():
+		*at = now
 	}
 }
 
--- a/seats/arbiter_test.go
+++ b/seats/arbiter_test.go
@@ -190,3 +190,29 @@
 		}
 	})
 }
+
+// Symptom: items wait for their first seat until they are late, while a tenth of all
+// slots is free.
+// Sequence: a backlog of items; most agents leave a slot free of batch work; the
+// items' due time comes near.
+// Cause: the slot was left free whatever it cost.
+func TestAnItemThatIsDueSoonTakesTheReservedSlot(t *testing.T) {
+	const slots = 4
+	a := seats.NewArbiter(slots, 1)
+	now := start
+	a.Report(now, seats.Load{Active: slots - 1})
+	now = now.Add(time.Second)
+	a.Report(now, seats.Load{Active: slots - 1})
+	if _, ok := a.Acquire(now, now.Add(15*time.Second)); ok {
+		t.Error("an item with time to spare got the reserved slot")
+	}
+	if _, ok := a.Acquire(now, now.Add(-time.Second)); ok {
+		t.Error("an item that is late anyway got the reserved slot")
+	}
+	if _, ok := a.Acquire(now, now.Add(5*time.Second)); !ok {
+		t.Error("an item that is due soon got no slot")
+	}
+	if _, ok := a.Acquire(now, now.Add(5*time.Second)); ok {
+		t.Error("one slot was granted twice")
+	}
+}
