--- a/runner/member.go
+++ b/runner/member.go
@@ -28,6 +28,9 @@
 	leaveTimeout    = 800 * time.Millisecond
 	// takeOverPause is left between attempts to read a new partition.
 	takeOverPause = 100 * time.Millisecond
+	// tellTakeOver is how often a partition that cannot be read is told of: its items
+	// wait for this process, which would say nothing otherwise.
+	tellTakeOver = 3 * time.Second
 )
 
 // errHandOver says that another process goes on with an item.
@@ -109,10 +112,16 @@
 func (r *Runner) takeOver(ctx context.Context, part int) {
 	// The jobs have to be known before the progress counts: what belongs to no
 	// open item is forgotten.
-	for r.cfg.Store.Refresh(ctx, part, startAge) != nil {
+	began, told := time.Now(), time.Now()
+	for err := r.cfg.Store.Refresh(ctx, part, startAge); err != nil; err = r.cfg.Store.Refresh(ctx, part, startAge) {
 		if wait.For(ctx, takeOverPause) != nil || !r.Holds(part) {
 			return
 		}
+		if time.Since(told) >= tellTakeOver {
+			told = time.Now()
+			r.cfg.Log.Warn("partition not taken over yet; its items wait", logging.F("partition", part),
+				logging.F("for_ms", time.Since(began).Milliseconds()), logging.F("error", err.Error()))
+		}
 	}
 	one, cancel := context.WithTimeout(ctx, progressTimeout)
 	defer cancel()
