Do not ask a silent partition anew for each item

Cause (from reading the diff): before an item is started, the state of its partition has to be fresh. A silent partition was asked for each item anew, for a second, and the items of all other partitions waited behind it in the one loop that starts them. Change: a partition that did not answer is asked again after a second.

Also: an item that failed avoids targets for four seconds only; with all others in doubt for longer it would have been left lying.

--- a/jobstore/homes_test.go
+++ b/jobstore/homes_test.go
@@ -90,7 +90,7 @@
 		if err := a.Accept(ctx, sent("job", 2)); err != nil {
 			t.Fatal(err)
 		}
-		from := hintPartition(ctx, s, home)
+		from := hintPartition(s, home)
 		_ = b.Refresh(ctx, from, 0)
 		if got := b.Open(from); len(got) != 2 || got[0].Home != home || got[0].HandOff == nil {
 			t.Fatalf("open while its partition is away: %+v", got)
@@ -118,7 +118,7 @@
 }
 
 // hintPartition returns the partition other than home that has records.
-func hintPartition(ctx context.Context, s *sharedstore.Store, home int) int {
+func hintPartition(s *sharedstore.Store, home int) int {
 	time.Sleep(time.Second)
 	for n := range manyParts {
 		if n != home && s.For("x").Kept(jobsPart(n)) > 0 {
@@ -141,7 +141,7 @@
 		if err := st.Accept(ctx, sent("job", 1)); err != nil {
 			t.Fatal(err)
 		}
-		from := hintPartition(ctx, s, home)
+		from := hintPartition(s, home)
 		_ = st.Refresh(ctx, from, 0)
 		open := st.Open(from)
 		s.SetDown(jobsPart(home), false)
--- a/losses/losses_test.go
+++ b/losses/losses_test.go
@@ -26,12 +26,12 @@
 	return losses.Find(all)
 }
 
-func sent(id string, more string) string {
-	return `"request":"` + id + `","message":"online: request sent"` + more
+func sent(more string) string {
+	return `"request":"q","message":"online: request sent"` + more
 }
 
-func ended(id, outcome string, first int) string {
-	return fmt.Sprintf(`"request":"%s","message":"online: request ended","outcome":"%s","first_ms":%d,"aim_ms":300`, id, outcome, first)
+func ended(outcome string, first int) string {
+	return fmt.Sprintf(`"request":"q","message":"online: request ended","outcome":"%s","first_ms":%d,"aim_ms":300`, outcome, first)
 }
 
 func TestRequestsAreSortedByCause(t *testing.T) {
@@ -39,23 +39,23 @@
 		want  losses.Cause
 		lines []string
 	}{
-		{"", []string{"01.0 e " + sent("q", ""), "01.1 e " + ended("q", "served", 90)}},
-		{"", []string{"01.0 e " + sent("q", ""), "01.1 e " + ended("q", "caller_left", -1)}},
-		{losses.ProcessGone, []string{"01.0 e " + sent("q", "")}},
+		{"", []string{"01.0 e " + sent(""), "01.1 e " + ended("served", 90)}},
+		{"", []string{"01.0 e " + sent(""), "01.1 e " + ended("caller_left", -1)}},
+		{losses.ProcessGone, []string{"01.0 e " + sent("")}},
 		{losses.NotReady, []string{`01.0 e "request":"q","message":"online: request refused","outcome":"not_ready"`}},
 		{losses.NoRoute, []string{`01.0 e "request":"q","message":"online: request refused","outcome":"no_route"`}},
-		{losses.NoTarget, []string{"01.0 e " + ended("q", "no_target", -1)}},
-		{losses.Overload, []string{"01.0 e " + ended("q", "overload", -1)}},
-		{losses.AnswerLost, []string{"01.0 e " + sent("q", ""), "01.1 e " + ended("q", "cut_lost", 20)}},
-		{losses.WaitedForSlot, []string{"01.0 e " + sent("q", `,"waiting":2`), "01.5 e " + ended("q", "served", 500)}},
-		{losses.WaitedForBatch, []string{"01.0 e " + sent("q", `,"batch":2`), "01.5 e " + ended("q", "served", 500)}},
-		{losses.SlowTarget, []string{"01.0 e " + sent("q", ""), "01.5 e " + ended("q", "served", 500)}},
-		{losses.TargetSilent, []string{"01.0 e " + sent("q", ""),
-			`01.2 e "request":"q","message":"online: sent again; its answer is lost","error":"context canceled"`, "01.5 e " + ended("q", "served", 500)}},
-		{losses.OtherInstance, []string{"01.0 e " + sent("q", ""),
-			`01.2 e "request":"q","message":"online: sent elsewhere; the target did not run it","why":"other_instance"`, "01.5 e " + ended("q", "served", 500)}},
-		{losses.TargetFailed, []string{"01.0 e " + sent("q", ""),
-			`01.2 e "request":"q","message":"online: sent again after a failure","status":500`, "01.5 e " + ended("q", "served", 500)}},
+		{losses.NoTarget, []string{"01.0 e " + ended("no_target", -1)}},
+		{losses.Overload, []string{"01.0 e " + ended("overload", -1)}},
+		{losses.AnswerLost, []string{"01.0 e " + sent(""), "01.1 e " + ended("cut_lost", 20)}},
+		{losses.WaitedForSlot, []string{"01.0 e " + sent(`,"waiting":2`), "01.5 e " + ended("served", 500)}},
+		{losses.WaitedForBatch, []string{"01.0 e " + sent(`,"batch":2`), "01.5 e " + ended("served", 500)}},
+		{losses.SlowTarget, []string{"01.0 e " + sent(""), "01.5 e " + ended("served", 500)}},
+		{losses.TargetSilent, []string{"01.0 e " + sent(""),
+			`01.2 e "request":"q","message":"online: sent again; its answer is lost","error":"context canceled"`, "01.5 e " + ended("served", 500)}},
+		{losses.OtherInstance, []string{"01.0 e " + sent(""),
+			`01.2 e "request":"q","message":"online: sent elsewhere; the target did not run it","why":"other_instance"`, "01.5 e " + ended("served", 500)}},
+		{losses.TargetFailed, []string{"01.0 e " + sent(""),
+			`01.2 e "request":"q","message":"online: sent again after a failure","status":500`, "01.5 e " + ended("served", 500)}},
 	} {
 		r := story(t, c.lines...)
 		var got losses.Cause
--- a/runner/run.go
+++ b/runner/run.go
@@ -53,7 +53,7 @@
 // failed too often, three times at the same few targets. An item that has failed
 // goes elsewhere, and only to a target that is not in doubt, so that what is counted
 // against it are failures of its own. Where there is no other target, it waits for
-// the doubt to pass, which takes two seconds.
+// the doubt to pass.
 func suitable(all []balance.Room, failedAt []string) []balance.Room {
 	if len(failedAt) == 0 {
 		return all
@@ -250,7 +250,7 @@
 		r.mu.Lock()
 		if failed {
 			w.failed++
-			w.failedAt = append(w.failedAt, in.ID)
+			w.failedAt, w.failedOn = append(w.failedAt, in.ID), time.Now()
 		}
 		first := w.failed == 1
 		w.never = w.never || never
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -71,6 +71,11 @@
 	// routelessFor is how long an item may be without a route before it is given
 	// up: longer than a storm of configurations lasts.
 	routelessFor = 6 * time.Second
+	// askAgain is left between questions to a partition that does not answer.
+	askAgain = time.Second
+	// choosyFor is how long an item that failed avoids targets: twice as long as one
+	// failure puts a target in doubt. Then any is better than none.
+	choosyFor = 4 * time.Second
 	// clockMargin is how far the wall clocks of two hosts may differ, each set wrong
 	// by two seconds in its own direction, with as much again for chance: an item is
 	// not given up before its time by any of them.
@@ -86,6 +91,7 @@
 	work     map[jobstore.ItemKey]*work
 	running  int
 	pace     *schedule.Pace
+	unread   map[int]time.Time      // partitions that did not answer, and when
 	finished map[int][]jobs.Outcome // to be listed, by partition
 	unlisted int                    // bytes of results that are not listed yet
 	leaving  bool
@@ -102,10 +108,11 @@
 	ended     chan struct{} // closed when the run has ended
 	done      bool          // finished, about to be listed
 	cancel    context.CancelCauseFunc
-	saved     uint64   // last event that was kept on the store
-	progress           // guarded by Runner.mu
-	failed    int      // attempts that targets said had failed
-	failedAt  []string // instances that said so here, guarded by Runner.mu
+	saved     uint64    // last event that was kept on the store
+	progress            // guarded by Runner.mu
+	failed    int       // attempts that targets said had failed
+	failedAt  []string  // instances that said so here, guarded by Runner.mu
+	failedOn  time.Time // the last of these
 	never     bool
 	backoff   time.Duration
 	notBefore time.Time
@@ -123,7 +130,8 @@
 	return &Runner{
 		cfg: cfg, mine: make(map[int]bool), work: make(map[jobstore.ItemKey]*work),
 		finished: make(map[int][]jobs.Outcome), pace: schedule.NewPace(),
-		wake: make(chan struct{}, 1), list: make(chan struct{}, 1),
+		unread: make(map[int]time.Time),
+		wake:   make(chan struct{}, 1), list: make(chan struct{}, 1),
 	}
 }
 
@@ -316,10 +324,14 @@
 	}()
 }
 
-// failedAt returns the targets at which an item has failed.
+// failedAt returns the targets that an item is to avoid, for choosyFor after it has
+// failed.
 func (r *Runner) failedAt(w *work) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if time.Since(w.failedOn) > choosyFor {
+		return nil
+	}
 	return slices.Clone(w.failedAt)
 }
 
@@ -333,7 +345,7 @@
 		parts = append(parts, c.open.Home)
 	}
 	for _, part := range parts {
-		if r.cfg.Store.Refresh(ctx, part, startAge) == nil {
+		if r.refreshed(ctx, part) {
 			continue
 		}
 		if time.Since(r.cfg.Store.AsOf(part)) > outageMost || !r.mayHold() {
@@ -343,6 +355,25 @@
 	return true
 }
 
+// refreshed makes sure that a partition's state is fresh enough to start items. A
+// partition that did not answer is not asked for each item: one that is silent took a
+// second each time, and items of all other partitions waited behind it.
+func (r *Runner) refreshed(ctx context.Context, part int) bool {
+	r.mu.Lock()
+	wait := time.Since(r.unread[part]) < askAgain
+	r.mu.Unlock()
+	if wait {
+		return time.Since(r.cfg.Store.AsOf(part)) <= startAge
+	}
+	if r.cfg.Store.Refresh(ctx, part, startAge) == nil {
+		return true
+	}
+	r.mu.Lock()
+	r.unread[part] = time.Now()
+	r.mu.Unlock()
+	return false
+}
+
 // mayHold reports whether one more result may wait for the store.
 func (r *Runner) mayHold() bool {
 	r.mu.Lock()
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -525,3 +525,28 @@
 		}
 	})
 }
+
+// Symptom: all batch work nearly stops while one partition of the store is silent.
+// Sequence: a process runs two partitions; one falls silent; its items are started on
+// what was known, and items of the other one come.
+// Cause: for each item the silent partition was asked anew, for a second, and all
+// others waited behind it.
+func TestASilentPartitionDoesNotHoldUpTheOthers(t *testing.T) {
+	bubble(t, func(ctx context.Context, t *testing.T, s *sharedstore.Store, e *engine) {
+		a := startNode(ctx, s, e, "a")
+		time.Sleep(3 * time.Second)
+		quiet, other := "job", "job"
+		for n := 0; a.jobs.PartitionOf(other) == a.jobs.PartitionOf(quiet); n++ {
+			other = fmt.Sprint("job", n)
+		}
+		const items = 20
+		a.seats.askBack(true) // none starts yet
+		accept(ctx, t, a, quiet, items)
+		s.SetPartitionFault(store.Partition{Topic: "jobs", Number: a.jobs.PartitionOf(quiet)}, sharedstore.Silent)
+		time.Sleep(2 * time.Second)
+		a.seats.askBack(false)
+		accept(ctx, t, a, other, items)
+		time.Sleep(6 * time.Second)
+		finished(ctx, t, a, other, items)
+	})
+}
--- a/targets/targets_test.go
+++ b/targets/targets_test.go
@@ -119,8 +119,8 @@
 	}
 }
 
-func born(id, addr string, seq, at int64) targets.Instance {
-	i := in(id, addr, seq)
+func born(addr string, seq, at int64) targets.Instance {
+	i := in("a", addr, seq)
 	i.Born = at
 	return i
 }
@@ -131,11 +131,11 @@
 // Cause: a lower number was taken for an old heartbeat, and draining for final.
 func TestATargetThatStartedAgainIsUsed(t *testing.T) {
 	s := targets.NewSet()
-	leaving := born("a", "1:1", 9, 1000)
+	leaving := born("1:1", 9, 1000)
 	leaving.Draining = true
 	s.Put(leaving)
 	s.Supersede("a")
-	s.Put(born("a", "1:2", 1, 2000))
+	s.Put(born("1:2", 1, 2000))
 	if got := s.Get("a"); got.Draining || got.Superseded || got.Addr != "1:2" || got.Seq != 1 {
 		t.Fatalf("%+v", got)
 	}
@@ -148,8 +148,8 @@
 // Cause: numbers of two lives were compared.
 func TestAnEarlierLifeDoesNotComeBack(t *testing.T) {
 	s := targets.NewSet()
-	s.Put(born("a", "1:2", 1, 2000))
-	old := born("a", "1:1", 9, 1000)
+	s.Put(born("1:2", 1, 2000))
+	old := born("1:1", 9, 1000)
 	old.Draining = true
 	s.Put(old)
 	s.Replace(start, []targets.Instance{old})
