--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,13 +5,10 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 	"net/http"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"pumiceford/balance"
 	"pumiceford/catalog"
 	"pumiceford/exchange"
@@ -252,60 +249,6 @@
 	return c, ok
 }
 
-// Limits of reserving.
-const (
-	// reserveBelow is how many free slots a target has at most when one is reserved
-	// before a request goes there: reports are some 15 ms old, and forty entries see
-	// the same last slot.
-	reserveBelow = 2
-	// reserveTries bounds the targets asked for a slot before the request goes where
-	// it has to wait.
-	reserveTries = 3
-	// reserveTimeout is many times the 3 ms that a target takes.
-	reserveTimeout = 60 * time.Millisecond
-	// reserveKeep is how long a reserved slot waits for its request.
-	reserveKeep = 300 * time.Millisecond
-)
-
-// pickReserved chooses a target that is nearly full and reserves a slot there. It
-// reports false when that is of no use or did not succeed.
-func (s *serving) pickReserved() (balance.Choice, bool) {
-	s.req.Reserved = ""
-	cat := s.g.view.Catalog()
-	if cat == nil || s.req.Tokens == 0 || cat.Services[s.service].ReserveFor < reserveKeep {
-		return balance.Choice{}, false
-	}
-	avoid := maps.Clone(s.tried)
-	for range reserveTries {
-		var c balance.Choice
-		var ok bool
-		s.g.view.Table(func(t *balance.Table) { c, ok = t.Pick(time.Now(), s.service, avoid, rand.Float64()) })
-		if free := c.Instance.Slots - c.Load; !ok || free <= 0 || free > reserveBelow {
-			return c, false
-		}
-		s.g.view.Table(func(t *balance.Table) { t.Began(time.Now(), c.Instance.ID) })
-		ctx, cancel := context.WithTimeout(s.ctx, reserveTimeout)
-		name, err := s.g.reserve.Reserve(ctx, c.Instance, s.req.Tokens, reserveKeep)
-		cancel()
-		if err == nil {
-			s.req.Reserved = name
-			s.g.metrics.Count("slot_reserved")
-			return c, true
-		}
-		s.g.metrics.Count("slot_not_reserved")
-		s.g.view.Table(func(t *balance.Table) {
-			t.Ended(time.Now(), c.Instance.ID, true)
-			if errors.Is(err, exchange.ErrFull) {
-				t.Full(c.Instance.ID)
-			} else {
-				t.Judge(time.Now(), c.Instance.ID, balance.Late)
-			}
-		})
-		avoid[c.Instance.ID] = true
-	}
-	return balance.Choice{}, false
-}
-
 // fits reports whether waiting at the chosen target is still useful. A request
 // that was sent before is not turned away any more: it may have been run.
 func (s *serving) fits(c balance.Choice) bool {
--- a/jobstore/accept.go
+++ b/jobstore/accept.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"hash/fnv"
-	"strconv"
 	"sync"
 	"time"
 
@@ -56,51 +54,6 @@
 	return "no partition takes the job in; worth another try in " + e.ComeBack.String()
 }
 
-// PartitionOf returns the partition of a job: its results are listed there.
-func (s *Store) PartitionOf(id string) int {
-	return int(hash(id) % uint32(s.set.Partitions))
-}
-
-func hash(s string) uint32 {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(s)) // a hash's Write never fails
-	return h.Sum32()
-}
-
-// alternatesOf returns the partitions that may take a job in for its own, the
-// first choice first. All processes find the same, so that who looks for a job
-// looks there and nowhere else.
-func (s *Store) alternatesOf(id string) []int {
-	taken := map[int]bool{s.PartitionOf(id): true}
-	var out []int
-	for n := 0; len(out) < min(alternates, s.set.Partitions-1); n++ {
-		part := int(hash(strconv.Itoa(n)+"/"+id) % uint32(s.set.Partitions))
-		if !taken[part] {
-			taken[part] = true
-			out = append(out, part)
-		}
-	}
-	return out
-}
-
-// knownHint returns the hint of a job and its partition, among the partitions that
-// are followed already: to follow the alternates of each job would make a process
-// follow four times what its callers ask for.
-func (s *Store) knownHint(id string) (*wire.JobSpec, int) {
-	for _, n := range s.alternatesOf(id) {
-		s.mu.Lock()
-		p := s.parts[n]
-		s.mu.Unlock()
-		if p == nil {
-			continue
-		}
-		if hint := p.hint(id); hint != nil {
-			return hint, n
-		}
-	}
-	return nil, 0
-}
-
 // Accept takes a job in. When it returns nil, the job is durable, by this call
 // or an earlier one. While the partition of its id is away, another one keeps it
 // as a hint until it can be handed off.
@@ -131,32 +84,9 @@
 	return number, false, err
 }
 
-// places returns the partitions that may take a job in now, its own first. It
-// returns none while the whole store is known to be away.
-func (s *Store) places(home *partition, id string) []*partition {
-	now := time.Now()
-	if s.tries.away(now, outageTries, awayRest, s.lastSeen()) {
-		s.probe(home)
-		return nil
-	}
-	all := []*partition{home}
-	for _, n := range s.alternatesOf(id) {
-		all = append(all, s.at(n))
-	}
-	var out []*partition
-	for _, p := range all {
-		if p.tries.away(now, 1, awayRest, p.follow.AsOf()) {
-			s.probe(p)
-			continue
-		}
-		out = append(out, p)
-	}
-	return out
-}
-
 // try is one partition's try at taking a job in.
 type try struct {
-	p     *partition
+	part  int
 	began time.Time
 	ended bool
 	err   error
@@ -165,7 +95,7 @@
 // acceptFirst has the first partition take the job in that can: the next one is
 // asked as well when one fails or has not answered after stagger. A copy that is
 // written too much is dropped with the job's hints.
-func (s *Store) acceptFirst(ctx context.Context, spec *wire.JobSpec, places []*partition) (int, error) {
+func (s *Store) acceptFirst(ctx context.Context, spec *wire.JobSpec, places []int) (int, error) {
 	home := s.PartitionOf(spec.GetId())
 	ends := make(chan *try, len(places))
 	var tries []*try
@@ -176,14 +106,14 @@
 		if len(tries) == len(places) {
 			return
 		}
-		t := &try{p: places[len(tries)], began: time.Now()}
+		t := &try{part: places[len(tries)], began: time.Now()}
 		tries = append(tries, t)
 		timer.Reset(stagger)
 		go func() {
-			if t.p.number == home {
-				t.err = s.acceptHome(ctx, t.p, spec)
+			if t.part == home {
+				t.err = s.acceptHome(ctx, s.at(home), spec)
 			} else {
-				t.err = s.acceptHint(ctx, t.p, spec)
+				t.err = s.acceptHint(ctx, t.part, spec)
 			}
 			ends <- t
 		}()
@@ -197,7 +127,7 @@
 			t.ended = true
 			if final(t.err) {
 				s.judge(tries, t)
-				return t.p.number, t.err
+				return t.part, t.err
 			}
 			s.note(t, false)
 			unknown = unknown || errors.Is(t.err, ErrUnknownEffect)
@@ -225,7 +155,7 @@
 
 func (s *Store) note(t *try, ok bool) {
 	now := time.Now()
-	t.p.tries.note(now, ok)
+	s.triesAt(t.part).note(now, ok)
 	s.tries.note(now, ok)
 }
 
@@ -238,7 +168,7 @@
 	s.pace.note(took)
 	for _, t := range tries {
 		if !t.ended && t != won && time.Since(t.began) > silentTimes*took {
-			t.p.tries.note(time.Now(), false)
+			s.triesAt(t.part).note(time.Now(), false)
 		}
 	}
 }
@@ -264,16 +194,21 @@
 // acceptHint has a partition keep a job for the one of its id. The records are the
 // same whoever writes them, so this needs no condition and no knowledge of the
 // partition's state: a copy that comes late is dropped once the job is over.
-func (s *Store) acceptHint(ctx context.Context, p *partition, spec *wire.JobSpec) error {
+func (s *Store) acceptHint(ctx context.Context, number int, spec *wire.JobSpec) error {
 	recs, err := jobs.HintRecords(spec)
 	if err != nil {
 		return err
 	}
-	_, err = s.append(ctx, p, recs, store.AnyEnd)
-	if errors.Is(err, store.ErrUnavailable) {
-		return errors.Mark(err, ErrUnknownEffect)
+	part := store.Partition{Topic: s.set.Topic, Number: number}
+	for _, group := range groups(recs, s.set.CallBytes) {
+		if _, err := s.log.Append(ctx, part, group, store.AnyEnd); err != nil {
+			if errors.Is(err, store.ErrUnavailable) {
+				return errors.Mark(err, ErrUnknownEffect)
+			}
+			return err
+		}
 	}
-	return err
+	return nil
 }
 
 // hint returns a job that is kept here for another partition, nil when none is
@@ -283,35 +218,6 @@
 	return spec
 }
 
-// probe looks whether a partition answers again, one look at a time. Without it
-// one caller in each second would have to find out, and would be held for it.
-func (s *Store) probe(p *partition) {
-	select {
-	case p.probing <- struct{}{}:
-	default:
-		return
-	}
-	go func() {
-		defer func() { <-p.probing }()
-		ctx, cancel := context.WithTimeout(s.base, probeTimeout)
-		defer cancel()
-		_ = p.follow.Catch(ctx, 0) // what it finds out is in the follower's own word
-	}()
-}
-
-// lastSeen returns when any partition was last seen to answer.
-func (s *Store) lastSeen() time.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var last time.Time
-	for _, p := range s.parts {
-		if at := p.follow.AsOf(); at.After(last) {
-			last = at
-		}
-	}
-	return last
-}
-
 // acceptPace learns how long a try usually takes at this process.
 type acceptPace struct {
 	mu    sync.Mutex
--- a/jobstore/homes_test.go
+++ b/jobstore/homes_test.go
@@ -377,3 +377,26 @@
 		}
 	})
 }
+
+// Symptom: at the size of thousands of partitions a process follows four times as
+// many as its callers ask for.
+// Cause: each job that was taken in made the process follow the partitions that might
+// have kept it as well.
+func TestCalmAcceptancesFollowOnlyTheHome(t *testing.T) {
+	inBubble(t, func(ctx context.Context, t *testing.T) {
+		s := sharedstore.New(manyParts)
+		st := openMany(ctx, s.For("a"))
+		home := st.PartitionOf("job")
+		for n := range 5 {
+			if err := st.Accept(ctx, sent(sameHome(st, home, n), 1)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		before := s.Calls()
+		time.Sleep(20 * time.Second)
+		// One partition is read each eight seconds by a read that waits.
+		if calls := s.Calls() - before; calls > 4 {
+			t.Errorf("%d calls in twenty calm seconds", calls)
+		}
+	})
+}
--- a/jobstore/jobstore.go
+++ b/jobstore/jobstore.go
@@ -73,8 +73,10 @@
 	mu    sync.Mutex
 	parts map[int]*partition
 	loads store.Loads
-	tries health // of all partitions together
-	pace  acceptPace
+	tries health // of taking jobs in, at all partitions together
+	// triesBy are the tries at each partition.
+	triesBy map[int]*health
+	pace    acceptPace
 }
 
 // partition is one followed partition. Its table is only touched inside the
@@ -84,14 +86,13 @@
 	table  *jobs.Table
 	follow *store.Follower
 	write  chan struct{} // one writer of this process at a time
-	tries  health        // of taking jobs in
 	// probing holds the place of the one look at a partition that seems away.
 	probing chan struct{}
 }
 
 // New returns a Store whose followers run until ctx ends.
 func New(ctx context.Context, log store.Log, set Settings, out logging.Logger) *Store {
-	return &Store{log: log, set: set, out: out, base: ctx, parts: make(map[int]*partition), loads: store.NewLoads(loadsAtOnce)}
+	return &Store{log: log, set: set, out: out, base: ctx, parts: make(map[int]*partition), loads: store.NewLoads(loadsAtOnce), triesBy: make(map[int]*health)}
 }
 
 // Topic returns the topic of all partitions.
@@ -282,7 +283,7 @@
 	return moved, changed
 }
 
-// append writes records at an end, or at any, in as many calls as their size needs. Each
+// append writes records at an end, in as many calls as their size needs. Each
 // call requires the end that the one before left. With an error it returns the end
 // at which the call that failed was made: there it may still be carried out.
 func (s *Store) append(ctx context.Context, p *partition, recs []store.Record, at int64) (int64, error) {
@@ -291,10 +292,8 @@
 		if _, err := s.log.Append(ctx, part, group, at); err != nil {
 			return at, err
 		}
-		if at != store.AnyEnd {
-			p.follow.Appended(group, at)
-			at += int64(len(group))
-		}
+		p.follow.Appended(group, at)
+		at += int64(len(group))
 	}
 	return at, nil
 }
