Do not let an append try again a way to the store that has fallen silent

An append that is not answered cannot be repeated another way, so a caller's job was held for 0.8 s and its effect unknown; with several partitions asked for one job it came more often. Change: only reads try a failed way again; a read that succeeds clears it. Test: store TestAnAppendDoesNotTryASilentWayAgain, red before (0.8 s).

--- a/store/failover.go
+++ b/store/failover.go
@@ -46,6 +46,8 @@
 	mu          sync.Mutex
 	avoidDirect time.Time
 	avoidPeers  time.Time
+	// unproved says that the direct way has failed and not answered since.
+	unproved bool
 }
 
 // NewFailover returns a Failover.
@@ -57,7 +59,7 @@
 // caller reads what became of it first.
 func (f *Failover) Append(ctx context.Context, p Partition, recs []Record, at int64) (int64, error) {
 	var last error
-	for _, way := range f.ways() {
+	for _, way := range f.ways(true) {
 		one, cancel := context.WithTimeout(ctx, callTimeout)
 		end, err := way.Append(one, p, recs, at)
 		cancel()
@@ -125,7 +127,7 @@
 	var none T
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	ways := f.ways()
+	ways := f.ways(false)
 	answers := make(chan answer, len(ways))
 	timer := time.NewTimer(quiet)
 	defer timer.Stop()
@@ -176,10 +178,13 @@
 	return errors.Is(err, ErrUnavailable) || errors.Is(err, ErrRefused)
 }
 
-func (f *Failover) ways() []Peer {
+// ways returns the ways to try, in order. A direct way that has failed is tried again
+// after avoidFor, but not by an append: an append that is not answered cannot be
+// repeated elsewhere, and a caller waits for it. A read that succeeds clears it.
+func (f *Failover) ways(appends bool) []Peer {
 	f.mu.Lock()
 	now := time.Now()
-	directLast, noPeers := now.Before(f.avoidDirect), now.Before(f.avoidPeers)
+	directLast, noPeers := now.Before(f.avoidDirect) || appends && f.unproved, now.Before(f.avoidPeers)
 	f.mu.Unlock()
 	var peers []Peer
 	if !noPeers {
@@ -200,7 +205,7 @@
 		until = time.Now().Add(avoidFor)
 	}
 	if way == Peer(f.direct) {
-		f.avoidDirect = until
+		f.avoidDirect, f.unproved = until, err != nil
 		return
 	}
 	f.avoidPeers = until
--- a/store/failover_test.go
+++ b/store/failover_test.go
@@ -102,3 +102,36 @@
 		}
 	})
 }
+
+// Symptom: once a second a job that comes to a host which the store does not answer is
+// held for 0.8 s, and then neither taken in nor truthfully refused.
+// Sequence: the store is silent to this host and answers its peers; the direct way is
+// tried again after a second, by whichever call comes.
+// Cause: an append tried it, and cannot be sent another way after no answer.
+func TestAnAppendDoesNotTryASilentWayAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := sharedstore.New(1)
+		f := failover(s)
+		ctx := context.WithoutCancel(t.Context())
+		s.SetFault("a", sharedstore.Silent)
+		if _, err := f.Newest(ctx, part, ""); err != nil {
+			t.Fatal(err)
+		}
+		for n := range 5 {
+			time.Sleep(1500 * time.Millisecond)
+			began := time.Now()
+			if _, err := f.Append(ctx, part, []store.Record{{Key: "k", Value: []byte("v")}}, store.AnyEnd); err != nil || time.Since(began) > 0 {
+				t.Errorf("append %d: %v after %s", n, err, time.Since(began))
+			}
+		}
+		s.SetFault("a", sharedstore.None)
+		time.Sleep(1500 * time.Millisecond)
+		if _, err := f.Newest(ctx, part, ""); err != nil {
+			t.Fatal(err)
+		}
+		s.SetFault("b", sharedstore.Silent) // the peer: the direct way is the first again
+		if _, err := f.Append(ctx, part, []store.Record{{Key: "k", Value: []byte("v")}}, store.AnyEnd); err != nil {
+			t.Errorf("after the return: %v", err)
+		}
+	})
+}
