--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -51,6 +51,13 @@
 	to      []string
 }
 
+// first returns the target of the first call.
+func (s *script) first() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.to[0]
+}
+
 func (s *script) Send(ctx context.Context, to targets.Instance, call *exchange.Call) (*exchange.Answer, error) {
 	s.mu.Lock()
 	s.calls = append(s.calls, *call)
@@ -164,6 +171,12 @@
 	w.ids = append(w.ids, id)
 }
 
+func (w *witness) count() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.ids)
+}
+
 func newWorld(route catalog.Route, n int, replies ...reply) *world {
 	route.Host, route.PathPrefix = "h", "/"
 	route.Shares = []catalog.Share{{Service: "s", Weight: 1}}
@@ -520,7 +533,7 @@
 			}
 		})
 		w.serve(t.Context())
-		dark := w.sc.to[0]
+		dark := w.sc.first()
 		for n := range 20 {
 			w.view.Table(func(tab *balance.Table) {
 				if c, ok := tab.Pick(time.Now(), "s", nil, float64(n)/20); !ok || c.Instance.ID == dark {
@@ -536,7 +549,7 @@
 			time.Sleep(20 * time.Millisecond)
 			w.view.Table(func(tab *balance.Table) {
 				for _, id := range []string{"i0", "i1"} {
-					tab.Note(time.Now(), id, balance.Report{Silent: id == w.sc.to[0]})
+					tab.Note(time.Now(), id, balance.Report{Silent: id == w.sc.first()})
 				}
 			})
 		}()
@@ -544,7 +557,7 @@
 		if c := w.serve(t.Context()); c.body.String() != stream(1, 2) || time.Since(began) > 150*time.Millisecond {
 			t.Errorf("after %s: %q", time.Since(began), c.body.String())
 		}
-		if len(w.told.ids) == 0 {
+		if w.told.count() == 0 {
 			t.Error("no other entry is told of it")
 		}
 	})
