--- a/jobstore/homes_test.go
+++ b/jobstore/homes_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"slices"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -228,19 +227,7 @@
 // of the store are away in any way, hosts are refused, and processes start anew.
 // Cause: whatever breaks a promise of jobs that have two places for a while.
 func TestPromisesOfTwoPlaces(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) {
-		moves := rapid.SliceOfN(rapid.Custom(drawHomesMove), 5, 70).Draw(rt, "moves")
-		var failure string
-		synctest.Test(t, func(*testing.T) {
-			ctx, cancel := context.WithCancel(context.Background())
-			failure = playHomes(ctx, moves)
-			cancel()
-			synctest.Wait()
-		})
-		if failure != "" {
-			rt.Fatal(failure)
-		}
-	})
+	checkStories(t, drawHomesMove, 5, 70, playHomes)
 }
 
 // homesWorld is the store, three processes before it and what was promised.
--- a/jobstore/jobstore_test.go
+++ b/jobstore/jobstore_test.go
@@ -288,16 +288,12 @@
 	}
 }
 
-// Symptom: any of an accepted job lost, a result moved or changed, a job there
-// that was refused.
-// Sequence: three nodes take jobs in, list results and read them while the store
-// refuses, loses answers, is late, stays silent or forgets its history, and while
-// all nodes lose their memory.
-// Cause: whatever breaks one of the promises that the oracle knows.
-func TestPromisesUnderDrawnFaults(t *testing.T) {
+// checkStories draws stories of moves and plays each in virtual time. What play returns
+// is what failed, "" for nothing.
+func checkStories[M any](t *testing.T, draw func(*rapid.T) M, least, most int, play func(context.Context, []M) string) {
 	rapid.Check(t, func(rt *rapid.T) {
 		// All is drawn before the bubble: rapid ends a draw by a panic.
-		moves := rapid.SliceOfN(rapid.Custom(drawMove), 5, 60).Draw(rt, "moves")
+		moves := rapid.SliceOfN(rapid.Custom(draw), least, most).Draw(rt, "moves")
 		var failure string
 		synctest.Test(t, func(*testing.T) {
 			ctx, cancel := context.WithCancel(context.Background())
@@ -311,6 +307,16 @@
 	})
 }
 
+// Symptom: any of an accepted job lost, a result moved or changed, a job there
+// that was refused.
+// Sequence: three nodes take jobs in, list results and read them while the store
+// refuses, loses answers, is late, stays silent or forgets its history, and while
+// all nodes lose their memory.
+// Cause: whatever breaks one of the promises that the oracle knows.
+func TestPromisesUnderDrawnFaults(t *testing.T) {
+	checkStories(t, drawMove, 5, 60, play)
+}
+
 var faults = []sharedstore.Fault{
 	sharedstore.None, sharedstore.None, sharedstore.Refuse, sharedstore.Silent, sharedstore.LoseAnswer, sharedstore.Late,
 }
