--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -102,16 +102,6 @@
 	return int(f.GetFailed()), f.GetImpossible()
 }
 
-// Item returns the index of an item by id, -1 when there is none.
-func (j *Job) Item(id string) int {
-	for i, it := range j.Spec.GetItems() {
-		if it.GetId() == id {
-			return i
-		}
-	}
-	return -1
-}
-
 // Table holds the jobs of a partition. It is not safe for concurrent use.
 type Table struct {
 	jobs map[string]*Job
--- a/jobstore/handoff.go
+++ b/jobstore/handoff.go
@@ -52,12 +52,12 @@
 		return nil
 	}
 	if state == hintOver {
-		return s.update(ctx, p, func(t *jobs.Table) ([]store.Record, error) { return t.DropHint(id), nil })
+		return s.dropHint(ctx, p, id)
 	}
 	if time.Since(time.UnixMilli(hint.GetAcceptedUnixMs())) > s.set.Keep {
 		// The job's partition may have dropped it as over: it is not begun anew.
 		s.out.Error("job kept for another partition is too old and is dropped", logging.F("job", id), logging.F("partition", p.number))
-		return s.update(ctx, p, func(t *jobs.Table) ([]store.Record, error) { return t.DropHint(id), nil })
+		return s.dropHint(ctx, p, id)
 	}
 	began := time.Now()
 	err := s.acceptHome(ctx, home, handedOff(hint, p.number))
@@ -68,6 +68,11 @@
 	return err
 }
 
+// dropHint forgets a job that a partition keeps for another one.
+func (s *Store) dropHint(ctx context.Context, p *partition, id string) error {
+	return s.update(ctx, p, func(t *jobs.Table) ([]store.Record, error) { return t.DropHint(id), nil })
+}
+
 // hintState is what the job's own partition says of a hint.
 type hintState int
 
