Pass calls about jobs on to the process that runs the partition

Cause: each process followed each partition that its callers asked for, and three more for each first read of a job (the alternates were looked at before the job's home). After 20 s all 133 followed all 48: each append was read 133 times, 24 Mbit/s on links of 30.

Change: home is looked at first; a partition that is not used for 15 s is let go; a call goes to the process that the group names for the partition, which answers from its own state. When it does not, within 0.3 s, the call is answered here as before, and "not run" is not said if it may have been carried out there. A process that does not reach the store by itself declines at once. Whoever is asked answers by the partition, never by its role.

Test: 40 processes and 16 jobs, 1,500 calls before.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -18,6 +18,7 @@
 	"pumiceford/fleet"
 	"pumiceford/gateway"
 	"pumiceford/internal/wait"
+	"pumiceford/jobroute"
 	"pumiceford/jobstore"
 	"pumiceford/link"
 	"pumiceford/logging"
@@ -58,7 +59,7 @@
 // Front is what the handler of callers works with.
 type Front struct {
 	Gateway *gateway.Gateway
-	Jobs    *jobstore.Store
+	Jobs    jobroute.Service
 	Limits  func() catalog.Limits
 	Leaving func() bool
 }
@@ -111,6 +112,7 @@
 	ring    *peers.Ring
 	store   *store.Failover
 	jobs    *jobstore.Store
+	routes  *jobroute.Router
 	runner  *runner.Runner
 	agents  *agentLinks
 	gateway *gateway.Gateway
@@ -156,6 +158,10 @@
 		Topic: parts.Jobs, ProgressTopic: parts.Progress, Partitions: set.Store.Partitions, CallBytes: set.Store.CallBytes,
 		Keep: time.Duration(set.KeepResults),
 	}, base.Part("jobs"))
+	n.routes = jobroute.New(jobroute.Config{
+		Self: set.Peers, Local: n.jobs, PartitionOf: n.jobs.PartitionOf, Remote: peers.NewCaller(linkCfg),
+		Log: base.Part("jobs"), Metrics: n.metrics,
+	})
 	n.agents = newAgentLinks(linkCfg, set.AgentAddr, n.view)
 	n.runner = runner.New(runner.Config{
 		Member: set.Peers, Group: jobGroup, Store: n.jobs, Groups: n.store, View: n.view, Sender: parts.Sender,
@@ -175,13 +181,13 @@
 	if err != nil {
 		return err
 	}
-	front := n.httpServer(n.parts.Front(Front{Gateway: n.gateway, Jobs: n.jobs, Limits: n.limits, Leaving: n.leaving.Load}))
+	front := n.httpServer(n.parts.Front(Front{Gateway: n.gateway, Jobs: n.routes, Limits: n.limits, Leaving: n.leaving.Load}))
 	ending := newDrain()
 	front.ConnState = ending.note
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return serve(ctx, front, listeners[0]) })
 	g.Go(func() error { return serve(ctx, n.httpServer(n.parts.Ready(n.ready)), listeners[1]) })
-	peerServer := &peers.Server{Store: n.parts.Store, View: n.view}
+	peerServer := &peers.Server{Store: n.parts.Store, View: n.view, Jobs: &jobroute.Server{Local: n.jobs, Reaches: n.store.Reaches}}
 	g.Go(func() error {
 		return link.Serve(ctx, listeners[2], link.Config{Node: n.set.Name, Handle: peerServer.Handle, TLS: n.tlsConf})
 	})
--- a/daemon/upkeep.go
+++ b/daemon/upkeep.go
@@ -71,6 +71,7 @@
 		n.metrics.Count("group_failures")
 		return // who was known stays
 	}
+	n.routes.SetOwners(n.parts.Jobs, owners)
 	var addrs []string
 	for _, o := range owners {
 		addrs = append(addrs, o.Member)
--- /dev/null
+++ b/jobroute/jobroute_test.go
@@ -0,0 +1,238 @@
+package jobroute_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pumiceford/jobroute"
+	"pumiceford/jobs"
+	"pumiceford/jobstore"
+	"pumiceford/link"
+	"pumiceford/logging"
+	"pumiceford/metrics"
+	"pumiceford/standin/sharedstore"
+	"pumiceford/store"
+	"pumiceford/wire"
+)
+
+const (
+	topic = "jobs"
+	parts = 8
+)
+
+// process is one of several that share a store.
+type process struct {
+	name   string
+	jobs   *jobstore.Store
+	router *jobroute.Router
+	server *jobroute.Server
+	// reach says what becomes of calls to this process.
+	reach reach
+	asked int
+}
+
+// reach is what becomes of a call to a process.
+type reach int
+
+const (
+	answers    reach = iota
+	gone             // it cannot be connected to
+	frozen           // it takes the call and does nothing
+	loseAnswer       // it carries the call out, and its answer is lost
+	declines         // it does not reach the store
+)
+
+// fleet is all processes by name. It implements jobroute.Remote.
+type fleet map[string]*process
+
+var errLost = errors.New("connection lost")
+
+func (f fleet) Call(ctx context.Context, addr string, call *wire.JobCall) (*wire.JobReply, error) {
+	p := f[addr]
+	p.asked++
+	switch p.reach {
+	case gone:
+		return nil, &link.DialError{Addr: addr, Cause: errLost}
+	case frozen:
+		<-ctx.Done()
+		return nil, ctx.Err()
+	case loseAnswer:
+		p.server.Serve(ctx, call)
+		return nil, errLost
+	case answers, declines:
+	}
+	return p.server.Serve(ctx, call), nil
+}
+
+// start starts processes; the first one runs all partitions.
+func start(ctx context.Context, s *sharedstore.Store, count int) []*process {
+	all := make(fleet)
+	var out []*process
+	var owners []store.Owner
+	for n := range parts {
+		owners = append(owners, store.Owner{Partition: store.Partition{Topic: topic, Number: n}, Member: "p0"})
+	}
+	for i := range count {
+		p := &process{name: fmt.Sprint("p", i)}
+		p.jobs = jobstore.New(ctx, s.For(p.name), jobstore.Settings{
+			Topic: topic, ProgressTopic: "progress", Partitions: parts, CallBytes: 2 << 20, Keep: time.Minute,
+		}, logging.Logger{})
+		p.server = &jobroute.Server{Local: p.jobs, Reaches: func() bool { return p.reach != declines }}
+		p.router = jobroute.New(jobroute.Config{
+			Self: p.name, Local: p.jobs, PartitionOf: p.jobs.PartitionOf, Remote: all, Metrics: metrics.New(p.name),
+		})
+		p.router.SetOwners(topic, owners)
+		all[p.name] = p
+		out = append(out, p)
+	}
+	return out
+}
+
+func bubble(t *testing.T, fn func(ctx context.Context, t *testing.T, s *sharedstore.Store)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		fn(ctx, t, sharedstore.New(parts))
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func spec(id string) *wire.JobSpec {
+	return &wire.JobSpec{
+		Id: id, Host: "h", Path: "/p/", AcceptedUnixMs: time.Now().UnixMilli(),
+		Items: []*wire.JobItem{{Id: id + "-0", Path: "/p/x", Body: []byte("body")}},
+	}
+}
+
+// Symptom: at 133 processes each link carries the results of the whole fleet, and the
+// store answers 4,400 calls a second for 118 items.
+// Sequence: callers submit and read jobs at any process, some times a second each.
+// Cause: each process followed each partition that it was asked for. Here 40 processes
+// are asked for 16 jobs: 1,500 calls of the store without the router, 100 with it.
+func TestReadersDoNotFollowThePartitions(t *testing.T) {
+	bubble(t, func(ctx context.Context, t *testing.T, s *sharedstore.Store) {
+		all := start(ctx, s, 40)
+		for n := range 16 {
+			id := fmt.Sprint("job", n)
+			if err := all[n].router.Accept(ctx, spec(id)); err != nil {
+				t.Fatal(err)
+			}
+			for _, p := range all {
+				if res, err := p.router.Results(ctx, id, 0, 0); err != nil || res.Total != 1 {
+					t.Fatalf("%s reads %s: %+v, %v", p.name, id, res, err)
+				}
+				if body, err := p.router.Body(ctx, id, id+"-0"); err != nil || string(body) != "body" {
+					t.Fatalf("%s: body %q, %v", p.name, body, err)
+				}
+			}
+			if err := all[0].jobs.List(ctx, all[0].jobs.PartitionOf(id), []jobs.Outcome{{Job: id, Text: []byte("text")}}); err != nil {
+				t.Fatal(err)
+			}
+			if res, err := all[n+1].router.Results(ctx, id, 0, 0); err != nil || len(res.Items) != 1 || string(res.Items[0].Text) != "text" {
+				t.Fatalf("result: %+v, %v", res, err)
+			}
+		}
+		for _, p := range all[1:] {
+			if p.jobs.Followed() != 0 {
+				t.Errorf("%s follows %d partitions", p.name, p.jobs.Followed())
+			}
+		}
+		const most = 200
+		if s.Calls() > most {
+			t.Errorf("%d calls of the store", s.Calls())
+		}
+	})
+}
+
+// Symptom: jobs of a third of all partitions are refused, or held past their time.
+// Sequence: the process that runs the partition has gone, is frozen, loses its answers
+// or does not reach the store, and the group still names it.
+// Cause: only that process was asked.
+func TestWithoutItsRunnerAJobIsServedHere(t *testing.T) {
+	for _, how := range []reach{gone, frozen, loseAnswer, declines} {
+		bubble(t, func(ctx context.Context, t *testing.T, s *sharedstore.Store) {
+			all := start(ctx, s, 2)
+			owner, other := all[0], all[1]
+			owner.reach = how
+			began := time.Now()
+			if err := other.router.Accept(ctx, spec("job")); err != nil {
+				t.Fatalf("%d: %v", how, err)
+			}
+			if took := time.Since(began); took > 400*time.Millisecond {
+				t.Errorf("%d: taken in after %s", how, took)
+			}
+			asked := owner.asked
+			res, err := other.router.Results(ctx, "job", 0, 0)
+			if err != nil || res.Total != 1 {
+				t.Errorf("%d: %+v, %v", how, res, err)
+			}
+			if owner.asked != asked {
+				t.Errorf("%d: asked again at once", how)
+			}
+			time.Sleep(3 * time.Second)
+			owner.reach = answers
+			if _, err := other.router.Results(ctx, "job", 0, 0); err != nil || owner.asked == asked {
+				t.Errorf("%d: not asked any more, %v", how, err)
+			}
+		})
+	}
+}
+
+// Symptom: a job runs whose caller was told that it would not.
+// Sequence: it is passed on and taken in; the answer is lost; the store turns this
+// process away, which so far knows that it has written nothing.
+// Cause: what the other process may have done was forgotten.
+func TestNotRunIsNotSaidOfAJobThatWasPassedOn(t *testing.T) {
+	for _, how := range []reach{gone, loseAnswer, declines} {
+		bubble(t, func(ctx context.Context, t *testing.T, s *sharedstore.Store) {
+			all := start(ctx, s, 2)
+			all[0].reach = how
+			s.SetFault("p1", sharedstore.Refuse)
+			err := all[1].router.Accept(ctx, spec("job"))
+			if err == nil {
+				t.Fatal("taken in by a store that refuses")
+			}
+			mayRun := how == loseAnswer
+			if errors.Is(err, jobstore.ErrUnknownEffect) != mayRun {
+				t.Errorf("%d: %v", how, err)
+			}
+		})
+	}
+}
+
+// What a process says of a job reaches the caller as it was said.
+func TestAnswersArePassedOnAsTheyAre(t *testing.T) {
+	bubble(t, func(ctx context.Context, t *testing.T, s *sharedstore.Store) {
+		r := start(ctx, s, 2)[1].router
+		if _, err := r.Results(ctx, "job", 0, 0); !errors.Is(err, jobstore.ErrUnknownJob) {
+			t.Errorf("no such job: %v", err)
+		}
+		if err := r.End(ctx, "job"); !errors.Is(err, jobstore.ErrUnknownJob) {
+			t.Errorf("end of no job: %v", err)
+		}
+		if err := r.Accept(ctx, spec("job")); err != nil {
+			t.Fatal(err)
+		}
+		other := spec("job")
+		other.Items[0].Body = []byte("other")
+		if err := r.Accept(ctx, other); !errors.Is(err, jobstore.ErrOtherJob) {
+			t.Errorf("another job: %v", err)
+		}
+		if _, err := r.Body(ctx, "job", "none"); !errors.Is(err, jobstore.ErrUnknownJob) {
+			t.Errorf("no such item: %v", err)
+		}
+		for n := range parts {
+			s.SetDown(store.Partition{Topic: topic, Number: n}, true)
+		}
+		var away *jobstore.AwayError
+		if err := r.Accept(ctx, spec("late")); !errors.As(err, &away) || away.ComeBack <= 0 || errors.Is(err, jobstore.ErrUnknownEffect) {
+			t.Errorf("store away: %v", err)
+		}
+	})
+}
--- a/jobstore/handoff.go
+++ b/jobstore/handoff.go
@@ -113,7 +113,12 @@
 	if home.has(id) {
 		return home, nil
 	}
-	// The alternates first: a hint is dropped only after the job has come to its
+	// Nearly all jobs are at home. To look at the alternates before it made a process
+	// follow three partitions more for each one that its callers ask for.
+	if home.follow.Catch(ctx, 0) == nil && home.has(id) {
+		return home, nil
+	}
+	// The alternates before home is looked at again: a hint is dropped only after the job has come to its
 	// own partition, so who looked there before cannot miss both.
 	for _, n := range s.alternatesOf(id) {
 		p := s.at(n)
--- a/jobstore/homes_test.go
+++ b/jobstore/homes_test.go
@@ -387,3 +387,47 @@
 		}
 	})
 }
+
+// Symptom: in a large fleet each process soon follows every partition, and its link is
+// full of other processes' jobs.
+// Sequence: callers read jobs at any process; the first read of a job there looked at
+// the partitions that might keep it as well.
+// Cause: these were looked at before the job's own partition.
+func TestAFirstReadFollowsOnlyTheHome(t *testing.T) {
+	inBubble(t, func(ctx context.Context, t *testing.T) {
+		s := sharedstore.New(manyParts)
+		if err := openMany(ctx, s.For("a")).Accept(ctx, sent("job", 1)); err != nil {
+			t.Fatal(err)
+		}
+		reader := openMany(ctx, s.For("b"))
+		if _, err := reader.Results(ctx, "job", 0, 0); err != nil {
+			t.Fatal(err)
+		}
+		if n := reader.Followed(); n != 1 {
+			t.Errorf("%d partitions followed", n)
+		}
+	})
+}
+
+// Symptom: as above, after hours: a process follows whatever anybody ever asked it for.
+// Cause: nothing ended the following.
+func TestAnIdlePartitionIsLetGo(t *testing.T) {
+	inBubble(t, func(ctx context.Context, t *testing.T) {
+		s := sharedstore.New(manyParts)
+		st := openMany(ctx, s.For("a"))
+		if err := st.Accept(ctx, sent("job", 1)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(10 * time.Second)
+		if st.Followed() != 1 {
+			t.Fatalf("%d followed soon after a use", st.Followed())
+		}
+		time.Sleep(15 * time.Second)
+		if st.Followed() != 0 {
+			t.Fatalf("%d followed without a use", st.Followed())
+		}
+		if res, err := st.Results(ctx, "job", 0, 0); err != nil || res.Total != 1 {
+			t.Fatalf("read later: %+v, %v", res, err)
+		}
+	})
+}
--- a/jobstore/jobstore.go
+++ b/jobstore/jobstore.go
@@ -46,6 +46,11 @@
 	// loadsAtOnce is how many partitions are read whole at a time: two megabytes
 	// come over the narrowest link within the time for one.
 	loadsAtOnce = 2
+	// idleAfter is how long a partition is followed after its last use here: longer than
+	// a caller's pause between two reads of a job. releaseEvery is how often those that
+	// are not used any more are looked for.
+	idleAfter    = 15 * time.Second
+	releaseEvery = 5 * time.Second
 	// keepMargin is added to Keep for clocks that differ.
 	keepMargin = 30 * time.Second
 )
@@ -88,11 +93,39 @@
 	write  chan struct{} // one writer of this process at a time
 	// probing holds the place of the one look at a partition that seems away.
 	probing chan struct{}
+	used    time.Time // guarded by Store.mu
+	stop    context.CancelFunc
 }
 
 // New returns a Store whose followers run until ctx ends.
 func New(ctx context.Context, log store.Log, set Settings, out logging.Logger) *Store {
-	return &Store{log: log, set: set, out: out, base: ctx, parts: make(map[int]*partition), loads: store.NewLoads(loadsAtOnce), triesBy: make(map[int]*health)}
+	s := &Store{log: log, set: set, out: out, base: ctx, parts: make(map[int]*partition), loads: store.NewLoads(loadsAtOnce), triesBy: make(map[int]*health)}
+	go s.releaseIdle(ctx)
+	return s
+}
+
+// releaseIdle stops following the partitions that nothing here uses any more. A process
+// that went on with each one that a caller had ever asked for read in the end what all
+// others wrote.
+func (s *Store) releaseIdle(ctx context.Context) {
+	for wait.For(ctx, releaseEvery) == nil {
+		now := time.Now()
+		s.mu.Lock()
+		for n, p := range s.parts {
+			if now.Sub(p.used) > idleAfter {
+				p.stop()
+				delete(s.parts, n)
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
+// Followed returns how many partitions are followed.
+func (s *Store) Followed() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.parts)
 }
 
 // Topic returns the topic of all partitions.
@@ -106,13 +139,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if p := s.parts[number]; p != nil {
+		p.used = time.Now()
 		return p
 	}
 	unreadable := func(key string, err error) {
 		s.out.Warn("record of a job cannot be read and is left out", logging.F("partition", number),
 			logging.F("key", key), logging.F("error", err.Error()))
 	}
-	p := &partition{number: number, table: jobs.NewTable(unreadable), write: make(chan struct{}, 1), probing: make(chan struct{}, 1)}
+	p := &partition{number: number, table: jobs.NewTable(unreadable), write: make(chan struct{}, 1), probing: make(chan struct{}, 1), used: time.Now()}
 	part := store.Partition{Topic: s.set.Topic, Number: number}
 	p.follow = store.NewFollower(s.log, part, p.table, store.FollowSettings{
 		Wait: followWait, Loads: s.loads,
@@ -124,7 +158,9 @@
 		},
 	})
 	s.parts[number] = p
-	go p.follow.Run(s.base)
+	ctx, stop := context.WithCancel(s.base)
+	p.stop = stop
+	go p.follow.Run(ctx)
 	return p
 }
 
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -23,6 +23,12 @@
 type Server struct {
 	Store store.Client
 	View  *fleet.View
+	Jobs  JobServer
+}
+
+// JobServer carries calls about jobs out.
+type JobServer interface {
+	Serve(ctx context.Context, call *wire.JobCall) *wire.JobReply
 }
 
 // Handle serves one stream; it is a link.Handler.
@@ -34,6 +40,9 @@
 		defer cancel()
 		// A peer that left does not read the reply.
 		_ = st.Send(s.call(ctx, c))
+	case call.GetJob() != nil:
+		// A peer that left does not read the reply.
+		_ = st.Send(s.Jobs.Serve(ctx, call.GetJob()))
 	case call.GetCatalog() != nil:
 		raw, recs := s.View.Export()
 		_ = st.Send(&wire.CatalogReply{Catalog: raw, Targets: store.ToWire(recs)})
@@ -169,6 +178,34 @@
 	return m, err
 }
 
+// Caller makes calls about jobs at any entry, each over a session of its own: an entry
+// asks each of the others some times a minute, and sessions that were kept would cost
+// more heartbeats than calls.
+type Caller struct {
+	cfg link.Config
+}
+
+// callerDial bounds connecting, which takes one round trip.
+const callerDial = 250 * time.Millisecond
+
+// NewCaller returns a Caller.
+func NewCaller(cfg link.Config) *Caller {
+	cfg.DialTimeout = callerDial
+	return &Caller{cfg: cfg}
+}
+
+// Call carries a call out at an address. It fails with a link.DialError when it was
+// never sent.
+func (c *Caller) Call(ctx context.Context, addr string, call *wire.JobCall) (*wire.JobReply, error) {
+	peer := link.NewPeer(c.cfg, addr)
+	defer peer.Close()
+	reply := &wire.JobReply{}
+	if err := peer.Call(ctx, link.Batch, &wire.Call{Kind: &wire.Call_Job{Job: call}}, reply); err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
+
 // maxPeers bounds the peers that an entry keeps in mind: enough for one to be
 // served by the store when a third of all hosts is not.
 const maxPeers = 4
--- a/store/failover.go
+++ b/store/failover.go
@@ -173,6 +173,13 @@
 	return none, last
 }
 
+// Reaches reports whether the direct way works, as far as the last call over it tells.
+func (f *Failover) Reaches() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.unproved
+}
+
 // passing reports whether another way may serve a call that failed so.
 func passing(err error) bool {
 	return errors.Is(err, ErrUnavailable) || errors.Is(err, ErrRefused)
