A caller that leaves is no failure of the process that was asked

Found by reading the diff: a caller of results that left early ended the call to the process that runs the job, which was then left alone for two seconds, and told of as one that did not answer. The test fails without the change.

--- a/bench/load/load.go
+++ b/bench/load/load.go
@@ -45,7 +45,7 @@
 	MoveAll bool
 	// Watched bounds the targets whose loads one entry is told; 0 sets no bound.
 	Watched int
-	// TellEvery is the least time between two words of an agent to one entry; 0 lets it
+	// TellEvery is the least time between two messages of an agent to one entry; 0 lets it
 	// tell after each look at its target.
 	TellEvery time.Duration
 	// Reserve: a slot is reserved where it may be gone when the request comes.
@@ -84,7 +84,7 @@
 	Waited   int           `json:"waited"`   // came to a target without a free slot
 	Moves    int           `json:"moves"`    // sent to another target after waiting
 	Opened   int           `json:"opened"`   // connections to targets
-	Told     int           `json:"told"`     // words of agents to entries
+	Told     int           `json:"told"`     // messages of agents to entries
 	P50      time.Duration `json:"p50_ns"`   // to the first event
 	P99      time.Duration `json:"p99_ns"`   // to the first event
 	Items    int           `json:"items"`    // due before the end
@@ -97,6 +97,6 @@
 
 // String implements fmt.Stringer.
 func (o Outcome) String() string {
-	return fmt.Sprintf("%-8s %-20s %5d requests: late %4d, refused %3d, lost %3d, moves %4d, connections %4d, words %7d, p50 %4d ms, p99 %4d ms; %4d items: in time %4d, cut off %4d",
+	return fmt.Sprintf("%-8s %-20s %5d requests: late %4d, refused %3d, lost %3d, moves %4d, connections %4d, messages %7d, p50 %4d ms, p99 %4d ms; %4d items: in time %4d, cut off %4d",
 		o.Shape, o.Policy, o.Requests, o.Late, o.Refused, o.Lost, o.Moves, o.Opened, o.Told, o.P50.Milliseconds(), o.P99.Milliseconds(), o.Items, o.InTime, o.CutOff)
 }
--- a/bench/load/load_test.go
+++ b/bench/load/load_test.go
@@ -118,8 +118,8 @@
 // second; 1,600 requests a second come.
 // Cause: the other targets looked empty to all of them. In this replay 16 targets, told
 // each 50 ms, leave none of 10,350 late when a slot is reserved where it may be gone; 64,
-// told at once, leave two and take five times as many words.
-func TestALargeFleetNeedsFewWords(t *testing.T) {
+// told at once, leave two and take five times as many messages.
+func TestALargeFleetNeedsFewMessages(t *testing.T) {
 	shape := load.Large
 	shape.Lasts = 12 * time.Second // two peaks; more are long under the race detector
 	part := load.Run(shape, load.Part, 1)
@@ -132,7 +132,7 @@
 		t.Errorf("%d of %d first events are late", part.Late, part.Requests)
 	}
 	if part.Told*4 > many.Told {
-		t.Errorf("%d words, %d with 64 targets", part.Told, many.Told)
+		t.Errorf("%d messages, %d with 64 targets", part.Told, many.Told)
 	}
 }
 
--- a/cmd/pumice-bench/main.go
+++ b/cmd/pumice-bench/main.go
@@ -40,7 +40,7 @@
 }
 
 type args struct {
-	Load     *loadCmd     `arg:"subcommand:load" help:"peaks and batch work under three policies, replayed"`
+	Load     *loadCmd     `arg:"subcommand:load" help:"peaks and batch work under several policies, replayed"`
 	Path     *pathCmd     `arg:"subcommand:path" help:"what entry and agent add to a one-token request"`
 	Ledger   *ledgerCmd   `arg:"subcommand:ledger" help:"the batch ledger against a naive one"`
 	Page     *pageCmd     `arg:"subcommand:page" help:"write the capacity page's tables from recorded slopes"`
--- a/gateway/overload.go
+++ b/gateway/overload.go
@@ -21,8 +21,8 @@
 	// come back as the next; at least two thirds of the time are left to serve it then.
 	backLeast = 1.0 / 6
 	backMost  = 1.0 / 3
-	// backUntold is when to come back for a caller that does not tell its time.
-	backUntold = 300 * time.Millisecond
+	// backUnknown is when to come back for a caller that does not tell its time.
+	backUnknown = 300 * time.Millisecond
 	// returningBelow is the part of the usual time below which a caller is taken for one
 	// that has come before.
 	returningBelow = 0.9
@@ -47,7 +47,7 @@
 // retryAfter returns when a caller that is turned away shall come back.
 func (s *serving) retryAfter() time.Duration {
 	if !s.timed {
-		return backUntold
+		return backUnknown
 	}
 	share := backLeast + (backMost-backLeast)*rand.Float64()
 	return time.Duration(share * float64(time.Until(s.req.Deadline)))
@@ -86,6 +86,7 @@
 	defer b.mu.Unlock()
 	u := b.routes[route]
 	if u == nil {
+		b.forget(now)
 		u = &budget{since: now}
 		b.routes[route] = u
 	}
@@ -95,3 +96,13 @@
 	u.now = max(u.now, left)
 	return float64(left) < returningBelow*float64(max(u.now, u.past))
 }
+
+// forget drops the routes that nobody has asked for in two spans: routes come and go
+// with the configuration. b.mu is held.
+func (b *budgets) forget(now time.Time) {
+	for route, u := range b.routes {
+		if now.Sub(u.since) > 2*usualFor {
+			delete(b.routes, route)
+		}
+	}
+}
--- a/jobroute/jobroute.go
+++ b/jobroute/jobroute.go
@@ -122,10 +122,10 @@
 		return nil, false, false
 	}
 	began := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, within)
+	one, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	call.TimeoutMs = uint32(within.Milliseconds())
-	reply, err := r.cfg.Remote.Call(ctx, addr, call)
+	reply, err := r.cfg.Remote.Call(one, addr, call)
 	if err == nil && reply.GetOutcome() == wire.JobReply_DECLINED {
 		err = errDeclined
 	}
@@ -133,14 +133,19 @@
 		r.cfg.Metrics.Count("job_call_passed_on")
 		return reply, true, true
 	}
+	var dial *link.DialError
+	sent = !errors.As(err, &dial) && !errors.Is(err, errDeclined)
+	if ctx.Err() != nil {
+		// The caller left; that says nothing of the process that was asked.
+		return nil, sent, false
+	}
 	r.mu.Lock()
 	r.avoid[addr] = time.Now().Add(avoidFor)
 	r.mu.Unlock()
 	r.cfg.Metrics.Count("job_call_not_passed_on")
 	r.cfg.Log.Warn("call about a job is answered here; the process that runs it did not", logging.F("job", job),
 		logging.F("asked", addr), logging.F("took_ms", time.Since(began).Milliseconds()), logging.F("error", err.Error()))
-	var dial *link.DialError
-	return nil, !errors.As(err, &dial) && !errors.Is(err, errDeclined), false
+	return nil, sent, false
 }
 
 // Accept implements Service. To take a job in twice is to take it in once, so it is
--- a/jobroute/jobroute_test.go
+++ b/jobroute/jobroute_test.go
@@ -289,3 +289,27 @@
 		}
 	})
 }
+
+// Symptom: calls are answered here although the process that runs their jobs is well.
+// Sequence: a caller that waits for a result leaves before there is one.
+// Cause: the end of the call was taken for a failure of the process that was asked.
+func TestACallerThatLeavesIsNoFailure(t *testing.T) {
+	bubble(t, func(ctx context.Context, t *testing.T, s *sharedstore.Store) {
+		all := start(ctx, s, 2)
+		owner, other := all[0], all[1]
+		if err := other.router.Accept(ctx, spec("job")); err != nil {
+			t.Fatal(err)
+		}
+		owner.reach = frozen
+		leaves, leave := context.WithTimeout(ctx, 100*time.Millisecond)
+		defer leave()
+		if _, err := other.router.Results(leaves, "job", 0, time.Second); err == nil {
+			t.Fatal("a caller that has left got results")
+		}
+		owner.reach = answers
+		asked := owner.asked
+		if _, err := other.router.Results(ctx, "job", 0, 0); err != nil || owner.asked == asked {
+			t.Errorf("the process is avoided, %v", err)
+		}
+	})
+}
