Bound the look at a job's home, so that a silent one hides no hint

Found by reading the diff again: since a job's home is looked at before its alternates, a home that is silent took the second that a caller has, and the body of an item whose job another partition keeps was told at no process but the one that had taken it in. Cause: the look had no bound of its own.

--- a/jobstore/handoff.go
+++ b/jobstore/handoff.go
@@ -113,9 +113,7 @@
 	if home.has(id) {
 		return home, nil
 	}
-	// Nearly all jobs are at home. To look at the alternates before it made a process
-	// follow three partitions more for each one that its callers ask for.
-	if home.follow.Catch(ctx, 0) == nil && home.has(id) {
+	if home.foundSoon(ctx, id) {
 		return home, nil
 	}
 	// The alternates before home is looked at again: a hint is dropped only after the job has come to its
@@ -140,6 +138,20 @@
 	return home, nil
 }
 
+// homeLook bounds the look at a job's home before its alternates are looked at: a home
+// that is silent would take all the time that a caller has, and a hint that is there
+// would not be found.
+const homeLook = 300 * time.Millisecond
+
+// foundSoon reports whether a job turns out to be at its home within homeLook. Nearly
+// all jobs are. To look at the alternates first made a process follow three partitions
+// more for each one that its callers ask for.
+func (p *partition) foundSoon(ctx context.Context, id string) bool {
+	ctx, cancel := context.WithTimeout(ctx, homeLook)
+	defer cancel()
+	return p.follow.Catch(ctx, 0) == nil && p.has(id)
+}
+
 // fetch hands a job off before it is asked for.
 func (s *Store) fetch(ctx context.Context, home *partition, spec *wire.JobSpec) error {
 	if err := home.follow.Catch(ctx, 0); err != nil {
--- a/jobstore/homes_test.go
+++ b/jobstore/homes_test.go
@@ -431,3 +431,32 @@
 		}
 	})
 }
+
+// Symptom: through an outage of a part of the store the body of an item is not told at
+// processes that have not taken its job in.
+// Sequence: the job's own partition falls silent, another one keeps the job; a caller
+// asks for the body, with a second to wait, at a process that follows neither.
+// Cause: the silent partition was waited for until the caller's time was over.
+func TestASilentHomeDoesNotHideAHint(t *testing.T) {
+	const count = 6 // their hints lie at several alternates
+	for n := range count {
+		inBubble(t, func(ctx context.Context, t *testing.T) {
+			s := sharedstore.New(manyParts)
+			taker, other := openMany(ctx, s.For("a")), openMany(ctx, s.For("b"))
+			job := sent(fmt.Sprint("job", n), 1)
+			s.SetPartitionFault(jobsPart(taker.PartitionOf(job.GetId())), sharedstore.Silent)
+			if err := taker.Accept(ctx, job); err != nil {
+				t.Fatal(err)
+			}
+			ask := func() ([]byte, error) {
+				one, cancel := context.WithTimeout(ctx, time.Second)
+				defer cancel()
+				return other.Body(one, job.GetId(), job.GetItems()[0].GetId())
+			}
+			_, _ = ask() // it may only begin to follow the partition that keeps the job
+			if body, err := ask(); err != nil || string(body) != "body" {
+				t.Errorf("%s: %q, %v", job.GetId(), body, err)
+			}
+		})
+	}
+}
