--- a/jobstore/jobstore.go
+++ b/jobstore/jobstore.go
@@ -139,6 +139,11 @@
 	return len(s.parts)
 }
 
+// LentRate returns how many reads a second this process may make for its callers.
+func (s *Store) LentRate() float64 {
+	return s.lending.Rate()
+}
+
 // Topic returns the topic of all partitions.
 func (s *Store) Topic() string {
 	return s.set.Topic
--- a/jobstore/read.go
+++ b/jobstore/read.go
@@ -32,9 +32,7 @@
 	if err != nil {
 		return Results{}, err
 	}
-	until := time.NewTimer(wait)
-	defer until.Stop()
-	for {
+	for began := time.Now(); ; {
 		res, changed, ok := p.results(id, from)
 		if !ok {
 			return Results{}, ErrUnknownJob
@@ -42,13 +40,9 @@
 		if len(res.Items) > 0 || res.Next >= res.Total {
 			return res, nil
 		}
-		select {
-		case <-changed:
-			continue
-		case <-ctx.Done():
-		case <-until.C:
+		if !changes(ctx, changed, wait-time.Since(began)) {
+			break
 		}
-		break
 	}
 	// Nothing there so far. Another process may have told of a result already.
 	if err := p.sure(context.WithoutCancel(ctx)); err != nil {
@@ -61,6 +55,22 @@
 	return res, nil
 }
 
+// changes waits for a change, for at most d. It reports whether one came.
+func changes(ctx context.Context, changed <-chan struct{}, d time.Duration) bool {
+	if d <= 0 {
+		return false // a timer that fires at once is not safe, see wait.For
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-changed:
+		return true
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	return false
+}
+
 func (p *partition) results(id string, from int) (res Results, changed <-chan struct{}, ok bool) {
 	p.follow.Look(func(_ int64, ch <-chan struct{}) {
 		changed = ch
--- a/standin/sharedstore/sharedstore.go
+++ b/standin/sharedstore/sharedstore.go
@@ -281,7 +281,7 @@
 	defer until.Stop()
 	for {
 		page, changed, err := f.store.page(p, from)
-		if err != nil || len(page.Records) > 0 {
+		if err != nil || len(page.Records) > 0 || wait <= 0 {
 			return page, err
 		}
 		select {
--- a/store/pace.go
+++ b/store/pace.go
@@ -43,6 +43,11 @@
 	return &Pace{bucket: rate.NewLimiter(paceMost, paceMost/10)}
 }
 
+// Rate returns the reads a second that are let through now.
+func (p *Pace) Rate() float64 {
+	return float64(p.bucket.Limit())
+}
+
 // wait waits for a turn. Without one before ctx ends it fails at once: nothing was
 // asked of the store then.
 func (p *Pace) wait(ctx context.Context) error {
--- a/store/pace_test.go
+++ b/store/pace_test.go
@@ -33,13 +33,17 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := sharedstore.New(1)
 		s.Put(part, "k", []byte("v"))
-		log := store.Paced{Log: s.For("a"), Pace: store.NewPace(), Urgent: func() bool { return false }}
+		pace := store.NewPace()
+		log := store.Paced{Log: s.For("a"), Pace: pace, Urgent: func() bool { return false }}
 		calm, refused := readFor(t.Context(), log, 10*time.Second)
 		if refused != 0 || calm < 500 || calm > 1500 {
 			t.Fatalf("calm: %d served, %d refused in 10 s", calm, refused)
 		}
 		s.SetFault("a", sharedstore.Refuse)
 		readFor(t.Context(), log, 5*time.Second)
+		if pace.Rate() > 10 {
+			t.Errorf("%g reads a second after five seconds of refusals", pace.Rate())
+		}
 		_, refused = readFor(t.Context(), log, 10*time.Second)
 		if refused == 0 || refused > calm/5 {
 			t.Errorf("turned away: %d tries in 10 s, %d when calm", refused, calm)
