Let one process stand in for a runner that does not answer; refuse at once while the store is away

Cause: 138,788 calls of the store and 0.815 GB; a submitted job fell back as reads did, each process that took one followed its partition, and at the store's return some 400 partitions were read whole over links of 30 Mbit/s, beside those that their processes run. One runner heard of an end 5.4 s late. Change: a call that its runner does not answer goes to one stand-in by rendezvous hashing, then here; while no way to the store works, nothing is looked up, taken in or ended here: refused at once, with when to come back.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -187,7 +187,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return serve(ctx, front, listeners[0]) })
 	g.Go(func() error { return serve(ctx, n.httpServer(n.parts.Ready(n.ready)), listeners[1]) })
-	peerServer := &peers.Server{Store: n.parts.Store, View: n.view, Jobs: &jobroute.Server{Local: n.jobs, Reaches: n.store.Reaches}}
+	peerServer := &peers.Server{Store: n.parts.Store, View: n.view, Jobs: &jobroute.Server{Local: n.jobs, StoreAway: n.store.Away, Reaches: n.store.Reaches}}
 	g.Go(func() error {
 		return link.Serve(ctx, listeners[2], link.Config{Node: n.set.Name, Handle: peerServer.Handle, TLS: n.tlsConf})
 	})
--- a/jobroute/jobroute.go
+++ b/jobroute/jobroute.go
@@ -13,6 +13,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,6 +24,7 @@
 	"pumiceford/link"
 	"pumiceford/logging"
 	"pumiceford/metrics"
+	"pumiceford/routing"
 	"pumiceford/store"
 	"pumiceford/wire"
 )
@@ -43,6 +46,8 @@
 	Service
 	// Has reports whether a job is known without asking the shared store.
 	Has(id string) bool
+	// Away returns the error for a call that is refused while the store is away.
+	Away() error
 }
 
 // Remote carries a call out at another process.
@@ -78,8 +83,10 @@
 	cfg Config
 
 	mu     sync.Mutex
-	owners map[int]string       // address of the process that runs a partition
-	avoid  map[string]time.Time // processes that are not asked until then
+	owners map[int]string // address of the process that runs a partition
+	// members are all of these addresses, each once.
+	members []string
+	avoid   map[string]time.Time // processes that are not asked until then
 }
 
 // New returns a Router that knows of no other process.
@@ -90,14 +97,16 @@
 // SetOwners takes who runs the partitions of a topic.
 func (r *Router) SetOwners(topic string, all []store.Owner) {
 	owners := make(map[int]string)
+	members := make(map[string]bool)
 	for _, o := range all {
 		if o.Partition.Topic == topic {
 			owners[o.Partition.Number] = o.Member
+			members[o.Member] = true
 		}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.owners = owners
+	r.owners, r.members = owners, slices.Collect(maps.Keys(members))
 	for addr, until := range r.avoid {
 		if !time.Now().Before(until) {
 			delete(r.avoid, addr)
@@ -105,30 +114,74 @@
 	}
 }
 
-// owner returns the process to ask for a job, "" when that is this one or none can be
-// asked.
-func (r *Router) owner(job string) string {
+// whom returns the processes to ask for a job, in order: the one that runs its partition,
+// and the one that stands in for it, the same for all that ask. So when a runner is gone
+// one process more follows its partition, and not each that is asked for its jobs. mine
+// says that this process is one of the two, or that it knows of no stand-in.
+func (r *Router) whom(job string) (addrs []string, mine bool) {
 	part := r.cfg.PartitionOf(job)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	addr := r.owners[part]
-	if addr == r.cfg.Self || time.Now().Before(r.avoid[addr]) {
-		return ""
+	owner := r.owners[part]
+	if owner == r.cfg.Self {
+		return nil, true
 	}
-	return addr
+	now := time.Now()
+	usable := func(addr string) bool { return !now.Before(r.avoid[addr]) }
+	if owner != "" && usable(owner) {
+		addrs = append(addrs, owner)
+	}
+	var others []string
+	for _, addr := range r.members {
+		if addr != owner && usable(addr) {
+			others = append(others, addr)
+		}
+	}
+	if len(others) == 0 {
+		return addrs, true
+	}
+	standIn := routing.Top(others, uint64(part), 1)[0]
+	if standIn == r.cfg.Self {
+		return addrs, true
+	}
+	return append(addrs, standIn), false
 }
 
 // errDeclined says that the process that was asked cannot reach the store itself.
 var errDeclined = errors.New("asked process does not reach the store")
 
-// ask has the process that runs a job's partition carry a call out, within a bound. It
-// reports false when the call has to be carried out here; sent says that it may have
-// been carried out there nevertheless.
+// ask has another process carry a call out, within a bound for each. It reports false
+// when the call has to be carried out here; sent says that it may have been carried out
+// elsewhere nevertheless.
 func (r *Router) ask(ctx context.Context, job string, within time.Duration, call *wire.JobCall) (reply *wire.JobReply, sent, ok bool) {
-	addr := r.owner(job)
-	if addr == "" {
-		return nil, false, false
+	addrs, mine := r.whom(job)
+	var unsure *wire.JobReply
+	for _, addr := range addrs {
+		reply, s, ok := r.askOne(ctx, job, addr, within, call)
+		sent = sent || s
+		if ok && (writes(call) || reply.GetOutcome() != wire.JobReply_UNSURE) {
+			return reply, sent, true
+		}
+		if ok {
+			unsure = reply
+		}
+		if ctx.Err() != nil || r.cfg.StoreAway() {
+			break
+		}
+		within = answerWithin
+		if read := call.GetRead(); read != nil {
+			read.WaitMs = 0 // the first one waited
+		}
 	}
+	if unsure != nil && !mine && !r.cfg.Local.Has(job) {
+		return unsure, sent, true
+	}
+	return nil, sent, false
+}
+
+// askOne asks one process. It reports false when that process did not carry the call out,
+// as far as is known; sent says that it may have.
+func (r *Router) askOne(ctx context.Context, job, addr string, within time.Duration, call *wire.JobCall) (reply *wire.JobReply, sent, ok bool) {
 	began := time.Now()
 	one, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
@@ -151,19 +204,22 @@
 	r.avoid[addr] = time.Now().Add(avoidFor)
 	r.mu.Unlock()
 	r.cfg.Metrics.Count("job_call_not_passed_on")
-	r.cfg.Log.Warn("call about a job is answered here; the process that runs it did not", logging.F("job", job),
+	r.cfg.Log.Warn("call about a job is not answered by the process that was asked", logging.F("job", job),
 		logging.F("asked", addr), logging.F("took_ms", time.Since(began).Milliseconds()), logging.F("error", err.Error()))
 	return nil, sent, false
 }
 
 // Accept implements Service. To take a job in twice is to take it in once, so it is
-// tried here when the other process does not answer.
+// tried here when no other process answers.
 func (r *Router) Accept(ctx context.Context, spec *wire.JobSpec) error {
 	call := &wire.JobCall{Kind: &wire.JobCall_Accept{Accept: spec}}
 	reply, sent, ok := r.ask(ctx, spec.GetId(), answerWithin, call)
 	if ok {
 		return failure(reply)
 	}
+	if err := r.refused(spec.GetId()); err != nil {
+		return unlessSent(err, sent)
+	}
 	return unlessSent(r.cfg.Local.Accept(ctx, spec), sent)
 }
 
@@ -173,6 +229,9 @@
 	if ok {
 		return failure(reply)
 	}
+	if err := r.refused(id); err != nil {
+		return unlessSent(err, sent)
+	}
 	return unlessSent(r.cfg.Local.End(ctx, id), sent)
 }
 
@@ -185,49 +244,47 @@
 	return err
 }
 
-// errStoreAway says that a job is not known here and cannot be looked up.
-var errStoreAway = errors.New("job is not known here and the shared store is away")
+// known reports whether there is any use in looking for a job here. In an outage who runs
+// the partitions is unsure, and whoever was asked began to follow them: when the store
+// returned, 133 processes all read nearly all partitions whole.
+func known(local Local, away func() bool, id string) bool {
+	return local.Has(id) || !away()
+}
 
-// mayLookUp fails when a job cannot be read here anyway. In an outage the processes that
-// run the partitions are unsure, and whoever is asked would begin to follow them: when
-// the store returned, 133 processes all read nearly all partitions whole.
-func (r *Router) mayLookUp(id string) error {
-	if r.runs(id) || r.cfg.Local.Has(id) || !r.cfg.StoreAway() {
+// refused returns the error for a call that there is no use in carrying out here, nil
+// when there is.
+func (r *Router) refused(job string) error {
+	if known(r.cfg.Local, r.cfg.StoreAway, job) {
 		return nil
 	}
-	r.cfg.Metrics.Count("job_read_not_tried")
-	return errors.Mark(errStoreAway, jobstore.ErrUnsure)
-}
-
-// runs reports whether this process runs a job's partition, as far as the group tells.
-func (r *Router) runs(job string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.owners[r.cfg.PartitionOf(job)] == r.cfg.Self
+	err := r.cfg.Local.Away()
+	r.cfg.Metrics.Count("job_call_not_tried")
+	r.cfg.Log.Warn("call about a job is refused at once", logging.F("job", job), logging.F("error", err.Error()))
+	return err
 }
 
 // Results implements Service.
 func (r *Router) Results(ctx context.Context, id string, from int, wait time.Duration) (jobstore.Results, error) {
 	read := &wire.JobRead{Job: id, From: uint32(from), WaitMs: uint32(wait.Milliseconds())}
 	reply, _, ok := r.ask(ctx, id, wait+answerWithin, &wire.JobCall{Kind: &wire.JobCall_Read{Read: read}})
-	if !ok || reply.GetOutcome() == wire.JobReply_UNSURE {
-		if err := r.mayLookUp(id); err != nil {
-			return jobstore.Results{}, err
-		}
-		return r.cfg.Local.Results(ctx, id, from, wait)
+	if ok {
+		return results(reply), failure(reply)
+	}
+	if err := r.refused(id); err != nil {
+		return jobstore.Results{}, err
 	}
-	return results(reply), failure(reply)
+	return r.cfg.Local.Results(ctx, id, from, wait)
 }
 
 // Body implements Service.
 func (r *Router) Body(ctx context.Context, id, item string) ([]byte, error) {
 	body := &wire.JobBody{Job: id, Item: item}
 	reply, _, ok := r.ask(ctx, id, answerWithin, &wire.JobCall{Kind: &wire.JobCall_Body{Body: body}})
-	if !ok || reply.GetOutcome() == wire.JobReply_UNSURE {
-		if err := r.mayLookUp(id); err != nil {
-			return nil, err
-		}
-		return r.cfg.Local.Body(ctx, id, item)
+	if ok {
+		return reply.GetBody(), failure(reply)
+	}
+	if err := r.refused(id); err != nil {
+		return nil, err
 	}
-	return reply.GetBody(), failure(reply)
+	return r.cfg.Local.Body(ctx, id, item)
 }
--- a/jobroute/jobroute_test.go
+++ b/jobroute/jobroute_test.go
@@ -84,9 +84,10 @@
 		p.jobs = jobstore.New(ctx, s.For(p.name), jobstore.Settings{
 			Topic: topic, ProgressTopic: "progress", Partitions: parts, CallBytes: 2 << 20, Keep: time.Minute,
 		}, logging.Logger{})
-		p.server = &jobroute.Server{Local: p.jobs, Reaches: func() bool { return p.reach.Load() != declines }}
+		away := func() bool { return p.reach.Load() == declines }
+		p.server = &jobroute.Server{Local: p.jobs, StoreAway: away, Reaches: func() bool { return !away() }}
 		p.router = jobroute.New(jobroute.Config{
-			Self: p.name, Local: p.jobs, StoreAway: func() bool { return p.reach.Load() == declines }, PartitionOf: p.jobs.PartitionOf, Remote: all, Metrics: metrics.New(p.name),
+			Self: p.name, Local: p.jobs, StoreAway: away, PartitionOf: p.jobs.PartitionOf, Remote: all, Metrics: metrics.New(p.name),
 		})
 		p.router.SetOwners(topic, owners)
 		all[p.name] = p
@@ -339,6 +340,100 @@
 	})
 }
 
+// Symptom: after an outage all links of 30 Mbit/s are full for seconds; requests are late, and
+// a job that was ended still runs, since its runner is told nothing.
+// Sequence: the store is away; callers submit and read at all processes, which all lack
+// the job's runner; the store returns.
+// Cause: whoever took a call followed the job's partition by itself, and read it whole, two
+// megabytes each, when the store was back. Here 40 processes follow 8 partitions.
+func TestAnOutageMakesNobodyFollow(t *testing.T) {
+	const (
+		processes = 40
+		outage    = 5 * time.Second
+	)
+	bubble(t, func(ctx context.Context, t *testing.T, s *sharedstore.Store) {
+		all := start(ctx, s, processes)
+		share(all)
+		var ids []string
+		for n := range 16 {
+			ids = append(ids, fmt.Sprint("job", n))
+			if err := all[n].router.Accept(ctx, spec(ids[n])); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for _, p := range all {
+			go p.submitOn(ctx)
+			go p.readOn(ctx, ids, &failures{})
+		}
+		setReach(s, all, sharedstore.Refuse, declines)
+		time.Sleep(outage)
+		setReach(s, all, sharedstore.None, answers)
+		time.Sleep(3 * time.Second)
+		follow := 0
+		for _, p := range all {
+			follow += p.jobs.Followed()
+		}
+		// Who runs a partition, and who stands in for it: two at times, since those that
+		// have just declined a call are not asked.
+		const most = 3 * parts
+		if follow > most {
+			t.Errorf("%d partitions are followed by all together, of which %d may be", follow, most)
+		}
+	})
+}
+
+// Symptom: all processes follow the partition of one that has died.
+// Sequence: it is gone, the group still names it; callers read at all processes.
+// Cause: each one looked the job up by itself.
+func TestOneStandsInForARunnerThatIsGone(t *testing.T) {
+	bubble(t, func(ctx context.Context, t *testing.T, s *sharedstore.Store) {
+		all := start(ctx, s, 20)
+		share(all)
+		part := all[0].jobs.PartitionOf("job")
+		if err := all[19].router.Accept(ctx, spec("job")); err != nil {
+			t.Fatal(err)
+		}
+		all[part].reach.Store(gone)
+		before := 0
+		for _, p := range all {
+			before += p.jobs.Followed()
+		}
+		for n, p := range all {
+			if n == part {
+				continue
+			}
+			if res, err := p.router.Results(ctx, "job", 0, 0); err != nil || res.Total != 1 {
+				t.Fatalf("%s: %+v, %v", p.name, res, err)
+			}
+		}
+		after := 0
+		for _, p := range all {
+			after += p.jobs.Followed()
+		}
+		if after > before+1 {
+			t.Errorf("%d more partitions are followed", after-before)
+		}
+	})
+}
+
+// share has the first processes run one partition each.
+func share(all []*process) {
+	var owners []store.Owner
+	for n := range parts {
+		owners = append(owners, store.Owner{Partition: store.Partition{Topic: topic, Number: n}, Member: all[n].name})
+	}
+	for _, p := range all {
+		p.router.SetOwners(topic, owners)
+	}
+}
+
+// submitOn submits a new job once a second, as a caller that is refused does.
+func (p *process) submitOn(ctx context.Context) {
+	for n := 0; wait.For(ctx, time.Second) == nil; n++ {
+		_ = p.router.Accept(ctx, spec(fmt.Sprint(p.name, "-", n))) // refused in an outage
+	}
+}
+
 // setReach sets what happens to the calls of all processes, to the store and to each
 // other.
 func setReach(s *sharedstore.Store, all []*process, f sharedstore.Fault, r reach) {
--- a/jobroute/reply.go
+++ b/jobroute/reply.go
@@ -12,7 +12,8 @@
 
 // Server carries calls out that other processes pass on.
 type Server struct {
-	Local Service
+	Local     Local
+	StoreAway func() bool // whether this process reaches the store by no way
 	// Reaches reports whether this process reaches the store by itself. While it does
 	// not, whoever wants to write is better off on its own. Results that are known here
 	// are told all the same: through an outage nobody else may be able to.
@@ -25,6 +26,9 @@
 	if writes(call) && !s.Reaches() {
 		return &wire.JobReply{Outcome: wire.JobReply_DECLINED}
 	}
+	if !known(s.Local, s.StoreAway, jobOf(call)) {
+		return reply(s.Local.Away())
+	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(call.GetTimeoutMs())*time.Millisecond)
 	defer cancel()
 	switch k := call.GetKind().(type) {
@@ -50,6 +54,21 @@
 	return &wire.JobReply{Outcome: wire.JobReply_DECLINED} // a kind of a later version
 }
 
+// jobOf returns the job that a call is about.
+func jobOf(call *wire.JobCall) string {
+	switch k := call.GetKind().(type) {
+	case *wire.JobCall_Accept:
+		return k.Accept.GetId()
+	case *wire.JobCall_End:
+		return k.End
+	case *wire.JobCall_Read:
+		return k.Read.GetJob()
+	case *wire.JobCall_Body:
+		return k.Body.GetJob()
+	}
+	return ""
+}
+
 // writes reports whether a call has to write to the store.
 func writes(call *wire.JobCall) bool {
 	switch call.GetKind().(type) {
--- a/jobstore/accept.go
+++ b/jobstore/accept.go
@@ -42,7 +42,7 @@
 	probeTimeout = 300 * time.Millisecond
 )
 
-// AwayError says that a job cannot be made durable now. It is marked as ErrUnsure
+// AwayError says that the job store does not answer now. It is marked as ErrUnsure
 // when nothing was written, and as ErrUnknownEffect otherwise.
 type AwayError struct {
 	// ComeBack is when another try is worth while.
@@ -51,7 +51,7 @@
 
 // Error implements error.
 func (e *AwayError) Error() string {
-	return "no partition takes the job in; worth another try in " + e.ComeBack.String()
+	return "job store is away; worth another try in " + e.ComeBack.String()
 }
 
 // Accept takes a job in. When it returns nil, the job is durable, by this call
@@ -148,6 +148,15 @@
 	return err == nil || errors.Is(err, ErrOtherJob) || errors.Is(err, store.ErrFull)
 }
 
+// Away returns the error for a call that is refused without a try, since the store is
+// away. It is marked as ErrUnsure.
+func (s *Store) Away() error {
+	now := time.Now()
+	s.outage.begin(now, awayRest)
+	s.outage.note(now, false)
+	return errors.Mark(&AwayError{ComeBack: s.outage.comeBack(now)}, ErrUnsure)
+}
+
 // away returns the error for a job that no partition takes in.
 func (s *Store) away() *AwayError {
 	return &AwayError{ComeBack: s.tries.comeBack(time.Now())}
--- a/jobstore/health.go
+++ b/jobstore/health.go
@@ -30,6 +30,16 @@
 	h.failed = now
 }
 
+// begin forgets failures whose last one is longer ago than rest: those that follow are of
+// another outage.
+func (h *health) begin(now time.Time, rest time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if now.Sub(h.failed) > rest {
+		h.fails = 0
+	}
+}
+
 // away reports whether tries fail, many of them in a row, the last one less than
 // rest ago and no sign of life seen since. After that one more try is worth while.
 func (h *health) away(now time.Time, many int, rest time.Duration, seen time.Time) bool {
--- a/jobstore/jobstore.go
+++ b/jobstore/jobstore.go
@@ -83,6 +83,8 @@
 	parts map[int]*partition
 	loads store.Loads
 	tries health // of taking jobs in, at all partitions together
+	// outage is what calls showed that were refused without a try.
+	outage health
 	// triesBy are the tries at each partition.
 	triesBy map[int]*health
 	pace    acceptPace
