--- a/daemon/upkeep.go
+++ b/daemon/upkeep.go
@@ -84,7 +84,7 @@
 		now := time.Now()
 		n.view.Expire(now)
 		n.metrics.Gauge("partitions_followed", float64(n.jobs.Followed()))
-		n.metrics.Gauge("caller_reads_per_second", n.jobs.LentRate())
+		n.metrics.Gauge("caller_reads_per_second", n.jobs.CallerReadRate())
 		n.metrics.Gauge("catalog_seconds", n.view.CatalogAge(now).Seconds())
 	}
 }
--- a/jobroute/jobroute.go
+++ b/jobroute/jobroute.go
@@ -46,8 +46,8 @@
 	Service
 	// Has reports whether a job is known without asking the shared store.
 	Has(id string) bool
-	// Away returns the error for a call that is refused while the store is away.
-	Away() error
+	// Unavailable returns the error for a call that is refused while the store is away.
+	Unavailable() error
 }
 
 // Remote carries a call out at another process.
@@ -257,7 +257,7 @@
 	if known(r.cfg.Local, r.cfg.StoreAway, job) {
 		return nil
 	}
-	err := r.cfg.Local.Away()
+	err := r.cfg.Local.Unavailable()
 	r.cfg.Metrics.Count("job_call_not_tried")
 	r.cfg.Log.Warn("call about a job is refused at once", logging.F("job", job), logging.F("error", err.Error()))
 	return err
--- a/jobstore/accept.go
+++ b/jobstore/accept.go
@@ -67,7 +67,7 @@
 
 // accept returns the partition that has the job, and whether it had it before.
 func (s *Store) accept(ctx context.Context, spec *wire.JobSpec) (number int, known bool, err error) {
-	home := s.lent(s.PartitionOf(spec.GetId()))
+	home := s.forCaller(s.PartitionOf(spec.GetId()))
 	if home.has(spec.GetId()) {
 		return home.number, true, s.acceptHome(ctx, home, spec)
 	}
@@ -111,7 +111,7 @@
 		timer.Reset(stagger)
 		go func() {
 			if t.part == home {
-				t.err = s.acceptHome(ctx, s.lent(home), spec)
+				t.err = s.acceptHome(ctx, s.forCaller(home), spec)
 			} else {
 				t.err = s.acceptHint(ctx, t.part, spec)
 			}
@@ -148,9 +148,9 @@
 	return err == nil || errors.Is(err, ErrOtherJob) || errors.Is(err, store.ErrFull)
 }
 
-// Away returns the error for a call that is refused without a try, since the store is
+// Unavailable returns the error for a call that is refused without a try, since the store is
 // away. It is marked as ErrUnsure.
-func (s *Store) Away() error {
+func (s *Store) Unavailable() error {
 	now := time.Now()
 	s.outage.begin(now, awayRest)
 	s.outage.note(now, false)
--- a/jobstore/handoff.go
+++ b/jobstore/handoff.go
@@ -109,7 +109,7 @@
 // ErrUnknownJob only when it is certain that none has, and ErrUnsure while a
 // partition that may have it cannot be read.
 func (s *Store) find(ctx context.Context, id string) (*partition, error) {
-	home := s.lent(s.PartitionOf(id))
+	home := s.forCaller(s.PartitionOf(id))
 	if home.has(id) {
 		return home, nil
 	}
@@ -119,7 +119,7 @@
 	// The alternates before home is looked at again: a hint is dropped only after the job has come to its
 	// own partition, so who looked there before cannot miss both.
 	for _, n := range s.alternatesOf(id) {
-		p := s.lent(n)
+		p := s.forCaller(n)
 		if p.hint(id) == nil {
 			if err := p.follow.Catch(ctx, 0); err != nil {
 				return home, errors.Mark(err, ErrUnsure)
--- a/jobstore/jobstore.go
+++ b/jobstore/jobstore.go
@@ -86,9 +86,9 @@
 	// outage is what calls showed that were refused without a try.
 	outage health
 	// triesBy are the tries at each partition.
-	triesBy map[int]*health
-	pace    acceptPace
-	lending *store.Pace // of reading partitions that only callers need here
+	triesBy    map[int]*health
+	pace       acceptPace
+	callerPace *store.Pace // of reading partitions that only callers need here
 }
 
 // partition is one followed partition. Its table is only touched inside the
@@ -112,7 +112,7 @@
 
 // New returns a Store whose followers run until ctx ends.
 func New(ctx context.Context, log store.Log, set Settings, out logging.Logger) *Store {
-	s := &Store{log: log, set: set, out: out, base: ctx, parts: make(map[int]*partition), loads: store.NewLoads(loadsAtOnce), triesBy: make(map[int]*health), lending: store.NewPace()}
+	s := &Store{log: log, set: set, out: out, base: ctx, parts: make(map[int]*partition), loads: store.NewLoads(loadsAtOnce), triesBy: make(map[int]*health), callerPace: store.NewPace()}
 	go s.releaseIdle(ctx)
 	return s
 }
@@ -141,9 +141,9 @@
 	return len(s.parts)
 }
 
-// LentRate returns how many reads a second this process may make for its callers.
-func (s *Store) LentRate() float64 {
-	return s.lending.Rate()
+// CallerReadRate returns how many reads a second this process may make for its callers.
+func (s *Store) CallerReadRate() float64 {
+	return s.callerPace.Rate()
 }
 
 // Topic returns the topic of all partitions.
@@ -153,16 +153,16 @@
 
 // at returns a partition for the runner of its items.
 func (s *Store) at(number int) *partition {
-	p := s.lent(number)
+	p := s.forCaller(number)
 	p.ran.Store(time.Now().UnixNano())
 	return p
 }
 
-// lent returns a partition for a caller, following it from the first use on: a process
+// forCaller returns a partition for a caller, following it from the first use on: a process
 // follows what its callers ask for and what it runs, not what the fleet holds. What only
 // callers need is read within a pace, so that it cannot keep the store from those that
 // run the jobs.
-func (s *Store) lent(number int) *partition {
+func (s *Store) forCaller(number int) *partition {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if p := s.parts[number]; p != nil {
@@ -175,7 +175,7 @@
 	}
 	p := &partition{number: number, table: jobs.NewTable(unreadable), write: make(chan struct{}, 1), probing: make(chan struct{}, 1), used: time.Now()}
 	part := store.Partition{Topic: s.set.Topic, Number: number}
-	log := store.Paced{Log: s.log, Pace: s.lending, Urgent: p.runsHere}
+	log := store.Paced{Log: s.log, Pace: s.callerPace, Urgent: p.runsHere}
 	p.follow = store.NewFollower(log, part, p.table, store.FollowSettings{
 		Wait: followWait, Loads: s.loads,
 		OnTrouble: func(err error) {
--- a/store/pace_test.go
+++ b/store/pace_test.go
@@ -63,10 +63,10 @@
 		s := sharedstore.New(1)
 		s.Put(part, "k", []byte("v"))
 		pace := store.NewPace()
-		lent := store.Paced{Log: s.For("a"), Pace: pace, Urgent: func() bool { return false }}
+		callers := store.Paced{Log: s.For("a"), Pace: pace, Urgent: func() bool { return false }}
 		own := store.Paced{Log: s.For("a"), Pace: pace, Urgent: func() bool { return true }}
 		s.SetFault("a", sharedstore.Refuse)
-		readFor(t.Context(), lent, 5*time.Second)
+		readFor(t.Context(), callers, 5*time.Second)
 		s.SetFault("a", sharedstore.None)
 		began := time.Now()
 		for range 1000 {
