--- a/cmd/pumiceford/main.go
+++ b/cmd/pumiceford/main.go
@@ -29,6 +29,7 @@
 func (args) Version() string { return "pumiceford " + version.Version }
 
 func main() {
+	reloads := daemon.Reloads()
 	var a args
 	parser := arg.MustParse(&a)
 	daemon.Exit(os.Stderr, func() error {
@@ -36,9 +37,9 @@
 		defer cancel()
 		switch {
 		case a.Entry != nil:
-			return platform.RunEntry(stop, a.Entry.Settings)
+			return platform.RunEntry(stop, reloads, a.Entry.Settings)
 		case a.Agent != nil:
-			return platform.RunAgent(stop, a.Agent.Settings)
+			return platform.RunAgent(stop, reloads, a.Agent.Settings)
 		}
 		parser.Fail("name a role: entry or agent")
 		return nil
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -122,7 +122,7 @@
 }
 
 // RunGateway runs an entry on the users' platform until stop ends.
-func RunGateway(stop context.Context, file string, set *settings.Gateway, parts GatewayParts) error {
+func RunGateway(stop context.Context, reloads <-chan os.Signal, file string, set *settings.Gateway, parts GatewayParts) error {
 	out := logging.NewAsync(os.Stdout)
 	defer out.Close(logFlush)
 	limitMemory(set.MemoryMB)
@@ -135,7 +135,7 @@
 		return err
 	}
 	defer n.ring.Close()
-	return n.run(ctx, cancel, stop, file)
+	return n.run(ctx, cancel, stop, reloads, file)
 }
 
 func newEntryNode(ctx context.Context, set *settings.Gateway, parts GatewayParts, base logging.Logger) (*entryNode, error) {
@@ -176,7 +176,7 @@
 	return n, nil
 }
 
-func (n *entryNode) run(ctx context.Context, cancel context.CancelFunc, stop context.Context, file string) error {
+func (n *entryNode) run(ctx context.Context, cancel context.CancelFunc, stop context.Context, reloads <-chan os.Signal, file string) error {
 	listeners, err := listenAll(n.set.Callers, n.set.Ready, n.set.Peers, n.set.Metrics)
 	if err != nil {
 		return err
@@ -195,7 +195,7 @@
 	for _, loop := range []func(context.Context){n.follow, n.watchPeers, n.keepCopies, n.expire, n.runner.Run} {
 		g.Go(func() error { loop(ctx); return nil })
 	}
-	g.Go(func() error { onReload(ctx, n.log, func() error { return n.reload(file) }); return nil })
+	g.Go(func() error { onReload(ctx, reloads, n.log, func() error { return n.reload(file) }); return nil })
 	n.log.Info("started", logging.F("callers", n.set.Callers), logging.F("peers", n.set.Peers), logging.F("store", n.set.Store.Addr))
 	g.Go(func() error {
 		defer cancel()
--- a/daemon/seatagent.go
+++ b/daemon/seatagent.go
@@ -16,7 +16,7 @@
 )
 
 // RunSeatAgent runs an agent beside a target until stop ends.
-func RunSeatAgent(stop context.Context, file string, set *settings.SeatAgent, gauge seats.Gauge) error {
+func RunSeatAgent(stop context.Context, reloads <-chan os.Signal, file string, set *settings.SeatAgent, gauge seats.Gauge) error {
 	tlsConf, err := set.TLS.Config()
 	if err != nil {
 		return err
@@ -42,7 +42,7 @@
 		return serve(ctx, &http.Server{Handler: metricsHandler(ms), ReadHeaderTimeout: headerTime}, listeners[1])
 	})
 	g.Go(func() error {
-		onReload(ctx, log, func() error {
+		onReload(ctx, reloads, log, func() error {
 			// Nothing of an agent's settings changes while it runs; they are
 			// checked, so that a mistake shows before the next start.
 			return settings.Load(file, &settings.SeatAgent{})
