Keep in mind what a silent runner may have done when its stand-in refuses

Symptom: 'not run' is said of a job that runs. Sequence: the runner takes the job in and its answer is lost; the stand-in, turned away by the store, truthfully says that it has written nothing. Cause: its word was passed on as that of the whole call. Test: jobroute TestNotRunIsNotSaidForTheStandInAlone, red before.

--- a/jobroute/jobroute.go
+++ b/jobroute/jobroute.go
@@ -6,8 +6,9 @@
 // follow all partitions, and each result is read as often as there are processes: 133
 // of them before 48 partitions made 508,152 calls of the store in a minute with 3,189
 // items, and 26,552 since they do not.
-// So the state of a partition is asked for where it is, and followed only when the
-// process that has it does not answer. Who that is comes from the store's group and may
+// So the state of a partition is asked for where it is. When the process that runs it does
+// not answer, one other stands in for it, the same for all; only when that does not answer
+// either is the partition followed here. Who runs it comes from the store's group and may
 // be wrong: whoever is asked answers from the partition itself, never from its role.
 package jobroute
 
@@ -151,8 +152,9 @@
 var errDeclined = errors.New("asked process does not reach the store")
 
 // ask has another process carry a call out, within a bound for each. It reports false
-// when the call has to be carried out here; sent says that it may have been carried out
-// elsewhere nevertheless.
+// when the call has to be carried out here. sent says that the call may have been carried
+// out by a process that gave no answer: whatever the one that answers says of it, and
+// whatever comes of it here.
 func (r *Router) ask(ctx context.Context, job string, within time.Duration, call *wire.JobCall) (reply *wire.JobReply, sent, ok bool) {
 	addrs, mine := r.whom(job)
 	var unsure *wire.JobReply
@@ -179,8 +181,8 @@
 	return nil, sent, false
 }
 
-// askOne asks one process. It reports false when that process did not carry the call out,
-// as far as is known; sent says that it may have.
+// askOne asks one process. It reports false when that process gave no answer; sent says
+// that it may have carried the call out nevertheless.
 func (r *Router) askOne(ctx context.Context, job, addr string, within time.Duration, call *wire.JobCall) (reply *wire.JobReply, sent, ok bool) {
 	began := time.Now()
 	one, cancel := context.WithTimeout(ctx, within)
@@ -192,7 +194,7 @@
 	}
 	if err == nil {
 		r.cfg.Metrics.Count("job_call_passed_on")
-		return reply, true, true
+		return reply, false, true
 	}
 	var dial *link.DialError
 	sent = !errors.As(err, &dial) && !errors.Is(err, errDeclined)
@@ -215,7 +217,7 @@
 	call := &wire.JobCall{Kind: &wire.JobCall_Accept{Accept: spec}}
 	reply, sent, ok := r.ask(ctx, spec.GetId(), answerWithin, call)
 	if ok {
-		return failure(reply)
+		return unlessSent(failure(reply), sent)
 	}
 	if err := r.refused(spec.GetId()); err != nil {
 		return unlessSent(err, sent)
@@ -227,7 +229,7 @@
 func (r *Router) End(ctx context.Context, id string) error {
 	reply, sent, ok := r.ask(ctx, id, answerWithin, &wire.JobCall{Kind: &wire.JobCall_End{End: id}})
 	if ok {
-		return failure(reply)
+		return unlessSent(failure(reply), sent)
 	}
 	if err := r.refused(id); err != nil {
 		return unlessSent(err, sent)
@@ -235,8 +237,8 @@
 	return unlessSent(r.cfg.Local.End(ctx, id), sent)
 }
 
-// unlessSent adds to the error of a call that was carried out here that it may still be
-// carried out elsewhere.
+// unlessSent adds to the error of a call that another process was sent before that it may
+// have been carried out there.
 func unlessSent(err error, sent bool) error {
 	if err != nil && sent && errors.Is(err, jobstore.ErrUnsure) {
 		return errors.Mark(err, jobstore.ErrUnknownEffect)
--- a/jobroute/jobroute_test.go
+++ b/jobroute/jobroute_test.go
@@ -210,6 +210,34 @@
 	}
 }
 
+// Symptom: as above.
+// Sequence: the runner takes the job in and its answer is lost; the process that stands in
+// for it is turned away by the store, and rightly says that it has written nothing.
+// Cause: its word was passed on as if it were about the whole call.
+func TestNotRunIsNotSaidForTheStandInAlone(t *testing.T) {
+	for _, how := range []reach{gone, loseAnswer} {
+		bubble(t, func(ctx context.Context, t *testing.T, s *sharedstore.Store) {
+			all := start(ctx, s, 12)
+			share(all)
+			part := all[0].jobs.PartitionOf("job")
+			for n, p := range all {
+				if n != part {
+					s.SetFault(p.name, sharedstore.Refuse)
+				}
+			}
+			all[part].reach.Store(how)
+			accept := all[11].router.Accept(ctx, spec("job"))
+			end := all[11].router.End(ctx, "job")
+			for what, err := range map[string]error{"accept": accept, "end": end} {
+				mayRun := how == loseAnswer && what == "accept"
+				if err == nil || errors.Is(err, jobstore.ErrUnknownEffect) != mayRun {
+					t.Errorf("%d, %s: %v", how, what, err)
+				}
+			}
+		})
+	}
+}
+
 // What a process says of a job reaches the caller as it was said.
 func TestAnswersArePassedOnAsTheyAre(t *testing.T) {
 	bubble(t, func(ctx context.Context, t *testing.T, s *sharedstore.Store) {
