--- a/jobroute/jobroute.go
+++ b/jobroute/jobroute.go
@@ -7,9 +7,10 @@
 // of them before 48 partitions made 508,152 calls of the store in a minute with 3,189
 // items, and 26,552 since they do not.
 // So the state of a partition is asked for where it is. When the process that runs it does
-// not answer, one other stands in for it, the same for all; only when that does not answer
-// either is the partition followed here. Who runs it comes from the store's group and may
-// be wrong: whoever is asked answers from the partition itself, never from its role.
+// not answer, its backup is asked: one other process, the same for all. Only when that
+// does not answer either is the partition followed here. Who runs it comes from the
+// store's group and may be wrong: whoever is asked answers from the partition itself,
+// never from its role.
 package jobroute
 
 import (
@@ -116,9 +117,9 @@
 }
 
 // whom returns the processes to ask for a job, in order: the one that runs its partition,
-// and the one that stands in for it, the same for all that ask. So when a runner is gone
+// and its backup, the same for all that ask. So when a runner is gone
 // one process more follows its partition, and not each that is asked for its jobs. mine
-// says that this process is one of the two, or that it knows of no stand-in.
+// says that this process is one of the two, or that it knows of no backup.
 func (r *Router) whom(job string) (addrs []string, mine bool) {
 	part := r.cfg.PartitionOf(job)
 	r.mu.Lock()
@@ -141,11 +142,11 @@
 	if len(others) == 0 {
 		return addrs, true
 	}
-	standIn := routing.Top(others, uint64(part), 1)[0]
-	if standIn == r.cfg.Self {
+	backup := routing.Top(others, uint64(part), 1)[0]
+	if backup == r.cfg.Self {
 		return addrs, true
 	}
-	return append(addrs, standIn), false
+	return append(addrs, backup), false
 }
 
 // errDeclined says that the process that was asked cannot reach the store itself.
--- a/jobroute/jobroute_test.go
+++ b/jobroute/jobroute_test.go
@@ -211,10 +211,10 @@
 }
 
 // Symptom: as above.
-// Sequence: the runner takes the job in and its answer is lost; the process that stands in
-// for it is turned away by the store, and rightly says that it has written nothing.
+// Sequence: the runner takes the job in and its answer is lost; its backup
+// is turned away by the store, and rightly says that it has written nothing.
 // Cause: its word was passed on as if it were about the whole call.
-func TestNotRunIsNotSaidForTheStandInAlone(t *testing.T) {
+func TestNotRunIsNotSaidForTheBackupAlone(t *testing.T) {
 	for _, how := range []reach{gone, loseAnswer} {
 		bubble(t, func(ctx context.Context, t *testing.T, s *sharedstore.Store) {
 			all := start(ctx, s, 12)
@@ -401,7 +401,7 @@
 		for _, p := range all {
 			follow += p.jobs.Followed()
 		}
-		// Who runs a partition, and who stands in for it: two at times, since those that
+		// Who runs a partition, and its backup: two at times, since those that
 		// have just declined a call are not asked.
 		const most = 3 * parts
 		if follow > most {
@@ -413,7 +413,7 @@
 // Symptom: all processes follow the partition of one that has died.
 // Sequence: it is gone, the group still names it; callers read at all processes.
 // Cause: each one looked the job up by itself.
-func TestOneStandsInForARunnerThatIsGone(t *testing.T) {
+func TestOnlyTheBackupFollowsWhenARunnerIsGone(t *testing.T) {
 	bubble(t, func(ctx context.Context, t *testing.T, s *sharedstore.Store) {
 		all := start(ctx, s, 20)
 		share(all)
