Replays side by side: each test of bench/load runs in parallel with the others

Under the race detector beside a load of 30 the package had not ended after eight minutes one test after the other. Each replay is a pure calculation in one goroutine; nothing is shared.

--- a/bench/load/backlog_test.go
+++ b/bench/load/backlog_test.go
@@ -15,6 +15,7 @@
 // in time, 765 since items that are due soon may have it; of 10,374 first events 1,523
 // were late, 1,629 now (1,495 and 1,420 with other arrivals).
 func TestABacklogUsesTheReservedSlots(t *testing.T) {
+	t.Parallel()
 	shape := load.Grown
 	shape.Name, shape.Targets, shape.Items, shape.Lasts = "backlog", 48, 60, 42*time.Second
 	const inTime, late = 740, 1700
@@ -31,6 +32,7 @@
 // Cause: an item had the kept slot only in its last seven seconds, of which its run takes
 // five. With 7 s 204 and 1,180 items were in time.
 func TestABacklogHasTheReserveInTime(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		shape  load.Shape
 		items  float64 // a second
--- a/bench/load/load_test.go
+++ b/bench/load/load_test.go
@@ -26,6 +26,7 @@
 // target, and requests that wait at forty entries all go there.
 // Cause: whoever waited moved as soon as there was room anywhere.
 func TestWaitingRequestsDoNotAllMoveAtOnce(t *testing.T) {
+	t.Parallel()
 	overload := withoutBatch(short(load.Grown))
 	overload.Peak = 540
 	all := load.Run(overload, load.Policy{Name: "all move", MoveAll: true}, 1)
@@ -40,6 +41,7 @@
 // Sequence: each entry knows its own requests only, an eighth or a fortieth of all.
 // Cause: placement without the agents' word.
 func TestEntriesAloneKeepCallersWaiting(t *testing.T) {
+	t.Parallel()
 	for _, shape := range []load.Shape{load.Guild, load.Ffitiad, load.Grown} {
 		shape = withoutBatch(short(shape))
 		seats, alone := load.Run(shape, load.Seats, 1), load.Run(shape, load.Alone, 1)
@@ -56,6 +58,7 @@
 // Cause: items that stand in the targets' queues, or do not leave, or do not come
 // back.
 func TestBatchFillsTheTroughsAndLeavesThePeaks(t *testing.T) {
+	t.Parallel()
 	for _, shape := range []load.Shape{load.Guild, load.Ffitiad} {
 		seats, naive := load.Run(shape, load.Seats, 1), load.Run(shape, load.Forward, 1)
 		t.Logf("\n%s\n%s", seats, naive)
@@ -78,6 +81,7 @@
 // that runs no batch work.
 // Cause: a free slot was all that counted.
 func TestCollisionsMeetBatchWork(t *testing.T) {
+	t.Parallel()
 	o := load.Run(short(load.Grown), load.Seats, 1)
 	t.Logf("\n%s", o)
 	const mostLate = 50 // one request in so many; it was one in 38
@@ -92,6 +96,7 @@
 // Symptom: eight entries open 520 connections where 229 do, forty 7,825 and not 1,674.
 // Cause: the choice did not know of idle connections.
 func TestIdleConnectionsAreUsed(t *testing.T) {
+	t.Parallel()
 	for _, shape := range []load.Shape{load.Ffitiad, load.Grown} {
 		shape = withoutBatch(short(shape))
 		with := load.Run(shape, load.Seats, 1)
@@ -105,6 +110,7 @@
 
 // A seed gives the same outcome each time.
 func TestReplaysRepeat(t *testing.T) {
+	t.Parallel()
 	shape := load.Guild
 	a, b := load.Run(shape, load.Seats, 7), load.Run(shape, load.Seats, 7)
 	if a.String() != b.String() {
@@ -120,6 +126,7 @@
 // each 50 ms, leave none of 10,350 late when a slot is reserved where it may be gone; 64,
 // told at once, leave two and take five times as many messages.
 func TestALargeFleetNeedsFewMessages(t *testing.T) {
+	t.Parallel()
 	shape := load.Large
 	shape.Lasts = 12 * time.Second // two peaks; more are long under the race detector
 	part := load.Run(shape, load.Part, 1)
@@ -139,6 +146,7 @@
 // Symptom: an entry that is told of few targets leaves slots of others idle.
 // Cause: none so far; what is told decides the order, not who may be chosen.
 func TestPartOfTheLoadsServesEachSize(t *testing.T) {
+	t.Parallel()
 	for _, shape := range []load.Shape{load.Guild, load.Ffitiad, load.Grown} {
 		shape = short(shape)
 		part, all := load.Run(shape, load.Part, 1), load.Run(shape, load.Seats, 1)
--- a/bench/load/overload_test.go
+++ b/bench/load/overload_test.go
@@ -24,6 +24,7 @@
 // Cause: whoever could be served at all was taken in. Callers that would be late are told
 // at once when to come back, most of them after the peak.
 func TestOverloadServesMoreInTime(t *testing.T) {
+	t.Parallel()
 	large := overloaded(load.Large, 1.3)
 	large.Lasts = 6 * time.Second // one peak; more is long under the race detector
 	for _, s := range []load.Shape{
@@ -46,6 +47,7 @@
 // Symptom: callers are turned away although all could be in time.
 // Cause: none so far; a peak that asks for nine tenths of all slots.
 func TestAFullPeakTurnsNearlyNobodyAway(t *testing.T) {
+	t.Parallel()
 	for _, shape := range []load.Shape{load.Guild, load.Grown} {
 		o := load.Run(overloaded(shape, 0.9), load.Admit, 1)
 		t.Logf("\n%s", o)
