One wait for a change, one way to write through another process

From reading the whole change once more; behaviour as before, no test's assertion touched. - jobstore had written a wait for a change, a time or the end of ctx of its own, as fleet and seats had: it is wait.ForChange now, beside wait.For and with the same care for a time of zero, and serves all three. - jobroute: Accept and End were the same lines but for the call: Router.write. The members are derived from the owners and not gathered beside them.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -10,6 +10,7 @@
 
 	"pumiceford/balance"
 	"pumiceford/catalog"
+	"pumiceford/internal/wait"
 	"pumiceford/logging"
 	"pumiceford/metrics"
 	"pumiceford/store"
@@ -94,13 +95,7 @@
 
 // Await waits until the view is ready, for at most limit.
 func (v *View) Await(ctx context.Context, limit time.Duration) {
-	timer := time.NewTimer(limit)
-	defer timer.Stop()
-	select {
-	case <-v.ready:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	_ = wait.ForChange(ctx, v.ready, limit) // Ready tells whether it is
 }
 
 // noteReadyLocked closes ready when both are known. v.mu is held.
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -1,4 +1,4 @@
-// Package wait holds the one pause that every part uses.
+// Package wait holds the pauses that every part uses.
 package wait
 
 import (
@@ -23,3 +23,20 @@
 		return nil
 	}
 }
+
+// ForChange waits until changed is closed or received from, for at most d or until ctx
+// ends. It reports whether that came. Without a time to wait it takes no timer, as For.
+func ForChange(ctx context.Context, changed <-chan struct{}, d time.Duration) bool {
+	if d <= 0 {
+		return false
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-changed:
+		return true
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	return false
+}
--- a/jobroute/jobroute.go
+++ b/jobroute/jobroute.go
@@ -99,16 +99,14 @@
 // SetOwners takes who runs the partitions of a topic.
 func (r *Router) SetOwners(topic string, all []store.Owner) {
 	owners := make(map[int]string)
-	members := make(map[string]bool)
 	for _, o := range all {
 		if o.Partition.Topic == topic {
 			owners[o.Partition.Number] = o.Member
-			members[o.Member] = true
 		}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.owners, r.members = owners, slices.Collect(maps.Keys(members))
+	r.owners, r.members = owners, slices.Compact(slices.Sorted(maps.Values(owners)))
 	for addr, until := range r.avoid {
 		if !time.Now().Before(until) {
 			delete(r.avoid, addr)
@@ -216,26 +214,26 @@
 // tried here when no other process answers.
 func (r *Router) Accept(ctx context.Context, spec *wire.JobSpec) error {
 	call := &wire.JobCall{Kind: &wire.JobCall_Accept{Accept: spec}}
-	reply, sent, ok := r.ask(ctx, spec.GetId(), answerWithin, call)
-	if ok {
-		return unlessSent(failure(reply), sent)
-	}
-	if err := r.refused(spec.GetId()); err != nil {
-		return unlessSent(err, sent)
-	}
-	return unlessSent(r.cfg.Local.Accept(ctx, spec), sent)
+	return r.write(ctx, spec.GetId(), call, func() error { return r.cfg.Local.Accept(ctx, spec) })
 }
 
 // End implements Service.
 func (r *Router) End(ctx context.Context, id string) error {
-	reply, sent, ok := r.ask(ctx, id, answerWithin, &wire.JobCall{Kind: &wire.JobCall_End{End: id}})
+	call := &wire.JobCall{Kind: &wire.JobCall_End{End: id}}
+	return r.write(ctx, id, call, func() error { return r.cfg.Local.End(ctx, id) })
+}
+
+// write has a call that writes carried out elsewhere, or here when no other process
+// answers.
+func (r *Router) write(ctx context.Context, job string, call *wire.JobCall, here func() error) error {
+	reply, sent, ok := r.ask(ctx, job, answerWithin, call)
 	if ok {
 		return unlessSent(failure(reply), sent)
 	}
-	if err := r.refused(id); err != nil {
+	if err := r.refused(job); err != nil {
 		return unlessSent(err, sent)
 	}
-	return unlessSent(r.cfg.Local.End(ctx, id), sent)
+	return unlessSent(here(), sent)
 }
 
 // unlessSent adds to the error of a call that another process was sent before that it may
@@ -247,17 +245,17 @@
 	return err
 }
 
-// known reports whether there is any use in looking for a job here. In an outage who runs
+// answerable reports whether there is any use in looking for a job here. In an outage who runs
 // the partitions is unsure, and whoever was asked began to follow them: when the store
 // returned, 133 processes all read nearly all partitions whole.
-func known(local Local, away func() bool, id string) bool {
+func answerable(local Local, away func() bool, id string) bool {
 	return local.Has(id) || !away()
 }
 
 // refused returns the error for a call that there is no use in carrying out here, nil
 // when there is.
 func (r *Router) refused(job string) error {
-	if known(r.cfg.Local, r.cfg.StoreAway, job) {
+	if answerable(r.cfg.Local, r.cfg.StoreAway, job) {
 		return nil
 	}
 	err := r.cfg.Local.Unavailable()
--- a/jobroute/reply.go
+++ b/jobroute/reply.go
@@ -26,7 +26,7 @@
 	if writes(call) && !s.Reaches() {
 		return &wire.JobReply{Outcome: wire.JobReply_DECLINED}
 	}
-	if !known(s.Local, s.StoreAway, jobOf(call)) {
+	if !answerable(s.Local, s.StoreAway, jobOf(call)) {
 		return reply(s.Local.Unavailable())
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(call.GetTimeoutMs())*time.Millisecond)
--- a/jobstore/read.go
+++ b/jobstore/read.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"pumiceford/internal/wait"
 	"pumiceford/jobs"
 	"pumiceford/wire"
 )
@@ -25,14 +26,14 @@
 // MaxResultBytes bounds the texts of one answer. At least one result is returned.
 const MaxResultBytes = 900 << 10
 
-// Results returns the results from a position on. With none there it waits up to
-// wait for one.
-func (s *Store) Results(ctx context.Context, id string, from int, wait time.Duration) (Results, error) {
+// Results returns the results from a position on. With none there it waits for one, for
+// longest at most.
+func (s *Store) Results(ctx context.Context, id string, from int, longest time.Duration) (Results, error) {
 	p, err := s.find(ctx, id)
 	if err != nil {
 		return Results{}, err
 	}
-	for began := time.Now(); ; {
+	for until := time.Now().Add(longest); ; {
 		res, changed, ok := p.results(id, from)
 		if !ok {
 			return Results{}, ErrUnknownJob
@@ -40,7 +41,7 @@
 		if len(res.Items) > 0 || res.Next >= res.Total {
 			return res, nil
 		}
-		if !changes(ctx, changed, wait-time.Since(began)) {
+		if !wait.ForChange(ctx, changed, time.Until(until)) {
 			break
 		}
 	}
@@ -55,22 +56,6 @@
 	return res, nil
 }
 
-// changes waits for a change, for at most d. It reports whether one came.
-func changes(ctx context.Context, changed <-chan struct{}, d time.Duration) bool {
-	if d <= 0 {
-		return false // a timer that fires at once is not safe, see wait.For
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-changed:
-		return true
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-	return false
-}
-
 func (p *partition) results(id string, from int) (res Results, changed <-chan struct{}, ok bool) {
 	p.follow.Look(func(_ int64, ch <-chan struct{}) {
 		changed = ch
--- a/seats/agent.go
+++ b/seats/agent.go
@@ -126,13 +126,7 @@
 // rest waits until the target is to be asked again: at once when somebody starts
 // to care.
 func (a *Agent) rest(ctx context.Context) {
-	timer := time.NewTimer(a.pause())
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-a.wanted:
-	case <-ctx.Done():
-	}
+	_ = wait.ForChange(ctx, a.wanted, a.pause()) // whatever ended it, the target is asked
 }
 
 // enterLocked counts a watch or seat. a.mu is held.
--- a/standin/sharedstore/sharedstore.go
+++ b/standin/sharedstore/sharedstore.go
@@ -118,16 +118,6 @@
 	s.reads.perSecond = n
 }
 
-// takeRead counts a read.
-func (s *Store) takeRead() error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.reads.take(time.Now()) {
-		return store.ErrRefused
-	}
-	return nil
-}
-
 // Calls returns how many calls were made.
 func (s *Store) Calls() int {
 	s.mu.Lock()
@@ -240,6 +230,19 @@
 	return fault, ctx.Err()
 }
 
+// enterRead is enter for a read, which counts against the bound of all reads.
+func (f *Face) enterRead(ctx context.Context, p store.Partition) error {
+	if _, err := f.enter(ctx, p); err != nil {
+		return err
+	}
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	if !f.store.reads.take(time.Now()) {
+		return store.ErrRefused
+	}
+	return nil
+}
+
 // Append implements store.Log.
 func (f *Face) Append(ctx context.Context, p store.Partition, recs []store.Record, at int64) (int64, error) {
 	fault, err := f.enter(ctx, p)
@@ -271,10 +274,7 @@
 
 // Read implements store.Log.
 func (f *Face) Read(ctx context.Context, p store.Partition, from int64, wait time.Duration) (store.Page, error) {
-	if _, err := f.enter(ctx, p); err != nil {
-		return store.Page{}, err
-	}
-	if err := f.store.takeRead(); err != nil {
+	if err := f.enterRead(ctx, p); err != nil {
 		return store.Page{}, err
 	}
 	until := time.NewTimer(wait)
@@ -324,10 +324,7 @@
 
 // Newest implements store.Log.
 func (f *Face) Newest(ctx context.Context, p store.Partition, after string) (store.Snapshot, error) {
-	if _, err := f.enter(ctx, p); err != nil {
-		return store.Snapshot{}, err
-	}
-	if err := f.store.takeRead(); err != nil {
+	if err := f.enterRead(ctx, p); err != nil {
 		return store.Snapshot{}, err
 	}
 	s := f.store
