Tell a crashed target from a broken connection, and one request from another, in the logs

Two attempts of a caller at one request had nothing in common in the logs, and a connection that broke looked the same whether its target had crashed or not, so the hypotheses of the incident could not be told apart.

- Each request has a key: a hash of its caller's address, method, host, path, query and body.
It stands on 'request sent'.
Jobs keep their caller, so items have keys of the same kind.
- When a connection breaks while a target has a request or item, the target's address is asked whether anything listens there.
'quarantine: target crashed under a request' names key, instance, events and time; the counters run_broken_target_crashed and run_broken_target_lives tell both apart.

No decision uses any of it.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -26,6 +26,7 @@
 	"pumiceford/netx"
 	"pumiceford/oplog"
 	"pumiceford/peers"
+	"pumiceford/quarantine"
 	"pumiceford/runner"
 	"pumiceford/settings"
 	"pumiceford/store"
@@ -36,6 +37,7 @@
 type TargetSender interface {
 	exchange.Sender
 	exchange.Reserver
+	quarantine.Prober
 	Retain(all []targets.Instance)
 }
 
@@ -104,21 +106,22 @@
 
 // entryNode is one running entry.
 type entryNode struct {
-	set     *settings.Gateway
-	parts   GatewayParts
-	log     logging.Logger
-	metrics *metrics.Set
-	view    *fleet.View
-	ring    *peers.Ring
-	store   *store.Failover
-	jobs    *jobstore.Store
-	routes  *jobroute.Router
-	runner  *runner.Runner
-	agents  *agentLinks
-	gateway *gateway.Gateway
-	copies  *fleet.Copies
-	tlsConf *tls.Config
-	leaving atomic.Bool
+	set        *settings.Gateway
+	parts      GatewayParts
+	log        logging.Logger
+	metrics    *metrics.Set
+	view       *fleet.View
+	ring       *peers.Ring
+	store      *store.Failover
+	jobs       *jobstore.Store
+	routes     *jobroute.Router
+	runner     *runner.Runner
+	agents     *agentLinks
+	gateway    *gateway.Gateway
+	quarantine *quarantine.Keeper
+	copies     *fleet.Copies
+	tlsConf    *tls.Config
+	leaving    atomic.Bool
 }
 
 // RunGateway runs an entry on the users' platform until stop ends.
@@ -163,12 +166,17 @@
 		Log: base.Part("jobs"), Metrics: n.metrics,
 	})
 	n.agents = newAgentLinks(linkCfg, set.AgentAddr, n.view)
+	n.quarantine = quarantine.NewKeeper(quarantine.Config{Prober: parts.Sender, Log: base.Part("quarantine"), Metrics: n.metrics})
 	n.runner = runner.New(runner.Config{
 		Member: set.Peers, Group: jobGroup, Store: n.jobs, Groups: n.store, View: n.view, Sender: parts.Sender,
-		Seats: n.agents, Log: base.Part("batch"), Metrics: n.metrics, Headers: parts.ItemHeader, MaxRunning: maxRunning,
+		Seats: n.agents, Quarantine: n.quarantine, Log: base.Part("batch"), Metrics: n.metrics,
+		Headers: parts.ItemHeader, MaxRunning: maxRunning,
 	})
 	n.agents.told = n.runner.Wake
-	n.gateway = gateway.New(n.view, parts.Sender, parts.Sender, n.agents, base.Part("online"), n.metrics)
+	n.gateway = gateway.New(gateway.Config{
+		View: n.view, Sender: parts.Sender, Reserver: parts.Sender, Witness: n.agents, Quarantine: n.quarantine,
+		Log: base.Part("online"), Metrics: n.metrics,
+	})
 	n.view.OnChange(func(all []targets.Instance) {
 		parts.Sender.Retain(all)
 		n.agents.set(ctx, all)
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -12,6 +12,7 @@
 	"pumiceford/events"
 	"pumiceford/exchange"
 	"pumiceford/logging"
+	"pumiceford/quarantine"
 	"pumiceford/targets"
 )
 
@@ -90,6 +91,9 @@
 		s.judge(in, balance.Unfit, "connect")
 	case exchange.FaultBroken, exchange.FaultSpoiled:
 		s.judge(in, balance.Doubted, string(se.Fault))
+		if se.Sent && se.Fault == exchange.FaultBroken {
+			s.broke(in)
+		}
 	case exchange.FaultCanceled:
 	}
 	s.tried[in.ID] = true
@@ -237,6 +241,7 @@
 	}
 	if !silent {
 		s.judge(in, balance.Doubted, "cut")
+		s.broke(in)
 	}
 	s.tried[in.ID] = true
 	if s.mayMove() {
@@ -247,6 +252,13 @@
 	return finished
 }
 
+// broke notes that a connection ended while the target had the request.
+func (s *serving) broke(in targets.Instance) {
+	s.g.quarantine.Broke(s.ctx, quarantine.Run{
+		Key: s.req.Key, Request: s.req.ID, Target: in, Events: s.last, Took: time.Since(s.sentAt),
+	})
+}
+
 // giveUp ends a request without its answer: by a refusal, or by cutting the
 // connection when the answer has begun.
 func (s *serving) giveUp(why Reason, retry time.Duration) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"pumiceford/fleet"
 	"pumiceford/logging"
 	"pumiceford/metrics"
+	"pumiceford/quarantine"
 	"pumiceford/targets"
 )
 
@@ -91,6 +92,7 @@
 type Request struct {
 	exchange.Call
 	Arrived time.Time
+	Key     quarantine.Key // the same for each attempt at it
 }
 
 // Witness passes failures of targets on to others.
@@ -99,21 +101,36 @@
 	Tell(instance string)
 }
 
+// Config says what a Gateway works with.
+type Config struct {
+	View       *fleet.View
+	Sender     exchange.Sender
+	Reserver   exchange.Reserver
+	Witness    Witness
+	Quarantine *quarantine.Keeper
+	Log        logging.Logger
+	Metrics    *metrics.Set
+}
+
 // Gateway serves requests.
 type Gateway struct {
-	view    *fleet.View
-	sender  exchange.Sender
-	reserve exchange.Reserver
-	witness Witness
-	log     logging.Logger
-	metrics *metrics.Set
-	started time.Time
-	budgets *budgets
+	view       *fleet.View
+	sender     exchange.Sender
+	reserve    exchange.Reserver
+	witness    Witness
+	quarantine *quarantine.Keeper
+	log        logging.Logger
+	metrics    *metrics.Set
+	started    time.Time
+	budgets    *budgets
 }
 
 // New returns a Gateway.
-func New(view *fleet.View, sender exchange.Sender, reserve exchange.Reserver, witness Witness, log logging.Logger, ms *metrics.Set) *Gateway {
-	return &Gateway{view: view, sender: sender, reserve: reserve, witness: witness, log: log, metrics: ms, started: time.Now(), budgets: newBudgets()}
+func New(cfg Config) *Gateway {
+	return &Gateway{
+		view: cfg.View, sender: cfg.Sender, reserve: cfg.Reserver, witness: cfg.Witness, quarantine: cfg.Quarantine,
+		log: cfg.Log, metrics: cfg.Metrics, started: time.Now(), budgets: newBudgets(),
+	}
 }
 
 // Route returns the route of a request, or why there is none. A process that has
@@ -234,7 +251,7 @@
 	}
 	s.choice, s.instance = c, c.Instance.ID
 	// Told before the end as well: a process that dies tells nothing more.
-	s.g.log.Info("request sent", logging.F("request", s.req.ID), logging.F("route", s.route.Name),
+	s.g.log.Info("request sent", logging.F("request", s.req.ID), logging.F("key", s.req.Key.String()), logging.F("route", s.route.Name),
 		logging.F("instance", c.Instance.ID), logging.F("load", c.Load), logging.F("batch", c.Batch),
 		logging.F("waiting", c.Waiting), logging.F("load_age_ms", ageMillis(c)), logging.F("reserved", s.req.Reserved != ""),
 		logging.F("among", c.Among), logging.F("catalog", s.g.version()))
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -21,6 +21,7 @@
 	"pumiceford/gateway"
 	"pumiceford/logging"
 	"pumiceford/metrics"
+	"pumiceford/quarantine"
 	"pumiceford/store"
 	"pumiceford/targets"
 )
@@ -177,6 +178,23 @@
 	return len(w.ids)
 }
 
+// lives is a Prober that knows which targets have crashed; none have at first.
+type lives struct {
+	mu      sync.Mutex
+	crashed map[string]bool
+}
+
+func (l *lives) Crashed(_ context.Context, in targets.Instance) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.crashed[in.ID]
+}
+
+func newGateway(v *fleet.View, sc exchange.Sender, r exchange.Reserver, told gateway.Witness, ms *metrics.Set) *gateway.Gateway {
+	k := quarantine.NewKeeper(quarantine.Config{Prober: &lives{}, Metrics: ms})
+	return gateway.New(gateway.Config{View: v, Sender: sc, Reserver: r, Witness: told, Quarantine: k, Metrics: ms})
+}
+
 func newWorld(route catalog.Route, n int, replies ...reply) *world {
 	route.Host, route.PathPrefix = "h", "/"
 	route.Shares = []catalog.Share{{Service: "s", Weight: 1}}
@@ -193,7 +211,7 @@
 	v.TargetSink().Reset(recs)
 	sc := &script{replies: replies}
 	told, full := &witness{}, &slots{full: make(map[string]bool)}
-	return &world{told: told, full: full, view: v, gw: gateway.New(v, sc, full, told, logging.Logger{}, ms), sc: sc}
+	return &world{told: told, full: full, view: v, gw: newGateway(v, sc, full, told, ms), sc: sc}
 }
 
 func (w *world) serve(ctx context.Context) *caller {
@@ -468,7 +486,7 @@
 func TestNoCatalogIsNoMissingRoute(t *testing.T) {
 	bubble(t, func(t *testing.T) {
 		ms := metrics.New("test")
-		g := gateway.New(fleet.NewView(decoder{}, 1, logging.Logger{}, ms), &script{}, &slots{}, &witness{}, logging.Logger{}, ms)
+		g := newGateway(fleet.NewView(decoder{}, 1, logging.Logger{}, ms), &script{}, &slots{}, &witness{}, ms)
 		time.Sleep(time.Second)
 		began := time.Now()
 		_, r := g.Route(t.Context(), "r", "h", "/x")
@@ -487,7 +505,7 @@
 		ms := metrics.New("test")
 		route := catalog.Route{Name: "r", Host: "h", PathPrefix: "/"}
 		v := fleet.NewView(decoder{route}, 1, logging.Logger{}, ms)
-		g := gateway.New(v, &script{}, &slots{}, &witness{}, logging.Logger{}, ms)
+		g := newGateway(v, &script{}, &slots{}, &witness{}, ms)
 		time.AfterFunc(30*time.Millisecond, func() {
 			v.CatalogSink().Reset([]store.Record{{Key: "c", Value: []byte("1")}})
 			v.TargetSink().Reset(nil)
--- a/runner/run.go
+++ b/runner/run.go
@@ -15,6 +15,7 @@
 	"pumiceford/exchange"
 	"pumiceford/jobs"
 	"pumiceford/logging"
+	"pumiceford/quarantine"
 	"pumiceford/seats"
 	"pumiceford/targets"
 )
@@ -143,6 +144,9 @@
 	}()
 	r.cfg.View.Table(func(t *balance.Table) { t.BatchBegan(began, in.ID) })
 	outcome, err := r.attempt(ctx, c, w, in)
+	if err != nil && brokenOff(ctx, err) {
+		r.broke(ctx, c, w, in, began)
+	}
 	r.cfg.View.Table(func(t *balance.Table) { t.BatchEnded(time.Now(), in.ID, err == nil) })
 	why := "complete"
 	if err != nil {
@@ -170,6 +174,28 @@
 	return err.Error()
 }
 
+// brokenOff reports whether a run ended because its connection did, once the target
+// had the item.
+func brokenOff(ctx context.Context, err error) bool {
+	var se *exchange.SendError
+	if errors.As(err, &se) {
+		return se.Sent && se.Fault == exchange.FaultBroken
+	}
+	return ctx.Err() == nil && errors.Is(err, errNoOutcome)
+}
+
+// broke notes that a connection ended while the target had an item.
+func (r *Runner) broke(ctx context.Context, c candidate, w *work, in targets.Instance, began time.Time) {
+	r.mu.Lock()
+	events := w.last
+	r.mu.Unlock()
+	item := c.open.Item
+	r.cfg.Quarantine.Broke(ctx, quarantine.Run{
+		Key:     quarantine.NewKey(c.open.Spec.GetCaller(), http.MethodPost, c.open.Spec.GetHost(), item.GetPath(), item.GetBody()),
+		Request: item.GetId(), Target: in, Events: events, Took: time.Since(began),
+	})
+}
+
 // ended takes what came of an attempt. It returns the last event and the failed
 // attempts of the item.
 func (r *Runner) ended(ctx context.Context, c candidate, w *work, in targets.Instance, o *jobs.Outcome, err error, from uint64, began time.Time) (uint64, int) {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -22,6 +22,7 @@
 	"pumiceford/jobstore"
 	"pumiceford/logging"
 	"pumiceford/metrics"
+	"pumiceford/quarantine"
 	"pumiceford/schedule"
 	"pumiceford/seats"
 	"pumiceford/store"
@@ -36,15 +37,17 @@
 
 // Config says what a Runner works with.
 type Config struct {
-	Member  string // of this process in the group
-	Group   string
-	Store   *jobstore.Store
-	Groups  store.Groups
-	View    *fleet.View
-	Sender  exchange.Sender
-	Seats   Seats
-	Log     logging.Logger
-	Metrics *metrics.Set
+	Member string // of this process in the group
+	Group  string
+	Store  *jobstore.Store
+	Groups store.Groups
+	View   *fleet.View
+	Sender exchange.Sender
+	Seats  Seats
+	// Quarantine takes the runs that broke.
+	Quarantine *quarantine.Keeper
+	Log        logging.Logger
+	Metrics    *metrics.Set
 	// Headers returns the header of an item's call.
 	Headers func(item map[string]string) map[string][]string
 	// MaxRunning bounds the items that run at a time, for memory.
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -21,6 +21,7 @@
 	"pumiceford/jobstore"
 	"pumiceford/logging"
 	"pumiceford/metrics"
+	"pumiceford/quarantine"
 	"pumiceford/runner"
 	"pumiceford/seats"
 	"pumiceford/standin/sharedstore"
@@ -157,6 +158,11 @@
 	stop   context.CancelFunc
 }
 
+// living is a Prober whose targets have never crashed.
+type living struct{}
+
+func (living) Crashed(context.Context, targets.Instance) bool { return false }
+
 func startNode(ctx context.Context, s *sharedstore.Store, e exchange.Sender, name string) *node {
 	ctx, cancel := context.WithCancel(ctx)
 	ms := metrics.New(name)
@@ -169,7 +175,8 @@
 	n.jobs = openJobs(ctx, face)
 	n.runner = runner.New(runner.Config{
 		Member: name, Group: "g", Store: n.jobs, Groups: face, View: view, Sender: e, Seats: n.seats,
-		Metrics: ms, Headers: func(map[string]string) map[string][]string { return nil }, MaxRunning: 64,
+		Quarantine: quarantine.NewKeeper(quarantine.Config{Prober: living{}, Metrics: ms}),
+		Metrics:    ms, Headers: func(map[string]string) map[string][]string { return nil }, MaxRunning: 64,
 	})
 	go n.runner.Run(ctx)
 	return n
