Hold requests that crash the targets that run them

What callers saw: one request, sent again and again by its caller at whatever entry, crashed target after target (49 within seconds). All that ran beside it was cut off (41 streams, 13 requests lost in the recorded window) or turned away.

Cause: an attempt was the longest memory there was. Each attempt may meet as many targets as the route allows, a caller may come again under a new id, items had no bound of runs at all, and a broken connection was held against the target only. The class: retries bounded by each layer for itself and not over all attempts at the same thing.

Ruled out: targets that fail in a row by load (the ends are pairs, 50 to 120 ms after the same request was sent, with no event of it); our resends of what was cut off (these had events before, and ran well elsewhere).

The mend: package quarantine. A request or item has a key that its caller and content make. A run whose connection breaks while nothing listens at the target any more is a mark of that key at that life of the target. Entries and agents tell each other marks over streams between them, and keep held requests on three partitions of the store, so that it holds at an entry that is new, with processes killed or the store away. Three crashes hold a request for ten minutes after its last one: refused at once, truthfully, with when to come back; an item waits. Then one more run decides. A crash has one cause, so what a held request explains counts against nobody else; a whole answer anywhere clears a request. Operators list and clear them at the metrics address. At most 256 requests with 16 marks each are kept.

--- a/daemon/agentlinks.go
+++ b/daemon/agentlinks.go
@@ -8,6 +8,7 @@
 	"pumiceford/balance"
 	"pumiceford/fleet"
 	"pumiceford/link"
+	"pumiceford/quarantine"
 	"pumiceford/routing"
 	"pumiceford/seats"
 	"pumiceford/targets"
@@ -28,6 +29,7 @@
 	cfg  link.Config
 	addr func(target string) string
 	view *fleet.View
+	held *quarantine.Keeper
 	// told is called when a target has a free slot.
 	told func()
 
@@ -42,8 +44,8 @@
 	told   time.Time // a failure of the target, last; guarded by agentLinks.mu
 }
 
-func newAgentLinks(cfg link.Config, addr func(string) string, view *fleet.View) *agentLinks {
-	return &agentLinks{cfg: cfg, addr: addr, view: view, told: func() {}, links: make(map[string]*agentLink)}
+func newAgentLinks(cfg link.Config, addr func(string) string, view *fleet.View, held *quarantine.Keeper) *agentLinks {
+	return &agentLinks{cfg: cfg, addr: addr, view: view, held: held, told: func() {}, links: make(map[string]*agentLink)}
 }
 
 // set follows the agents of the given targets, a stable part of them when they
@@ -78,6 +80,7 @@
 func (a *agentLinks) watch(ctx context.Context, in targets.Instance) *agentLink {
 	ctx, cancel := context.WithCancel(ctx)
 	l := &agentLink{target: in.Addr, peer: link.NewPeer(a.cfg, a.addr(in.Addr)), stop: cancel}
+	go quarantine.Follow(ctx, l.peer, a.held)
 	go seats.Watch(ctx, l.peer, in, func(load *wire.Load) {
 		a.view.Table(func(t *balance.Table) { t.Note(time.Now(), in.ID, loadReport(load)) })
 		if load.GetRoom()+load.GetSpare() > 0 {
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -43,14 +43,15 @@
 
 // GatewayParts is what the users' platform gives, in the project's terms.
 type GatewayParts struct {
-	Store    store.Client
-	Decoder  fleet.Decoder
-	Catalog  store.Partition
-	Registry store.Partition
-	Jobs     string // topic of jobs
-	Progress string // topic of unfinished items
-	Copies   string // topic of copies of the fleet
-	Sender   TargetSender
+	Store      store.Client
+	Decoder    fleet.Decoder
+	Catalog    store.Partition
+	Registry   store.Partition
+	Jobs       string // topic of jobs
+	Progress   string // topic of unfinished items
+	Copies     string // topic of copies of the fleet
+	Quarantine string // topic of requests that crash their targets
+	Sender     TargetSender
 	// ItemHeader turns an item's headers into those of its call.
 	ItemHeader func(item map[string]string) map[string][]string
 	// Front returns the handler of callers.
@@ -119,6 +120,7 @@
 	agents     *agentLinks
 	gateway    *gateway.Gateway
 	quarantine *quarantine.Keeper
+	archive    *quarantine.Archive
 	copies     *fleet.Copies
 	tlsConf    *tls.Config
 	leaving    atomic.Bool
@@ -165,8 +167,9 @@
 		Self: set.Peers, Local: n.jobs, StoreAway: n.store.Away, PartitionOf: n.jobs.PartitionOf, Remote: peers.NewCaller(linkCfg),
 		Log: base.Part("jobs"), Metrics: n.metrics,
 	})
-	n.agents = newAgentLinks(linkCfg, set.AgentAddr, n.view)
 	n.quarantine = quarantine.NewKeeper(quarantine.Config{Prober: parts.Sender, Log: base.Part("quarantine"), Metrics: n.metrics})
+	n.archive = quarantine.NewArchive(n.quarantine, n.store, parts.Quarantine, set.Store.Partitions, base.Part("quarantine"))
+	n.agents = newAgentLinks(linkCfg, set.AgentAddr, n.view, n.quarantine)
 	n.runner = runner.New(runner.Config{
 		Member: set.Peers, Group: jobGroup, Store: n.jobs, Groups: n.store, View: n.view, Sender: parts.Sender,
 		Seats: n.agents, Quarantine: n.quarantine, Log: base.Part("batch"), Metrics: n.metrics,
@@ -199,8 +202,8 @@
 	g.Go(func() error {
 		return link.Serve(ctx, listeners[2], link.Config{Node: n.set.Name, Handle: peerServer.Handle, TLS: n.tlsConf})
 	})
-	g.Go(func() error { return serve(ctx, n.httpServer(metricsHandler(n.metrics)), listeners[3]) })
-	for _, loop := range []func(context.Context){n.follow, n.watchPeers, n.keepCopies, n.expire, n.runner.Run} {
+	g.Go(func() error { return serve(ctx, n.httpServer(opsHandler(n.metrics, n.quarantine)), listeners[3]) })
+	for _, loop := range []func(context.Context){n.follow, n.watchPeers, n.keepCopies, n.expire, n.runner.Run, n.quarantine.Run, n.archive.Run} {
 		g.Go(func() error { loop(ctx); return nil })
 	}
 	g.Go(func() error { onReload(ctx, reloads, n.log, func() error { return n.reload(file) }); return nil })
--- a/daemon/process.go
+++ b/daemon/process.go
@@ -12,6 +12,7 @@
 
 	"pumiceford/logging"
 	"pumiceford/metrics"
+	"pumiceford/quarantine"
 	"pumiceford/settings"
 )
 
@@ -71,8 +72,10 @@
 	return err
 }
 
-func metricsHandler(ms *metrics.Set) http.Handler {
+// opsHandler serves the metrics of a process, and the requests that it holds.
+func opsHandler(ms *metrics.Set, k *quarantine.Keeper) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", promhttp.HandlerFor(ms.Registry, promhttp.HandlerOpts{}))
+	quarantineHandler(mux, k)
 	return mux
 }
--- /dev/null
+++ b/daemon/quarantine.go
@@ -0,0 +1,44 @@
+package daemon
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"pumiceford/quarantine"
+)
+
+// HeldRequest is what operators are told of a request that crashes are counted against.
+type HeldRequest struct {
+	Key     string    `json:"key"`
+	Held    bool      `json:"held"`
+	Until   time.Time `json:"until"`   // when it may run again, if it is held
+	Crashed []string  `json:"crashed"` // instances that crashed under it, the first one first
+}
+
+// quarantineHandler lists the requests that crashes are counted against, and clears one.
+func quarantineHandler(mux *http.ServeMux, k *quarantine.Keeper) {
+	mux.HandleFunc("GET /quarantine", func(w http.ResponseWriter, _ *http.Request) {
+		all := []HeldRequest{}
+		for _, c := range k.Cases() {
+			r := HeldRequest{Key: c.Key.String(), Held: c.Held, Until: c.Until}
+			for _, m := range c.Crashes {
+				r.Crashed = append(r.Crashed, m.Target.ID)
+			}
+			all = append(all, r)
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(all) // an operator who left reads nothing
+	})
+	mux.HandleFunc("DELETE /quarantine/{key}", func(w http.ResponseWriter, r *http.Request) {
+		key, err := quarantine.ParseKey(r.PathValue("key"))
+		switch {
+		case err != nil:
+			http.Error(w, err.Error(), http.StatusBadRequest)
+		case !k.Clear(key):
+			http.Error(w, "nothing counts against this request", http.StatusNotFound)
+		default:
+			w.WriteHeader(http.StatusNoContent)
+		}
+	})
+}
--- a/daemon/seatagent.go
+++ b/daemon/seatagent.go
@@ -11,8 +11,10 @@
 	"pumiceford/link"
 	"pumiceford/logging"
 	"pumiceford/metrics"
+	"pumiceford/quarantine"
 	"pumiceford/seats"
 	"pumiceford/settings"
+	"pumiceford/wire"
 )
 
 // RunSeatAgent runs an agent beside a target until stop ends.
@@ -34,12 +36,21 @@
 	g, ctx := errgroup.WithContext(ctx)
 	ms := metrics.New(set.Name)
 	a := seats.NewAgent(seats.AgentConfig{Name: set.Name, Gauge: gauge, Log: log, Metrics: ms})
+	held := quarantine.NewKeeper(quarantine.Config{Log: log.Part("quarantine"), Metrics: ms})
+	handle := func(ctx context.Context, class link.Class, call *wire.Call, st *link.Stream) {
+		if call.GetMarks() != nil {
+			held.Exchange(ctx, st)
+			return
+		}
+		a.Handle(ctx, class, call, st)
+	}
 	g.Go(func() error { a.Run(ctx); return nil })
+	g.Go(func() error { held.Run(ctx); return nil })
 	g.Go(func() error {
-		return link.Serve(ctx, listeners[0], link.Config{Node: set.Name, Handle: a.Handle, TLS: tlsConf})
+		return link.Serve(ctx, listeners[0], link.Config{Node: set.Name, Handle: handle, TLS: tlsConf})
 	})
 	g.Go(func() error {
-		return serve(ctx, &http.Server{Handler: metricsHandler(ms), ReadHeaderTimeout: headerTime}, listeners[1])
+		return serve(ctx, &http.Server{Handler: opsHandler(ms, held), ReadHeaderTimeout: headerTime}, listeners[1])
 	})
 	g.Go(func() error {
 		onReload(ctx, reloads, log, func() error {
--- a/fleet/copies.go
+++ b/fleet/copies.go
@@ -40,13 +40,9 @@
 	return &Copies{log: log, topic: topic, parts: parts, view: view, out: out}
 }
 
-// partitions returns where the copies lie, as far apart as can be.
+// partitions returns where the copies lie.
 func (c *Copies) partitions() []store.Partition {
-	var out []store.Partition
-	for i := range min(copyCount, c.parts) {
-		out = append(out, store.Partition{Topic: c.topic, Number: i * c.parts / copyCount})
-	}
-	return out
+	return store.Spread(c.topic, c.parts, copyCount)
 }
 
 // Save keeps the view when it has changed since the last time.
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -75,6 +75,9 @@
 	return w.fired
 }
 
+// outcomeServed is the outcome of a request whose whole answer was passed on.
+const outcomeServed = "served"
+
 // afterError decides what to do when a send has no usable answer.
 func (s *serving) afterError(in targets.Instance, err error) step {
 	var se *exchange.SendError
@@ -141,7 +144,7 @@
 	if len(body) < wholeBytes {
 		s.judge(c.Instance, balance.Sound, "")
 		s.caller.Start(ans.Status, ans.Header, int64(len(body)))
-		s.outcome = "served"
+		s.outcome = outcomeServed
 		if s.caller.Write(body) != nil {
 			s.left()
 		}
@@ -157,7 +160,7 @@
 		s.cut("broken")
 		return finished
 	}
-	s.outcome = "served"
+	s.outcome = outcomeServed
 	return finished
 }
 
@@ -209,7 +212,7 @@
 		ev, err := rd.Next()
 		if errors.Is(err, io.EOF) && began {
 			s.judge(in, balance.Sound, "")
-			s.outcome = "served"
+			s.outcome = outcomeServed
 			return finished
 		}
 		if errors.Is(err, io.EOF) {
@@ -291,6 +294,9 @@
 func (s *serving) report() {
 	m := s.g.metrics
 	m.Count("online_" + s.outcome)
+	if s.outcome == outcomeServed {
+		s.g.quarantine.Served(s.req.Key)
+	}
 	now := time.Now()
 	s.noteHeld(now)
 	m.Observe("online", s.route.Name, now.Sub(s.req.Arrived))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -48,6 +48,7 @@
 	Unsure         Reason = "unsure"           // the shared store does not answer
 	Unknown        Reason = "unknown"          // there is no such job
 	Conflict       Reason = "conflict"         // another job has the id
+	Quarantined    Reason = "quarantined"      // targets crash under it
 )
 
 // Refusal is the final answer to a request that is given up.
@@ -236,6 +237,13 @@
 		s.giveUp(TimedOut, 0)
 		return balance.Choice{}, false
 	}
+	// Looked at before each send: the targets that this very request met may have been
+	// the last that were needed to tell. Without it one request that its caller repeats
+	// crashes a service as fast as its targets come back.
+	if left, held := s.g.quarantine.Held(s.req.Key); held {
+		s.giveUp(Quarantined, left)
+		return balance.Choice{}, false
+	}
 	c, ok := s.pickReserved()
 	if !ok {
 		c, ok = s.pick()
@@ -288,7 +296,7 @@
 func (s *serving) attempt(c balance.Choice) step {
 	defer func() {
 		// A send that was not read to its end costs its connection.
-		whole := s.outcome == "served"
+		whole := s.outcome == outcomeServed
 		s.g.view.Table(func(t *balance.Table) { t.Ended(time.Now(), c.Instance.ID, whole) })
 	}()
 	s.sends++
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -138,6 +138,8 @@
 type world struct {
 	told *witness
 	full *slots
+	live *lives
+	held *quarantine.Keeper
 	view *fleet.View
 	gw   *gateway.Gateway
 	sc   *script
@@ -191,7 +193,10 @@
 }
 
 func newGateway(v *fleet.View, sc exchange.Sender, r exchange.Reserver, told gateway.Witness, ms *metrics.Set) *gateway.Gateway {
-	k := quarantine.NewKeeper(quarantine.Config{Prober: &lives{}, Metrics: ms})
+	return gatewayWith(quarantine.NewKeeper(quarantine.Config{Prober: &lives{}, Metrics: ms}), v, sc, r, told, ms)
+}
+
+func gatewayWith(k *quarantine.Keeper, v *fleet.View, sc exchange.Sender, r exchange.Reserver, told gateway.Witness, ms *metrics.Set) *gateway.Gateway {
 	return gateway.New(gateway.Config{View: v, Sender: sc, Reserver: r, Witness: told, Quarantine: k, Metrics: ms})
 }
 
@@ -211,7 +216,9 @@
 	v.TargetSink().Reset(recs)
 	sc := &script{replies: replies}
 	told, full := &witness{}, &slots{full: make(map[string]bool)}
-	return &world{told: told, full: full, view: v, gw: newGateway(v, sc, full, told, ms), sc: sc}
+	live := &lives{crashed: make(map[string]bool)}
+	held := quarantine.NewKeeper(quarantine.Config{Prober: live, Metrics: ms})
+	return &world{told: told, full: full, live: live, held: held, view: v, gw: gatewayWith(held, v, sc, full, told, ms), sc: sc}
 }
 
 func (w *world) serve(ctx context.Context) *caller {
--- a/gateway/overload.go
+++ b/gateway/overload.go
@@ -55,7 +55,7 @@
 
 // noteHeld learns how long a request holds its slot from those that had one at once.
 func (s *serving) noteHeld(now time.Time) {
-	if s.outcome != "served" || s.sends != 1 || s.choice.Wait > 0 {
+	if s.outcome != outcomeServed || s.sends != 1 || s.choice.Wait > 0 {
 		return
 	}
 	s.g.view.Table(func(t *balance.Table) { t.NoteHold(s.service, now.Sub(s.sentAt)) })
--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"time"
 
+	"pumiceford/internal/wait"
 	"pumiceford/logging"
 	"pumiceford/metrics"
 	"pumiceford/targets"
@@ -16,25 +19,52 @@
 	Crashed(ctx context.Context, in targets.Instance) bool
 }
 
-// probeTimeout bounds the question whether a target has crashed. A host whose target
-// has ended refuses a connection within a round trip.
-const probeTimeout = 100 * time.Millisecond
+const (
+	// probeTimeout bounds the question whether a target has crashed. A host whose target
+	// has ended refuses a connection within a round trip.
+	probeTimeout = 100 * time.Millisecond
+	expireEvery  = time.Second
+)
 
 // Config says what a Keeper works with.
 type Config struct {
-	Prober  Prober
+	Prober  Prober // nil where no requests are sent
 	Log     logging.Logger
 	Metrics *metrics.Set
 }
 
-// Keeper watches over requests whose connections to targets break.
+// Keeper is the Table of a process. All methods are safe for concurrent use; mu is held
+// for memory only.
 type Keeper struct {
-	cfg Config
+	cfg  Config
+	some atomic.Bool // a request is held; spares all others the lock
+
+	mu      sync.Mutex
+	table   *Table
+	held    map[Key]bool  // as it was told last
+	changed chan struct{} // closed and replaced when the table changes
 }
 
-// NewKeeper returns a Keeper.
+// NewKeeper returns a Keeper that knows nothing.
 func NewKeeper(cfg Config) *Keeper {
-	return &Keeper{cfg: cfg}
+	return &Keeper{cfg: cfg, table: NewTable(), held: make(map[Key]bool), changed: make(chan struct{})}
+}
+
+// Run forgets what is too old until ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
+	for wait.For(ctx, expireEvery) == nil {
+		k.change("its time is over", func(now time.Time) { k.table.Expire(now) })
+		held, suspected := 0, 0
+		for _, c := range k.Cases() {
+			if c.Held {
+				held++
+			} else {
+				suspected++
+			}
+		}
+		k.cfg.Metrics.Gauge("requests_held", float64(held))
+		k.cfg.Metrics.Gauge("requests_suspected", float64(suspected))
+	}
 }
 
 // Run is one run of a request at a target that ended without a whole answer.
@@ -57,5 +87,105 @@
 	k.cfg.Metrics.Count("run_broken_target_crashed")
 	k.cfg.Log.Info("target crashed under a request", logging.F("key", r.Key.String()), logging.F("request", r.Request),
 		logging.F("instance", r.Target.ID), logging.F("events", r.Events), logging.F("took_ms", r.Took.Milliseconds()))
+	k.change("crashes that another request explains", func(now time.Time) {
+		k.table.Add(now, Mark{Key: r.Key, Target: r.Target.Life(), At: now})
+	})
 	return true
 }
+
+// Served takes a whole answer to a request.
+func (k *Keeper) Served(key Key) {
+	k.change("it was served", func(now time.Time) { k.table.Served(now, key) })
+}
+
+// Clear lets a request run again, as an operator asks. It reports false when nothing
+// counts against it.
+func (k *Keeper) Clear(key Key) (known bool) {
+	k.change("an operator cleared it", func(time.Time) { known = k.table.Clear(key) })
+	return known
+}
+
+// Merge takes what another process tells. From tells the sources apart.
+func (k *Keeper) Merge(marks []Mark, from any) {
+	k.change("another process knows better", func(now time.Time) { k.table.Merge(now, marks, from) })
+}
+
+// Held reports whether a request must not run now, and for how long.
+func (k *Keeper) Held(key Key) (left time.Duration, held bool) {
+	if !k.some.Load() {
+		return 0, false
+	}
+	now := time.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	until, held := k.table.Held(now, key)
+	return until.Sub(now), held
+}
+
+// Cases returns the requests that crashes are counted against.
+func (k *Keeper) Cases() []Case {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.table.Cases(time.Now())
+}
+
+// since returns the marks that changed after a number of changes, the number now, and a
+// channel that is closed at the next change.
+func (k *Keeper) since(changes uint64, except any) ([]Mark, uint64, <-chan struct{}) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.table.Changes()
+	if now == changes {
+		return nil, now, k.changed
+	}
+	return k.table.Since(changes, except), now, k.changed
+}
+
+// change changes the table and tells which requests are held or released by it.
+func (k *Keeper) change(why string, fn func(now time.Time)) {
+	now := time.Now()
+	k.mu.Lock()
+	before := k.table.Changes()
+	fn(now)
+	held, released := k.turnLocked(now)
+	if k.table.Changes() != before {
+		close(k.changed)
+		k.changed = make(chan struct{})
+	}
+	k.mu.Unlock()
+	for _, c := range held {
+		k.cfg.Metrics.Count("request_held")
+		k.cfg.Log.Warn("request held: targets crash under it", logging.F("key", c.Key.String()),
+			logging.F("crashes", len(c.Crashes)), logging.F("last_instance", c.Crashes[len(c.Crashes)-1].Target.ID),
+			logging.F("left_ms", c.Until.Sub(now).Milliseconds()))
+	}
+	for _, key := range released {
+		k.cfg.Metrics.Count("request_released")
+		k.cfg.Log.Info("request no longer held", logging.F("key", key.String()), logging.F("why", why))
+	}
+}
+
+// turnLocked returns what is held now and was not, and the reverse. k.mu is held.
+func (k *Keeper) turnLocked(now time.Time) (held []Case, released []Key) {
+	if len(k.table.guilty) == 0 && len(k.held) == 0 {
+		return nil, nil
+	}
+	is := make(map[Key]bool)
+	for _, c := range k.table.Cases(now) {
+		if !c.Held {
+			continue
+		}
+		is[c.Key] = true
+		if !k.held[c.Key] {
+			held = append(held, c)
+		}
+	}
+	for key := range k.held {
+		if !is[key] {
+			released = append(released, key)
+		}
+	}
+	k.held = is
+	k.some.Store(len(is) > 0)
+	return held, released
+}
--- /dev/null
+++ b/quarantine/table.go
@@ -0,0 +1,381 @@
+package quarantine
+
+import (
+	"bytes"
+	"slices"
+	"time"
+
+	"pumiceford/targets"
+)
+
+// Limits of a Table.
+const (
+	// crashesHeld is how many crashes hold a request. One ends whatever ran beside its
+	// cause, and two may meet a sound request in a bad moment.
+	crashesHeld = 3
+	// crashesInAll hold a request that others explain some crashes of, but not all: causes
+	// that met at the same targets explain each other's.
+	crashesInAll = 5
+	// crashesCredible hold a request that has run well after a crash.
+	crashesCredible = 2 * crashesHeld
+	// HoldFor is how long a request is held after its last crash. Then one more run
+	// decides: it clears the request, or holds it again.
+	HoldFor = 10 * time.Minute
+	// forgetAfter is how long a crash counts.
+	forgetAfter = 2 * HoldFor
+	// keysMost and marksMost bound memory and what a process that joins is told.
+	keysMost  = 256
+	marksMost = 16
+	// alibiFor is how long a whole answer speaks for a request at least, against crashes
+	// that are told of later: a popular one is at each target that crashes.
+	alibiFor = 5 * time.Second
+	// alibisMost bounds the answers that are remembered, in each of two spans.
+	alibisMost = 4096
+)
+
+// Mark says that a request was at a target when that crashed. Marks only ever become
+// void, so processes that tell each other in any order come to hold the same.
+type Mark struct {
+	Key    Key
+	Target targets.Life
+	At     time.Time
+	Void   bool // a run of the request has ended well since, or an operator cleared it
+}
+
+// noted is a Mark as a Table has it.
+type noted struct {
+	Mark
+	change uint64 // of the table, when the mark came or became void
+	own    bool   // this process saw the crash
+	from   any    // who told of the change; nil for this process
+}
+
+// record is what is known of one request.
+type record struct {
+	key   Key
+	marks map[targets.Life]*noted
+}
+
+// live returns the crashes that count against the request and are not explained.
+func (r *record) live(explained map[targets.Life]bool) int {
+	n := 0
+	for life, m := range r.marks {
+		if !m.Void && !explained[life] {
+			n++
+		}
+	}
+	return n
+}
+
+// credible reports whether the request has run well after one of its crashes.
+func (r *record) credible() bool {
+	for _, m := range r.marks {
+		if m.Void {
+			return true
+		}
+	}
+	return false
+}
+
+// newest returns the time of the last crash, zero when all are void.
+func (r *record) newest() time.Time {
+	var at time.Time
+	for _, m := range r.marks {
+		if !m.Void && m.At.After(at) {
+			at = m.At
+		}
+	}
+	return at
+}
+
+// Table holds the crashes that requests were seen at and decides which requests are
+// held. It is pure and not safe for concurrent use.
+type Table struct {
+	records map[Key]*record
+	guilty  map[Key]bool
+	changes uint64
+	// alibis are the requests that were answered in this span and the one before.
+	alibis [2]map[Key]bool
+	turned time.Time // when this span began
+}
+
+// NewTable returns an empty Table.
+func NewTable() *Table {
+	return &Table{records: make(map[Key]*record), guilty: make(map[Key]bool), alibis: [2]map[Key]bool{{}, {}}}
+}
+
+// Add takes a crash that this process saw.
+func (t *Table) Add(now time.Time, m Mark) {
+	t.take(now, m, nil, true)
+	t.judge()
+}
+
+// Merge takes what somebody else tells.
+func (t *Table) Merge(now time.Time, marks []Mark, from any) {
+	for _, m := range marks {
+		t.take(now, m, from, false)
+	}
+	t.judge()
+}
+
+// take notes one mark.
+func (t *Table) take(now time.Time, m Mark, from any, own bool) {
+	if m.At.After(now) {
+		m.At = now // another host's clock is ahead
+	}
+	if now.Sub(m.At) > forgetAfter {
+		return
+	}
+	rec := t.records[m.Key]
+	if rec == nil {
+		rec = &record{key: m.Key, marks: make(map[targets.Life]*noted)}
+	}
+	old := rec.marks[m.Target]
+	switch {
+	case old == nil && !rec.makeRoom(m):
+		return
+	case old == nil:
+		old = &noted{Mark: m, own: own}
+		rec.marks[m.Target] = old
+	case !m.Void || old.Void:
+		return // nothing new
+	}
+	old.Void = m.Void
+	t.note(old, from)
+	if !old.Void && t.answered(now, m.Key) {
+		old.Void = true
+		t.note(old, nil)
+	}
+	t.records[m.Key] = rec
+	t.bound()
+}
+
+// makeRoom drops the oldest mark when there are too many. It reports false when the new
+// one is the oldest.
+func (r *record) makeRoom(m Mark) bool {
+	if len(r.marks) < marksMost {
+		return true
+	}
+	var oldest *noted
+	for _, o := range r.marks {
+		if oldest == nil || o.At.Before(oldest.At) {
+			oldest = o
+		}
+	}
+	if !oldest.At.Before(m.At) {
+		return false
+	}
+	delete(r.marks, oldest.Target)
+	return true
+}
+
+// note numbers a change.
+func (t *Table) note(m *noted, from any) {
+	t.changes++
+	m.change, m.from = t.changes, from
+}
+
+// bound drops the request that matters least when there are too many: one that is not
+// held, the one whose last crash is the oldest.
+func (t *Table) bound() {
+	if len(t.records) <= keysMost {
+		return
+	}
+	var least *record
+	for _, r := range t.records {
+		if least == nil || t.matters(r, least) < 0 {
+			least = r
+		}
+	}
+	delete(t.records, least.key)
+	delete(t.guilty, least.key)
+}
+
+func (t *Table) matters(a, b *record) int {
+	if t.guilty[a.key] != t.guilty[b.key] {
+		if t.guilty[b.key] {
+			return -1
+		}
+		return 1
+	}
+	return a.newest().Compare(b.newest())
+}
+
+// judge decides which requests are guilty. Each crash has one cause: the request that is
+// at most crashes explains all of these, and they count against nobody else. Without
+// this a sound request that was sent from one crashed target to the next, beside the
+// cause, would be held as well. Requests that have run well are looked at last: a popular
+// one is at every target that crashes, and would explain all that the others did.
+func (t *Table) judge() {
+	clear(t.guilty)
+	explained := make(map[targets.Life]bool)
+	t.convict(explained, false, crashesHeld)
+	t.convict(explained, true, crashesCredible)
+	for key, r := range t.records {
+		if !r.credible() && r.live(nil) >= crashesInAll && r.live(explained) > 0 {
+			t.guilty[key] = true
+		}
+	}
+}
+
+// convict finds the guilty among the requests that are credible, or those that are not.
+func (t *Table) convict(explained map[targets.Life]bool, credible bool, least int) {
+	for {
+		worst := t.worst(explained, credible, least)
+		if worst == nil {
+			return
+		}
+		t.guilty[worst.key] = true
+		for life, m := range worst.marks {
+			if !m.Void {
+				explained[life] = true
+			}
+		}
+	}
+}
+
+// worst returns the request at most unexplained crashes, nil when none is at enough.
+func (t *Table) worst(explained map[targets.Life]bool, credible bool, least int) *record {
+	var worst *record
+	most := least
+	for _, r := range t.records {
+		if len(r.marks) < least || t.guilty[r.key] || r.credible() != credible {
+			continue
+		}
+		n := r.live(explained)
+		if n > most || n == most && (worst == nil || bytes.Compare(r.key[:], worst.key[:]) < 0) {
+			worst, most = r, n
+		}
+	}
+	return worst
+}
+
+// Served takes a whole answer to a request: its target lived through it.
+func (t *Table) Served(now time.Time, key Key) {
+	t.turn(now)
+	if len(t.alibis[0]) < alibisMost {
+		t.alibis[0][key] = true
+	}
+	t.Clear(key)
+}
+
+// turn begins a new span of answers when the last one is over.
+func (t *Table) turn(now time.Time) {
+	if now.Sub(t.turned) < alibiFor {
+		return
+	}
+	if now.Sub(t.turned) > 2*alibiFor {
+		t.alibis[0] = map[Key]bool{}
+	}
+	t.alibis[0], t.alibis[1] = map[Key]bool{}, t.alibis[0]
+	t.turned = now
+}
+
+// answered reports whether a request had a whole answer lately.
+func (t *Table) answered(now time.Time, key Key) bool {
+	t.turn(now)
+	return t.alibis[0][key] || t.alibis[1][key]
+}
+
+// Clear voids all that counts against a request. It reports false when nothing does.
+func (t *Table) Clear(key Key) bool {
+	rec := t.records[key]
+	if rec == nil || rec.live(nil) == 0 {
+		return false
+	}
+	for _, m := range rec.marks {
+		if !m.Void {
+			m.Void = true
+			t.note(m, nil)
+		}
+	}
+	t.judge()
+	return true
+}
+
+// Held reports whether a request must not run now, and until when.
+func (t *Table) Held(now time.Time, key Key) (until time.Time, held bool) {
+	if !t.guilty[key] {
+		return time.Time{}, false
+	}
+	until = t.records[key].newest().Add(HoldFor)
+	return until, now.Before(until)
+}
+
+// Suspected reports whether crashes are counted against a request, which may still run.
+func (t *Table) Suspected(key Key) bool {
+	rec := t.records[key]
+	return rec != nil && !t.guilty[key] && rec.live(nil) > 0
+}
+
+// Expire forgets what is too old to count.
+func (t *Table) Expire(now time.Time) {
+	for key, r := range t.records {
+		for life, m := range r.marks {
+			if now.Sub(m.At) > forgetAfter {
+				delete(r.marks, life)
+			}
+		}
+		if len(r.marks) == 0 {
+			delete(t.records, key)
+		}
+	}
+	t.judge()
+}
+
+// Changes counts the changes so far.
+func (t *Table) Changes() uint64 {
+	return t.changes
+}
+
+// Since returns the marks that have changed after a number of changes, but for those
+// that somebody told this process himself, in the order of their changes.
+func (t *Table) Since(changes uint64, except any) []Mark {
+	var all []*noted
+	for _, r := range t.records {
+		for _, m := range r.marks {
+			if m.change > changes && (m.from == nil || m.from != except) {
+				all = append(all, m)
+			}
+		}
+	}
+	slices.SortFunc(all, func(a, b *noted) int { return int(a.change) - int(b.change) })
+	out := make([]Mark, 0, len(all))
+	for _, m := range all {
+		out = append(out, m.Mark)
+	}
+	return out
+}
+
+// Case is a request that crashes are counted against.
+type Case struct {
+	Key     Key
+	Crashes []Mark // that count, the oldest first
+	Until   time.Time
+	Held    bool
+	Own     bool   // this process saw one of the crashes
+	Change  uint64 // the last one
+}
+
+// Cases returns the requests that crashes are counted against, by key.
+func (t *Table) Cases(now time.Time) []Case {
+	var out []Case
+	for key, r := range t.records {
+		c := Case{Key: key}
+		for _, m := range r.marks {
+			c.Change = max(c.Change, m.change)
+			if !m.Void {
+				c.Own = c.Own || m.own
+				c.Crashes = append(c.Crashes, m.Mark)
+			}
+		}
+		if len(c.Crashes) == 0 {
+			continue
+		}
+		slices.SortFunc(c.Crashes, func(a, b Mark) int { return a.At.Compare(b.At) })
+		c.Until, c.Held = t.Held(now, key)
+		out = append(out, c)
+	}
+	slices.SortFunc(out, func(a, b Case) int { return bytes.Compare(a.Key[:], b.Key[:]) })
+	return out
+}
--- a/runner/run.go
+++ b/runner/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -145,7 +146,7 @@
 	r.cfg.View.Table(func(t *balance.Table) { t.BatchBegan(began, in.ID) })
 	outcome, err := r.attempt(ctx, c, w, in)
 	if err != nil && brokenOff(ctx, err) {
-		r.broke(ctx, c, w, in, began)
+		r.broke(ctx, w, in, began)
 	}
 	r.cfg.View.Table(func(t *balance.Table) { t.BatchEnded(time.Now(), in.ID, err == nil) })
 	why := "complete"
@@ -185,14 +186,12 @@
 }
 
 // broke notes that a connection ended while the target had an item.
-func (r *Runner) broke(ctx context.Context, c candidate, w *work, in targets.Instance, began time.Time) {
+func (r *Runner) broke(ctx context.Context, w *work, in targets.Instance, began time.Time) {
 	r.mu.Lock()
 	events := w.last
 	r.mu.Unlock()
-	item := c.open.Item
 	r.cfg.Quarantine.Broke(ctx, quarantine.Run{
-		Key:     quarantine.NewKey(c.open.Spec.GetCaller(), http.MethodPost, c.open.Spec.GetHost(), item.GetPath(), item.GetBody()),
-		Request: item.GetId(), Target: in, Events: events, Took: time.Since(began),
+		Key: w.content, Request: fmt.Sprint(w.key.Job, "/", w.key.Item), Target: in, Events: events, Took: time.Since(began),
 	})
 }
 
@@ -219,6 +218,7 @@
 	case o != nil:
 		r.cfg.Metrics.Count("item_complete")
 		r.judge(in, balance.Sound)
+		r.cfg.Quarantine.Served(w.content)
 		r.finish(w, c, *o)
 	case stopped(ctx):
 		r.cfg.Metrics.Count("item_stopped")
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -9,6 +9,7 @@
 import (
 	"cmp"
 	"context"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -110,6 +111,7 @@
 // came and when it may be tried again.
 type work struct {
 	key       jobstore.ItemKey
+	content   quarantine.Key // set before the first run here
 	part      int
 	running   bool
 	ended     chan struct{} // closed when the run has ended
@@ -257,6 +259,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w := r.workLocked(it.Key(), part)
+	if w.content == (quarantine.Key{}) {
+		w.content = contentOf(it)
+	}
 	w.failed = max(w.failed, it.Failed)
 	w.never = w.never || it.Impossible
 	return !w.running && !w.done && !now.Before(w.notBefore)
@@ -271,6 +276,11 @@
 	return w
 }
 
+// contentOf returns the key under which crashes of targets count against an item.
+func contentOf(it jobstore.OpenItem) quarantine.Key {
+	return quarantine.NewKey(it.Spec.GetCaller(), http.MethodPost, it.Spec.GetHost(), it.Item.GetPath(), it.Item.GetBody())
+}
+
 // errClosed says that an item is not open any more.
 var errClosed = errors.New("item is not open any more")
 
@@ -299,6 +309,11 @@
 	if busy || r.settled(c, w) {
 		return
 	}
+	// It stays open: it may be sound, and an item may be given up only when its time is
+	// over. Other items would be cut off at each target that it crashes.
+	if _, held := r.cfg.Quarantine.Held(w.content); held {
+		return
+	}
 	service, ok := r.service(c)
 	if !ok || full[service] {
 		return
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -155,13 +155,14 @@
 	jobs   *jobstore.Store
 	runner *runner.Runner
 	seats  *slowly
+	held   *quarantine.Keeper
 	stop   context.CancelFunc
 }
 
-// living is a Prober whose targets have never crashed.
-type living struct{}
+// dead is a Prober whose targets have crashed whenever a connection breaks.
+type dead struct{}
 
-func (living) Crashed(context.Context, targets.Instance) bool { return false }
+func (dead) Crashed(context.Context, targets.Instance) bool { return true }
 
 func startNode(ctx context.Context, s *sharedstore.Store, e exchange.Sender, name string) *node {
 	ctx, cancel := context.WithCancel(ctx)
@@ -172,10 +173,11 @@
 	go tellLoads(ctx, view)
 	face := s.For(name)
 	n := &node{view: view, stop: cancel, seats: &slowly{meanwhile: func(targets.Instance) {}}}
+	n.held = quarantine.NewKeeper(quarantine.Config{Prober: dead{}, Metrics: ms})
 	n.jobs = openJobs(ctx, face)
 	n.runner = runner.New(runner.Config{
 		Member: name, Group: "g", Store: n.jobs, Groups: face, View: view, Sender: e, Seats: n.seats,
-		Quarantine: quarantine.NewKeeper(quarantine.Config{Prober: living{}, Metrics: ms}),
+		Quarantine: n.held,
 		Metrics:    ms, Headers: func(map[string]string) map[string][]string { return nil }, MaxRunning: 64,
 	})
 	go n.runner.Run(ctx)
--- a/store/store.go
+++ b/store/store.go
@@ -18,6 +18,16 @@
 	Number int
 }
 
+// Spread returns up to count partitions of a topic with so many parts, as far apart as
+// can be: what is kept on each of them is there when some of the parts are away.
+func Spread(topic string, parts, count int) []Partition {
+	var out []Partition
+	for i := range min(count, parts) {
+		out = append(out, Partition{Topic: topic, Number: i * parts / count})
+	}
+	return out
+}
+
 // Record is one keyed record. An empty Value drops the key.
 type Record struct {
 	Key    string
