--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -126,3 +126,42 @@
 		t.Errorf("%d marks are kept", n)
 	}
 }
+
+// Fifty targets crashed within seconds, and more requests had been at them than a process
+// keeps. Each process dropped others than its neighbours, took what these told it of the
+// dropped ones for news, dropped something else for it and told that in turn: a play of the
+// incident used ten times its processor time and was given up. What is dropped has to be the
+// same everywhere, so that the word comes to rest.
+func TestTooManyRequestsComeToRest(t *testing.T) {
+	const processes, requests = 3, 1000
+	var tables [processes]*quarantine.Table
+	for i := range tables {
+		tables[i] = quarantine.NewTable()
+	}
+	for n := range requests {
+		tables[n%processes].Add(start, mark(n, n/8, time.Duration(n%7)*time.Millisecond))
+	}
+	changes := func() (sum uint64) {
+		for _, tab := range tables {
+			sum += tab.Changes()
+		}
+		return sum
+	}
+	rounds := 0
+	for before := uint64(0); before < changes(); rounds++ {
+		if rounds > 2*processes {
+			t.Fatalf("still %d changes in round %d", changes()-before, rounds)
+		}
+		before = changes()
+		for _, a := range tables {
+			for _, b := range tables {
+				b.Merge(start, a.Since(0, b), a) // all, as when a target is new and its agent is asked
+			}
+		}
+	}
+	for _, tab := range tables[1:] {
+		if !slices.Equal(verdicts(tables[0], start), verdicts(tab, start)) {
+			t.Error("two processes keep different requests")
+		}
+	}
+}
