Drop the same requests everywhere when too many were at crashed targets

Cause: a process kept 256 requests and dropped one of its own choice for each new one. What one had dropped its neighbour told it as news, for which it dropped another and told that.

Which requests are kept now depends on their marks alone, and one that matters less than all that are kept changes nothing. What is held is looked up without going through all requests at each answer.

--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -148,12 +149,19 @@
 	before := k.table.Changes()
 	fn(now)
 	held, released := k.turnLocked(now)
+	var cases []Case
+	if len(held) > 0 {
+		cases = k.table.Cases(now)
+	}
 	if k.table.Changes() != before {
 		close(k.changed)
 		k.changed = make(chan struct{})
 	}
 	k.mu.Unlock()
-	for _, c := range held {
+	for _, c := range cases {
+		if !slices.Contains(held, c.Key) {
+			continue
+		}
 		k.cfg.Metrics.Count("request_held")
 		k.cfg.Log.Warn("request held: targets crash under it", logging.F("key", c.Key.String()),
 			logging.F("crashes", len(c.Crashes)), logging.F("last_instance", c.Crashes[len(c.Crashes)-1].Target.ID),
@@ -166,18 +174,12 @@
 }
 
 // turnLocked returns what is held now and was not, and the reverse. k.mu is held.
-func (k *Keeper) turnLocked(now time.Time) (held []Case, released []Key) {
-	if len(k.table.guilty) == 0 && len(k.held) == 0 {
-		return nil, nil
-	}
+func (k *Keeper) turnLocked(now time.Time) (held, released []Key) {
 	is := make(map[Key]bool)
-	for _, c := range k.table.Cases(now) {
-		if !c.Held {
-			continue
-		}
-		is[c.Key] = true
-		if !k.held[c.Key] {
-			held = append(held, c)
+	for _, key := range k.table.Holds(now) {
+		is[key] = true
+		if !k.held[key] {
+			held = append(held, key)
 		}
 	}
 	for key := range k.held {
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"slices"
 	"time"
 
@@ -24,7 +25,7 @@
 	// forgetAfter is how long a crash counts.
 	forgetAfter = 2 * HoldFor
 	// keysMost and marksMost bound memory and what a process that joins is told.
-	keysMost  = 256
+	keysMost  = 512
 	marksMost = 16
 	// alibiFor is how long a whole answer speaks for a request at least, against crashes
 	// that are told of later: a popular one is at each target that crashes.
@@ -123,6 +124,7 @@
 	if m.At.After(now) {
 		m.At = now // another host's clock is ahead
 	}
+	m.At = m.At.Truncate(time.Millisecond) // as others are told it
 	if now.Sub(m.At) > forgetAfter {
 		return
 	}
@@ -141,13 +143,15 @@
 		return // nothing new
 	}
 	old.Void = m.Void
+	if t.records[m.Key] == nil && !t.makeRoom(rec) {
+		return
+	}
+	t.records[m.Key] = rec
 	t.note(old, from)
 	if !old.Void && t.answered(now, m.Key) {
 		old.Void = true
 		t.note(old, nil)
 	}
-	t.records[m.Key] = rec
-	t.bound()
 }
 
 // makeRoom drops the oldest mark when there are too many. It reports false when the new
@@ -175,30 +179,35 @@
 	m.change, m.from = t.changes, from
 }
 
-// bound drops the request that matters least when there are too many: one that is not
-// held, the one whose last crash is the oldest.
-func (t *Table) bound() {
-	if len(t.records) <= keysMost {
-		return
+// makeRoom drops the request that matters least when there are too many. It reports false
+// when that is the new one. What matters depends on the marks alone: processes that drop
+// different ones tell each other what they dropped, as news, for ever.
+func (t *Table) makeRoom(r *record) bool {
+	if len(t.records) < keysMost {
+		return true
 	}
-	var least *record
-	for _, r := range t.records {
-		if least == nil || t.matters(r, least) < 0 {
-			least = r
+	least := r
+	for _, o := range t.records {
+		if o.compare(least) < 0 {
+			least = o
 		}
 	}
+	if least == r {
+		return false
+	}
 	delete(t.records, least.key)
 	delete(t.guilty, least.key)
+	return true
 }
 
-func (t *Table) matters(a, b *record) int {
-	if t.guilty[a.key] != t.guilty[b.key] {
-		if t.guilty[b.key] {
-			return -1
-		}
-		return 1
-	}
-	return a.newest().Compare(b.newest())
+// compare orders requests by how much they matter: by the crashes that count, up to those
+// that hold one, then by the last of them.
+func (r *record) compare(o *record) int {
+	return cmp.Or(
+		cmp.Compare(min(r.live(nil), crashesHeld), min(o.live(nil), crashesHeld)),
+		r.newest().Compare(o.newest()),
+		bytes.Compare(r.key[:], o.key[:]),
+	)
 }
 
 // judge decides which requests are guilty. Each crash has one cause: the request that is
@@ -323,6 +332,17 @@
 	t.judge()
 }
 
+// Holds returns the requests that are held now.
+func (t *Table) Holds(now time.Time) []Key {
+	var out []Key
+	for key := range t.guilty {
+		if _, held := t.Held(now, key); held {
+			out = append(out, key)
+		}
+	}
+	return out
+}
+
 // Changes counts the changes so far.
 func (t *Table) Changes() uint64 {
 	return t.changes
