--- a/quarantine/key.go
+++ b/quarantine/key.go
@@ -12,9 +12,9 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Key names a request by who sent it and what it says, whatever id it bears. The
-// caller is part of it, so that nobody can have the request of another one held; the
-// hash is a cryptographic one for the same reason.
+// Key names a request by what it says, whatever id it bears. The caller is part of it, as
+// far as it is known, so that nobody can have the request of another one held by sending
+// the same; the hash is a cryptographic one so that nobody finds another with the same key.
 type Key [16]byte
 
 // NewKey returns the key of a request.
