Operators see and clear held requests; older comments without figures

- pumice explain takes a key: all attempts at the same request, the crashes under it, its hold.
'request ended' and the lines of items name it. pumice losses has held requests as a cause of their own.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -6,8 +6,8 @@
 // first to a target with a free slot, then to one where batch work can be asked
 // to leave, and only then to the shortest queue.
 //
-// Reported loads are up to 50 ms old. At a peak ten requests come to eight entries
-// in that time; all of them would meet at the one least loaded target and wait
+// Reported loads are a little old. At a peak several requests come to several entries
+// between two reports; all of them would meet at the one least loaded target and wait
 // there while slots are free elsewhere. So among targets with a free slot the
 // choice is drawn, by the square of the free slots.
 package balance
@@ -208,10 +208,8 @@
 // MayMove reports whether a request that waits at a target should go to another
 // one. One free slot may be gone when the request comes, so it takes two. All that
 // wait see the same free slots, and each that moves loses its place in a queue and
-// costs a connection, so on average only as many move as slots are free. In a
-// replayed overload of 40 entries and 17,040 requests there are 1,973 moves instead of
-// 13,122, 4,226 connections instead of 13,804, and the slowest hundredth waits for
-// 0.76 s instead of 0.98 s. The draw is a random number from 0 up to 1.
+// costs a connection, so on average only as many move as slots are free. The draw is a
+// random number from 0 up to 1.
 func (t *Table) MayMove(now time.Time, service, instance string, draw float64) bool {
 	const room = 2
 	free, waiting, roomy := 0, 0, false
@@ -257,6 +255,6 @@
 	return v != nil && v.reported(now) && v.report.Silent
 }
 
-// aliveFor is how long an agent's word shows that its target answers: agents
-// repeat themselves each 250 ms.
+// aliveFor is how long an agent's word shows that its target answers: longer than agents
+// take to repeat themselves.
 const aliveFor = 600 * time.Millisecond
--- a/balance/view.go
+++ b/balance/view.go
@@ -8,12 +8,11 @@
 
 // Limits and weights.
 const (
-	// reportFor is how long a reported load counts. Agents repeat themselves each
-	// 250 ms, so an older word means that the agent is gone.
+	// reportFor is how long a reported load counts. Agents repeat themselves much
+	// sooner, so an older word means that the agent is gone.
 	reportFor = 1500 * time.Millisecond
 	// ejectFirst and ejectMost bound how long a target that failed gets nothing.
-	// The first is some 170 steps of an engine; a target that stays down costs one
-	// request each ejectMost.
+	// A target that stays down costs one request each ejectMost.
 	ejectFirst = 500 * time.Millisecond
 	ejectMost  = 4 * time.Second
 	// ejectAfter is how many spoiled or failed answers in a row eject a target.
@@ -102,17 +101,14 @@
 )
 
 // freeCounts is how much more a free slot counts than one that batch work holds,
-// among targets with a free slot. Reports are some 20 ms old, so two requests may
-// come for one free slot: where batch work can leave, the second waits some 20 ms,
-// elsewhere for another request to end, 100 ms. In a replayed minute of the large
-// fleet 218 of 14,653 first events come late instead of 395, and 1,710 runs of items
-// are cut off instead of 1,493; all items are done in time either way.
+// among targets with a free slot. Reports are a little old, so two requests may come for
+// one free slot: where batch work can leave, the second waits only for that, elsewhere
+// for another request to end.
 const freeCounts = 2
 
 // place returns a target's tier and its weight among the others of that tier. In a
 // large fleet the loads of some targets only are reported to an entry. The others looked
-// empty and drew nearly all of its requests: in a peak before 180 targets, 64 of them
-// reported, 1,253 of 3,041 first events came late, and 2,016 times a busy target was
+// empty and drew nearly all of its requests, which waited there, and the busy targets were
 // ejected as silent. They get a request when no reported target has room for it.
 //
 // Weights are squares, so that the emptier target is clearly preferred and still
@@ -145,9 +141,7 @@
 	idleFor = 8 * time.Second
 	// idleWeight is how much a target with an idle connection is preferred among
 	// those that have a free slot. A new connection takes a round trip and holds a
-	// slot for a millisecond. In a replayed minute of peaks and troughs without batch
-	// eight entries open 229 (340 with a weight of 10, 520 without any), forty 1,674
-	// (3,412 and 7,825); no more requests wait.
+	// slot for a while.
 	idleWeight = 100
 )
 
--- a/balance/wait.go
+++ b/balance/wait.go
@@ -38,9 +38,8 @@
 }
 
 // reserveBelow is how many free slots a target has at most when one is reserved before a
-// request goes there: loads are reported each 50 ms, and many entries see the same slots
-// come free. In a replayed peak that asks for all slots of 180 targets 71 of 12,774 first
-// events come late; with 7 it is 95, with 2 and half of the tries 214.
+// request goes there: between two reports many entries see the same slots come free, and
+// all but the first of their requests would wait.
 const reserveBelow = 4
 
 // WorthReserving reports whether the free slot of a choice may be gone when a request
--- a/cmd/pumice/main.go
+++ b/cmd/pumice/main.go
@@ -97,6 +97,7 @@
 	Config  *checkCmd   `arg:"subcommand:check-config" help:"the same as check"`
 	Explain *explainCmd `arg:"subcommand:explain" help:"what logs tell of a request, job or item"`
 	Losses  *lossesCmd  `arg:"subcommand:losses" help:"what logs tell of late and failed requests, jobs and items, by cause"`
+	Held    *heldCmd    `arg:"subcommand:quarantine" help:"requests held because targets crash under them; clear one"`
 	Chat    *chatCmd    `arg:"subcommand:chat" help:"ask online and stream the answer"`
 	Submit  *submitCmd  `arg:"subcommand:submit" help:"submit a batch job"`
 	Jobs    *jobsCmd    `arg:"subcommand:jobs" help:"list batch jobs"`
@@ -141,6 +142,8 @@
 		return runExplain(a.Explain)
 	case a.Losses != nil:
 		return runLosses(a.Losses)
+	case a.Held != nil:
+		return runHeld(ctx, a.Held)
 	case a.Chat != nil:
 		return runChat(ctx, a.Chat)
 	case a.Submit != nil:
--- a/daemon/agentlinks.go
+++ b/daemon/agentlinks.go
@@ -17,10 +17,7 @@
 
 // maxWatched bounds the targets whose load one entry is told, so that its sessions and
 // messages stay flat as the fleet grows. More make placement worse: many entries then
-// see the same free slot and meet there. In replayed peaks of 1,600 requests a second
-// from 133 entries to 180 targets 16 take 342,689 messages and none of 15,377 first
-// events is late; with 64 it is 1,308,710 and 41. Of 40 entries before 56 targets 2,133
-// instead of 3,594 connections are opened.
+// see the same free slot and meet there.
 const maxWatched = 16
 
 // agentLinks keeps the sessions to the agents beside the targets. It implements
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -16,9 +16,9 @@
 const (
 	// drainLook is left between looks at the open connections.
 	drainLook = 50 * time.Millisecond
-	// idleRests is how long a connection has to be idle before it is closed. On a
-	// host with a seventh of a core a request that had come 235 ms before was still
-	// unread; some looks let what is waiting for the processor run.
+	// idleRests is how long a connection has to be idle before it is closed. On the
+	// smallest hosts a request that has come stays unread for longer; some looks let what
+	// is waiting for the processor run.
 	idleRests = 200 * time.Millisecond
 	// newRests is how long a new connection may take to the end of its first header:
 	// callers open them for a request.
--- /dev/null
+++ b/daemon/quarantine_test.go
@@ -0,0 +1,56 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"pumiceford/metrics"
+	"pumiceford/quarantine"
+	"pumiceford/targets"
+)
+
+type gone struct{}
+
+func (gone) Crashed(context.Context, targets.Instance) bool { return true }
+
+// Operators see which request is held, at which crashes, and let it run again. What is no
+// key, and what is not held, is told apart.
+func TestOperatorsSeeAndClearHeldRequests(t *testing.T) {
+	ms := metrics.New("n")
+	k := quarantine.NewKeeper(quarantine.Config{Prober: gone{}, Metrics: ms})
+	key := quarantine.NewKey("", "POST", "h", "/", nil)
+	for _, id := range []string{"a", "b", "c"} {
+		k.Broke(t.Context(), quarantine.Run{Key: key, Target: targets.Instance{ID: id}})
+	}
+	h := opsHandler(ms, k)
+	call := func(method, path string) *httptest.ResponseRecorder {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequest(method, path, nil))
+		return w
+	}
+	var all []HeldRequest
+	if err := json.Unmarshal(call("GET", "/quarantine").Body.Bytes(), &all); err != nil {
+		t.Fatal(err)
+	}
+	if len(all) != 1 || all[0].Key != key.String() || !all[0].Held || len(all[0].Crashed) != 3 {
+		t.Fatalf("listed: %+v", all)
+	}
+	for _, c := range []struct {
+		path string
+		want int
+	}{
+		{"/quarantine/nonsense", http.StatusBadRequest},
+		{"/quarantine/" + key.String(), http.StatusNoContent},
+		{"/quarantine/" + key.String(), http.StatusNotFound},
+	} {
+		if w := call("DELETE", c.path); w.Code != c.want {
+			t.Errorf("%s: %d, want %d", c.path, w.Code, c.want)
+		}
+	}
+	if _, held := k.Held(key); held {
+		t.Error("still held")
+	}
+}
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -77,7 +77,7 @@
 }
 
 // idFields are the fields that name a request, job or item.
-var idFields = []string{"request", "job", "item"}
+var idFields = []string{"request", "job", "item", "key"}
 
 // margin is how long before its first line and after its last a request may have
 // been affected: an ejection or outage just before it decides where it goes.
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -23,8 +23,7 @@
 }
 
 // Apply implements store.Sink. What came together is taken as one change: when all
-// targets of a large fleet start again, each of 360 records had the whole registry
-// compared, told on and logged, and the smallest hosts were busy with it for seconds.
+// targets of a large fleet start again, each record had the whole registry compared, told on and logged, and the smallest hosts were busy with it for seconds.
 func (s targetSink) Apply(recs ...store.Record) {
 	v := s.v
 	updates := make([]registryUpdate, 0, len(recs))
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -307,7 +307,7 @@
 		m.Observe("online_first", s.route.Name, d)
 	}
 	s.g.log.Info("request ended",
-		logging.F("request", s.req.ID), logging.F("route", s.route.Name), logging.F("outcome", s.outcome),
+		logging.F("request", s.req.ID), logging.F("key", s.req.Key.String()), logging.F("route", s.route.Name), logging.F("outcome", s.outcome),
 		logging.F("instance", s.instance), logging.F("sends", s.sends), logging.F("events", s.last),
 		logging.F("returning", s.returning), logging.F("first_ms", first), logging.F("aim_ms", s.route.FirstWithin.Milliseconds()), logging.F("took_ms", now.Sub(s.req.Arrived).Milliseconds()),
 		logging.F("load", s.choice.Load), logging.F("waiting", s.choice.Waiting), logging.F("among", s.choice.Among))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -78,12 +78,12 @@
 	lookEvery   = 30 * time.Millisecond
 	// firstShare is the part of the aim for a first event after which a target
 	// with a free slot counts as silent. What is left is enough for another one,
-	// which takes some 30 ms.
+	// which begins at once.
 	firstShare = 0.7
 	// perWaiting is added to that for each request known to wait there.
 	perWaiting = 120 * time.Millisecond
 	// gapShare is the part of the aim for pauses after which a stream counts as
-	// silent. Engines that are five times slower than usual pause for 120 ms.
+	// silent. Engines that are merely slow pause for less.
 	gapShare = 0.6
 	// silentMost is the wait for a first answer where no aim is set.
 	silentMost = 2 * time.Second
@@ -135,8 +135,8 @@
 }
 
 // Route returns the route of a request, or why there is none. A process that has
-// just started waits a moment for what it needs to know: that takes some 30 ms,
-// and a caller that is told to come back loses ten times as much.
+// just started waits a moment for what it needs to know: a caller that is told to come
+// back loses much more.
 func (g *Gateway) Route(ctx context.Context, id, host, path string) (*catalog.Route, *Refusal) {
 	route, refusal := g.route(ctx, host, path)
 	if refusal != nil {
--- a/gateway/overload.go
+++ b/gateway/overload.go
@@ -12,9 +12,7 @@
 const (
 	// waitShare is the part of the aim for a first event that a request may be estimated
 	// to wait for a slot when it comes first. All that wait longer come late, and make
-	// those behind them late as well. In a replayed peak that asks for 1.3 times the
-	// slots of 180 targets, of 15,714 first events 4,165 came late, and 590 callers were
-	// turned away twice; with this bound and callers that come back as below, 1,018 and 9.
+	// those behind them late as well.
 	waitShare = 0.4
 	// backLeast and backMost are the parts of its time left after which a caller that is
 	// turned away is told to come back. Spread out, so that those of one burst do not
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -14,12 +14,10 @@
 
 // Limits of reserving.
 const (
-	// reserveTries bounds the targets asked for a slot, 3 ms each, before the request
-	// goes where it has to wait. In a replayed peak that asks for all slots of 180
-	// targets, of 12,774 first events 71 come late with six and slots reserved below
-	// five free ones; with three and below three it is 214.
+	// reserveTries bounds the targets asked for a slot before the request goes where it
+	// has to wait.
 	reserveTries = 6
-	// reserveTimeout is many times the 3 ms that a target takes.
+	// reserveTimeout is many times what a target takes.
 	reserveTimeout = 60 * time.Millisecond
 	// reserveKeep is how long a reserved slot waits for its request.
 	reserveKeep = 300 * time.Millisecond
--- a/jobroute/jobroute.go
+++ b/jobroute/jobroute.go
@@ -3,9 +3,7 @@
 //
 // Every process can answer such a call by itself, by following the partition on the
 // shared store. With callers that come to any process, all processes then come to
-// follow all partitions, and each result is read as often as there are processes: 133
-// of them before 48 partitions made 508,152 calls of the store in a minute with 3,189
-// items, and 26,552 since they do not.
+// follow all partitions, and each result is read as often as there are processes.
 // So the state of a partition is asked for where it is. When the process that runs it does
 // not answer, its backup is asked: one other process, the same for all. Only when that
 // does not answer either is the partition followed here. Who runs it comes from the
@@ -247,7 +245,7 @@
 
 // answerable reports whether there is any use in looking for a job here. In an outage who runs
 // the partitions is unsure, and whoever was asked began to follow them: when the store
-// returned, 133 processes all read nearly all partitions whole.
+// returned, all processes read nearly all partitions whole.
 func answerable(local Local, away func() bool, id string) bool {
 	return local.Has(id) || !away()
 }
--- a/jobstore/accept.go
+++ b/jobstore/accept.go
@@ -16,12 +16,11 @@
 // Bounds of taking a job in.
 const (
 	// alternates is how many other partitions may take a job in while that of its
-	// id is away. With a third of all partitions away, one job in 81 finds none.
+	// id is away: with a third of all partitions away, hardly a job finds none.
 	alternates = 3
 	// staggerLeast and staggerMost bound how long one partition is waited for before
-	// the next one is asked as well. An append takes 4 ms, one that lost two races 20;
-	// a host with a seventh of a core needs 100 to 240 for all of it, and kept one job
-	// in four twice with a fixed 100. Callers want their answer within half a second.
+	// the next one is asked as well. A small host needs many times what an append takes,
+	// and with a fixed time kept jobs twice. Callers want their answer within half a second.
 	staggerLeast = 100 * time.Millisecond
 	staggerMost  = 250 * time.Millisecond
 	// staggerTimes is what a usual try takes, times this, before another is begun.
--- a/losses/losses.go
+++ b/losses/losses.go
@@ -21,6 +21,7 @@
 	NotReady       Cause = "no catalog known"           // the process had just started
 	NoRoute        Cause = "no such route"              // none in force has the host and path
 	NoTarget       Cause = "no target"                  // no registered target might get it
+	Quarantined    Cause = "held"                       // targets crash under it
 	Overload       Cause = "refused for load"           // it would have waited too long
 	AnswerLost     Cause = "answer lost"                // it may have run and may not be repeated
 	TimeOver       Cause = "time over"                  // its time ended while it waited
--- a/losses/losses_test.go
+++ b/losses/losses_test.go
@@ -45,6 +45,7 @@
 		{losses.NotReady, []string{`01.0 e "request":"q","message":"online: request refused","outcome":"not_ready"`}},
 		{losses.NoRoute, []string{`01.0 e "request":"q","message":"online: request refused","outcome":"no_route"`}},
 		{losses.NoTarget, []string{"01.0 e " + ended("no_target", -1)}},
+		{losses.Quarantined, []string{"01.0 e " + ended("quarantined", -1)}},
 		{losses.Overload, []string{"01.0 e " + ended("overload", -1)}},
 		{losses.AnswerLost, []string{"01.0 e " + sent(""), "01.1 e " + ended("cut_lost", 20)}},
 		{losses.WaitedForSlot, []string{"01.0 e " + sent(`,"waiting":2`), "01.5 e " + ended("served", 500)}},
--- a/losses/online.go
+++ b/losses/online.go
@@ -87,6 +87,7 @@
 // refusals are the causes by the outcome that a request's last line names.
 var refusals = map[string]Cause{
 	"not_ready": NotReady, "no_route": NoRoute, "no_target": NoTarget, "overload": Overload,
+	"quarantined": Quarantined, "cut_quarantined": Quarantined,
 	"lost": AnswerLost, "cut_lost": AnswerLost, "timed_out": TimeOver, "cut_timed_out": TimeOver,
 }
 
--- a/runner/run.go
+++ b/runner/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -23,8 +22,8 @@
 
 // Bounds of one run.
 const (
-	// firstSilent is how long a target may take to begin with an item: it has a
-	// free seat, so some 40 ms are usual, five times that at a slow one.
+	// firstSilent is how long a target may take to begin with an item: it has a free
+	// seat, so also a slow one begins much sooner.
 	firstSilent = 1500 * time.Millisecond
 	// gapSilent is how long it may pause: fifty times the usual pause.
 	gapSilent = 1200 * time.Millisecond
@@ -51,8 +50,8 @@
 }
 
 // suitable leaves out the rooms that an item must not try next. A target that fails
-// everything at once always has seats free: of 1,984 items 264 were given up as
-// failed too often, three times at the same few targets. An item that has failed
+// everything at once always has seats free: items were given up as failed too often
+// that had met the same few targets each time. An item that has failed
 // goes elsewhere, and only to a target that is not in doubt, so that what is counted
 // against it are failures of its own. Where there is no other target, it waits for
 // the doubt to pass.
@@ -146,7 +145,7 @@
 	r.cfg.View.Table(func(t *balance.Table) { t.BatchBegan(began, in.ID) })
 	outcome, err := r.attempt(ctx, c, w, in)
 	if err != nil && brokenOff(ctx, err) {
-		r.broke(ctx, w, in, began)
+		r.broke(ctx, c, w, in, began)
 	}
 	r.cfg.View.Table(func(t *balance.Table) { t.BatchEnded(time.Now(), in.ID, err == nil) })
 	why := "complete"
@@ -186,12 +185,12 @@
 }
 
 // broke notes that a connection ended while the target had an item.
-func (r *Runner) broke(ctx context.Context, w *work, in targets.Instance, began time.Time) {
+func (r *Runner) broke(ctx context.Context, c candidate, w *work, in targets.Instance, began time.Time) {
 	r.mu.Lock()
 	events := w.last
 	r.mu.Unlock()
 	r.cfg.Quarantine.Broke(ctx, quarantine.Run{
-		Key: w.content, Request: fmt.Sprint(w.key.Job, "/", w.key.Item), Target: in, Events: events, Took: time.Since(began),
+		Key: w.content, Request: c.open.Item.GetId(), Target: in, Events: events, Took: time.Since(began),
 	})
 }
 
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -19,10 +19,8 @@
 	Begun bool
 }
 
-// margin is what an item that has not begun needs beyond its own time: peaks of
-// online work last some 2.4 s, and items that run have to leave for them. Of
-// 1,000 items in a replayed overload 797 are in time without it, 821 with two
-// seconds and 800 with four.
+// margin is what an item that has not begun needs beyond its own time: items that run
+// have to leave in peaks of online work, which last seconds.
 const margin = 2 * time.Second
 
 // yieldLast is added to the due time of late items where seats are asked back:
--- a/seats/agent.go
+++ b/seats/agent.go
@@ -22,16 +22,12 @@
 // Intervals of an agent.
 const (
 	// pollBusy is how often the target is asked while batch work runs there or
-	// an entry watches: a waiting online request is seen within it. In replays of four
-	// sizes the slowest hundredth of first events comes after 60 to 100 ms, some 8 ms
-	// later than with 15 ms, for two fifths fewer questions.
+	// an entry watches: a waiting online request is seen within it.
 	pollBusy = 25 * time.Millisecond
 	// pollIdle is how often while nobody asks.
 	pollIdle = 250 * time.Millisecond
 	// tellEvery bounds how often a watcher is told of a changed load. Where a slot may
-	// be gone meanwhile, one is reserved at the target itself. In replayed peaks of three
-	// sizes 100 ms make up to five times as many first events late; without a bound
-	// three of 10,000 fewer are, for a fifth more messages.
+	// be gone meanwhile, one is reserved at the target itself.
 	tellEvery = 50 * time.Millisecond
 	// tellAgain is when it is told an unchanged load, so that silence means that
 	// the agent is gone.
--- a/seats/arbiter.go
+++ b/seats/arbiter.go
@@ -26,8 +26,8 @@
 const settling = 60 * time.Millisecond
 
 // steady is how long a slot has to be free before batch work gets it. At a peak
-// each slot that comes free is needed again within some 50 ms: an item that took
-// it was asked to leave after 33 ms, ten times in a row, with nothing done.
+// each slot that comes free is needed again at once: an item that took it was asked to
+// leave before it had done anything, again and again.
 const steady = 100 * time.Millisecond
 
 // lease is one granted seat.
@@ -94,10 +94,8 @@
 // pressing is how long before it is due an item may take the slot that batch work
 // otherwise leaves free: it still has to run for three to five seconds, and two peaks of
 // online requests may cost it two and a half each. With a backlog in the whole fleet the
-// free slots are a tenth of what batch work could have. In replayed backlogs of three
-// sizes 240 of 251, 1,201 of 1,572 and 2,663 of 2,708 items are in time; with 7 s it is
-// 204, 1,180 and 2,559, with no such slot kept at all 211, 1,135 and 2,531. First events
-// late differ by less than one in a thousand.
+// free slots are much of what batch work could have, and without them items come late
+// while online requests gain nothing.
 const pressing = 12 * time.Second
 
 // Presses reports whether an item that is due at a time may take the last free
--- a/store/pace.go
+++ b/store/pace.go
@@ -27,9 +27,8 @@
 // Pace bounds the reads that a process makes for its callers beside its own duties. The
 // store's rate is shared by all processes and none knows how many they are, so each one
 // halves its own when the store turns it away, and raises it slowly otherwise. After an
-// outage 133 processes that each followed what callers asked for were turned away, and
-// with them those that ran the jobs; they went on for the half minute that was left
-// (406,629 calls of the store in a minute).
+// outage processes that all followed what callers asked for were turned away, and with
+// them those that ran the jobs, for as long as they went on.
 type Pace struct {
 	bucket *rate.Limiter
 
