--- a/explain/explain.go
+++ b/explain/explain.go
@@ -76,7 +76,7 @@
 	Around []Line
 }
 
-// idFields are the fields that name a request, job or item.
+// idFields are the fields that name a request, job or item, or all attempts at one.
 var idFields = []string{"request", "job", "item", "key"}
 
 // margin is how long before its first line and after its last a request may have
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -75,3 +75,24 @@
 		}
 	})
 }
+
+// All attempts at a request that is held, at two entries and under two ids, are found by its
+// key.
+func TestAKeyFindsAllAttempts(t *testing.T) {
+	var all []explain.Line
+	for source, text := range map[string]string{
+		"entry-1": `{"time":"2026-01-01T00:00:01Z","level":"info","key":"k","request":"r1","instance":"i-1","message":"quarantine: target crashed under a request"}` + "\n",
+		"entry-2": `{"time":"2026-01-01T00:00:02Z","level":"warn","key":"k","crashes":3,"message":"quarantine: request held: targets crash under it"}
+{"time":"2026-01-01T00:00:03Z","level":"info","key":"k","request":"r2","outcome":"quarantined","message":"online: request ended"}
+`,
+	} {
+		got, err := explain.Read(source, strings.NewReader(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		all = append(all, got...)
+	}
+	if s := explain.Find(all, "k"); len(s.Lines) != 3 {
+		t.Fatalf("%d lines", len(s.Lines))
+	}
+}
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -311,12 +311,6 @@
 	return until, now.Before(until)
 }
 
-// Suspected reports whether crashes are counted against a request, which may still run.
-func (t *Table) Suspected(key Key) bool {
-	rec := t.records[key]
-	return rec != nil && !t.guilty[key] && rec.live(nil) > 0
-}
-
 // Expire forgets what is too old to count.
 func (t *Table) Expire(now time.Time) {
 	for key, r := range t.records {
--- a/runner/quarantine_test.go
+++ b/runner/quarantine_test.go
@@ -19,7 +19,7 @@
 		time.Sleep(joined)
 		js := spec("job", 2)
 		it := js.GetItems()[0]
-	it.Body = []byte("deadly")
+		it.Body = []byte("deadly")
 		key := quarantine.NewKey(js.GetCaller(), "POST", js.GetHost(), it.GetPath(), it.GetBody())
 		for _, id := range []string{"x", "y", "z"} {
 			a.held.Broke(ctx, quarantine.Run{Key: key, Target: targets.Instance{ID: id}})
