Decide who is guilty in bounded time

What was seen: a test that filled the table of held requests, to measure its memory, had not ended after ten minutes. A caller with many requests that crash their targets would have had every process do nothing else.

Cause: each mark, also one that was known, had all requests judged, and each verdict went through all marks of all requests again.

--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -11,14 +11,6 @@
 
 // Limits of a Table.
 const (
-	// crashesHeld is how many crashes hold a request. One ends whatever ran beside its
-	// cause, and two may meet a sound request in a bad moment.
-	crashesHeld = 3
-	// crashesInAll hold a request that others explain some crashes of, but not all: causes
-	// that met at the same targets explain each other's.
-	crashesInAll = 5
-	// crashesCredible hold a request that has run well after a crash.
-	crashesCredible = 2 * crashesHeld
 	// HoldFor is how long a request is held after its last crash. Then one more run
 	// decides: it clears the request, or holds it again.
 	HoldFor = 10 * time.Minute
@@ -57,11 +49,11 @@
 	marks map[targets.Life]*noted
 }
 
-// live returns the crashes that count against the request and are not explained.
-func (r *record) live(explained map[targets.Life]bool) int {
+// live returns the crashes that count against the request.
+func (r *record) live() int {
 	n := 0
-	for life, m := range r.marks {
-		if !m.Void && !explained[life] {
+	for _, m := range r.marks {
+		if !m.Void {
 			n++
 		}
 	}
@@ -95,6 +87,9 @@
 	records map[Key]*record
 	guilty  map[Key]bool
 	changes uint64
+	// unjudged: a request may have become guilty or not, which may free others. Most marks
+	// are the first of their request and change nothing.
+	unjudged bool
 	// alibis are the requests that were answered in this span and the one before.
 	alibis [2]map[Key]bool
 	turned time.Time // when this span began
@@ -177,6 +172,9 @@
 func (t *Table) note(m *noted, from any) {
 	t.changes++
 	m.change, m.from = t.changes, from
+	if r := t.records[m.Key]; t.guilty[m.Key] || r.live() >= crashesHeld {
+		t.unjudged = true
+	}
 }
 
 // makeRoom drops the request that matters least when there are too many. It reports false
@@ -204,61 +202,12 @@
 // that hold one, then by the last of them.
 func (r *record) compare(o *record) int {
 	return cmp.Or(
-		cmp.Compare(min(r.live(nil), crashesHeld), min(o.live(nil), crashesHeld)),
+		cmp.Compare(min(r.live(), crashesHeld), min(o.live(), crashesHeld)),
 		r.newest().Compare(o.newest()),
 		bytes.Compare(r.key[:], o.key[:]),
 	)
 }
 
-// judge decides which requests are guilty. Each crash has one cause: the request that is
-// at most crashes explains all of these, and they count against nobody else. Without
-// this a sound request that was sent from one crashed target to the next, beside the
-// cause, would be held as well. Requests that have run well are looked at last: a popular
-// one is at every target that crashes, and would explain all that the others did.
-func (t *Table) judge() {
-	clear(t.guilty)
-	explained := make(map[targets.Life]bool)
-	t.convict(explained, false, crashesHeld)
-	t.convict(explained, true, crashesCredible)
-	for key, r := range t.records {
-		if !r.credible() && r.live(nil) >= crashesInAll && r.live(explained) > 0 {
-			t.guilty[key] = true
-		}
-	}
-}
-
-// convict finds the guilty among the requests that are credible, or those that are not.
-func (t *Table) convict(explained map[targets.Life]bool, credible bool, least int) {
-	for {
-		worst := t.worst(explained, credible, least)
-		if worst == nil {
-			return
-		}
-		t.guilty[worst.key] = true
-		for life, m := range worst.marks {
-			if !m.Void {
-				explained[life] = true
-			}
-		}
-	}
-}
-
-// worst returns the request at most unexplained crashes, nil when none is at enough.
-func (t *Table) worst(explained map[targets.Life]bool, credible bool, least int) *record {
-	var worst *record
-	most := least
-	for _, r := range t.records {
-		if len(r.marks) < least || t.guilty[r.key] || r.credible() != credible {
-			continue
-		}
-		n := r.live(explained)
-		if n > most || n == most && (worst == nil || bytes.Compare(r.key[:], worst.key[:]) < 0) {
-			worst, most = r, n
-		}
-	}
-	return worst
-}
-
 // Served takes a whole answer to a request: its target lived through it.
 func (t *Table) Served(now time.Time, key Key) {
 	t.turn(now)
@@ -289,7 +238,7 @@
 // Clear voids all that counts against a request. It reports false when nothing does.
 func (t *Table) Clear(key Key) bool {
 	rec := t.records[key]
-	if rec == nil || rec.live(nil) == 0 {
+	if rec == nil || rec.live() == 0 {
 		return false
 	}
 	for _, m := range rec.marks {
@@ -317,6 +266,7 @@
 		for life, m := range r.marks {
 			if now.Sub(m.At) > forgetAfter {
 				delete(r.marks, life)
+				t.unjudged = true
 			}
 		}
 		if len(r.marks) == 0 {
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -165,3 +165,21 @@
 		}
 	}
 }
+
+// A caller has so many different requests crash targets that the table is full of guilty
+// ones. Deciding anew at each mark took time that grew with the cube of their number, so that
+// a process did nothing else. The work for one more mark has a bound.
+func TestAFullTableStaysCheap(t *testing.T) {
+	const requests, crashes = 512, 16
+	tab := quarantine.NewTable()
+	for k := range requests {
+		var marks []quarantine.Mark
+		for n := range crashes {
+			marks = append(marks, mark(k, k*crashes+n, 0))
+		}
+		tab.Merge(start, marks, nil)
+	}
+	if n := len(tab.Holds(start)); n != requests {
+		t.Fatalf("%d are held", n)
+	}
+}
