--- a/seats/agent_test.go
+++ b/seats/agent_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"runtime"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -243,3 +244,28 @@
 		}
 	})
 }
+
+// A target crashed under a request, two entries told its agent of it, and it was back within
+// two seconds. The new one was in doubt for what the old one had done: with few others left
+// it got the requests last.
+func TestANewLifeOfATargetIsNotDoubted(t *testing.T) {
+	bubble(t, func(ctx context.Context, t *testing.T) {
+		p := connect(ctx, seats.Load{Active: 1})
+		var witnesses atomic.Uint32
+		go seats.Watch(ctx, p.peer, target, func(l *wire.Load) { witnesses.Store(l.GetWitnesses()) })
+		const settles = 450 * time.Millisecond
+		time.Sleep(settles)
+		seats.TellFault(p.peer, "a")
+		seats.TellFault(p.peer, "b")
+		p.gauge.set(seats.Load{}, true)
+		time.Sleep(settles)
+		if n := witnesses.Load(); n != 2 {
+			t.Errorf("%d entries told of failures of the old one", n)
+		}
+		p.gauge.set(seats.Load{}, false)
+		time.Sleep(settles)
+		if n := witnesses.Load(); n != 0 {
+			t.Errorf("%d entries told of failures of the new one", n)
+		}
+	})
+}
