Doubt no target for what the one before it on the same host did

What callers saw: after a target crashed, entries had told its agent of failures; a target that was back there within two seconds counted as doubtful for all entries, so requests went to it last while the others did its work. Cause: an agent counts who told of failures by entry, and told the count of whatever runs beside it. Now what was told before the target last failed to answer is dropped when it answers again. Ruled out: entries' own doubts and ejections, which are kept by life.

--- a/seats/agent.go
+++ b/seats/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -58,6 +59,7 @@
 	arbiter *Arbiter
 	asked   map[uint64]chan struct{} // closed to ask for the seat back
 	heard   time.Time                // last answer of the target
+	unheard time.Time                // last time that it did not answer
 	silent  bool                     // it has not answered for staleAfter
 	room    int                      // seats that could be granted then
 	users   int                      // open watches and seats
@@ -151,6 +153,11 @@
 	defer a.mu.Unlock()
 	a.heard = time.Now()
 	same := a.arbiter.Load() == load && !a.silent
+	if a.silent {
+		// It may have started again: what failed before says nothing of the new one, which
+		// would get requests last while the others do its work.
+		maps.DeleteFunc(a.witnesses, func(_ string, at time.Time) bool { return at.Before(a.unheard) })
+	}
 	a.silent = false
 	before := a.room
 	for _, id := range a.arbiter.Report(a.heard, load) {
@@ -171,6 +178,7 @@
 func (a *Agent) noAnswer() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.unheard = time.Now()
 	if !a.silent && time.Since(a.heard) > staleAfter {
 		a.silent = true
 		a.wakeLocked()
