Weigh a crash less for what had begun to answer, and wait shortly before the first refusal

Cause: all that ran at a crashed target counted alike, and three crashes came within 15 ms, before the word of its answers at another entry. Ruled out: that answers do not clear it (they did, 10 ms later), that the other one was not found (it was, 4 ms later).

A mark now says whether the answer had begun, and counts half if so: what crashes targets does as they begin, what runs beside it mostly has begun. A request that crashes targets later is held after six crashes, the three that are allowed after the third included.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -233,6 +233,7 @@
 			return finished
 		}
 		s.last = max(s.last, ev.ID)
+		s.got++
 	}
 }
 
@@ -258,7 +259,7 @@
 // broke notes that a connection ended while the target had the request.
 func (s *serving) broke(in targets.Instance) {
 	s.g.quarantine.Broke(s.ctx, quarantine.Run{
-		Key: s.req.Key, Request: s.req.ID, Target: in, Events: s.last, Took: time.Since(s.sentAt),
+		Key: s.req.Key, Request: s.req.ID, Target: in, Events: s.got, Took: time.Since(s.sentAt),
 	})
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -205,6 +205,7 @@
 	sentAt   time.Time // of the last send
 	started  bool      // status and header were sent to the caller
 	last     uint64
+	got      uint64    // events of the last send
 	firstAt  time.Time // first event or answer
 	outcome  string
 	instance string
@@ -240,6 +241,7 @@
 	// Looked at before each send: the targets that this very request met may have been
 	// the last that were needed to tell. Without it one request that its caller repeats
 	// crashes a service as fast as its targets come back.
+	s.g.quarantine.Settle(s.ctx, s.req.Key)
 	if left, held := s.g.quarantine.Held(s.req.Key); held {
 		s.giveUp(Quarantined, left)
 		return balance.Choice{}, false
@@ -300,7 +302,7 @@
 		s.g.view.Table(func(t *balance.Table) { t.Ended(time.Now(), c.Instance.ID, whole) })
 	}()
 	s.sends++
-	s.sentAt = time.Now()
+	s.sentAt, s.got = time.Now(), 0
 	s.runs++ // until the target says otherwise
 	call := s.req.Call
 	call.After = max(call.After, s.last)
--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -25,6 +25,9 @@
 	// has ended refuses a connection within a round trip.
 	probeTimeout = 100 * time.Millisecond
 	expireEvery  = time.Second
+	// settleFor is how long after the word that holds a request another process may still
+	// tell what clears it: an answer there, or the cause of the same crashes.
+	settleFor = 150 * time.Millisecond
 )
 
 // Config says what a Keeper works with.
@@ -42,13 +45,13 @@
 
 	mu      sync.Mutex
 	table   *Table
-	held    map[Key]bool  // as it was told last
-	changed chan struct{} // closed and replaced when the table changes
+	held    map[Key]time.Time // since when, as it was told last
+	changed chan struct{}     // closed and replaced when the table changes
 }
 
 // NewKeeper returns a Keeper that knows nothing.
 func NewKeeper(cfg Config) *Keeper {
-	return &Keeper{cfg: cfg, table: NewTable(), held: make(map[Key]bool), changed: make(chan struct{})}
+	return &Keeper{cfg: cfg, table: NewTable(), held: make(map[Key]time.Time), changed: make(chan struct{})}
 }
 
 // Run forgets what is too old until ctx ends.
@@ -73,7 +76,7 @@
 	Key     Key
 	Request string // id of the request or item
 	Target  targets.Instance
-	Events  uint64        // that had come when it ended
+	Events  uint64        // that had come of this run when it ended
 	Took    time.Duration // since it was sent
 }
 
@@ -89,7 +92,7 @@
 	k.cfg.Log.Info("target crashed under a request", logging.F("key", r.Key.String()), logging.F("request", r.Request),
 		logging.F("instance", r.Target.ID), logging.F("events", r.Events), logging.F("took_ms", r.Took.Milliseconds()))
 	k.change("crashes that another request explains", func(now time.Time) {
-		k.table.Add(now, Mark{Key: r.Key, Target: r.Target.Life(), At: now})
+		k.table.Add(now, Mark{Key: r.Key, Target: r.Target.Life(), At: now, Answered: r.Events > 0})
 	})
 	return true
 }
@@ -123,6 +126,19 @@
 	return until.Sub(now), held
 }
 
+// Settle waits, shortly, while others may still clear a request that has just been held.
+func (k *Keeper) Settle(ctx context.Context, key Key) {
+	if !k.some.Load() {
+		return
+	}
+	k.mu.Lock()
+	since, held := k.held[key]
+	k.mu.Unlock()
+	if held {
+		_ = wait.For(ctx, settleFor-time.Since(since)) // Held tells what came of it
+	}
+}
+
 // Cases returns the requests that crashes are counted against.
 func (k *Keeper) Cases() []Case {
 	k.mu.Lock()
@@ -175,15 +191,17 @@
 
 // turnLocked returns what is held now and was not, and the reverse. k.mu is held.
 func (k *Keeper) turnLocked(now time.Time) (held, released []Key) {
-	is := make(map[Key]bool)
+	is := make(map[Key]time.Time)
 	for _, key := range k.table.Holds(now) {
-		is[key] = true
-		if !k.held[key] {
+		since, before := k.held[key]
+		if !before {
+			since = now
 			held = append(held, key)
 		}
+		is[key] = since
 	}
 	for key := range k.held {
-		if !is[key] {
+		if _, still := is[key]; !still {
 			released = append(released, key)
 		}
 	}
--- a/quarantine/spread.go
+++ b/quarantine/spread.go
@@ -14,7 +14,7 @@
 const (
 	// spreadEvery gathers what a crash brings into one message. All that ran at a target
 	// is told by as many entries within milliseconds.
-	spreadEvery = 20 * time.Millisecond
+	spreadEvery = 10 * time.Millisecond
 	// followPause is left between attempts to reach an agent.
 	followPause = 200 * time.Millisecond
 	// marksPerMessage bounds one message to some 20 KB.
@@ -74,7 +74,7 @@
 	out := &wire.Marks{}
 	for _, m := range marks {
 		out.Marks = append(out.Marks, &wire.Mark{
-			Key: m.Key[:], Instance: m.Target.ID, Born: m.Target.Born, AtUnixMs: m.At.UnixMilli(), Void: m.Void,
+			Key: m.Key[:], Instance: m.Target.ID, Born: m.Target.Born, AtUnixMs: m.At.UnixMilli(), Answered: m.Answered, Void: m.Void,
 		})
 	}
 	return out
@@ -89,7 +89,7 @@
 		}
 		out = append(out, Mark{
 			Key: Key(m.GetKey()), Target: targets.Life{ID: m.GetInstance(), Born: m.GetBorn()},
-			At: time.UnixMilli(m.GetAtUnixMs()), Void: m.GetVoid(),
+			At: time.UnixMilli(m.GetAtUnixMs()), Answered: m.GetAnswered(), Void: m.GetVoid(),
 		})
 	}
 	return out
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -32,7 +32,10 @@
 	Key    Key
 	Target targets.Life
 	At     time.Time
-	Void   bool // a run of the request has ended well since, or an operator cleared it
+	// Answered: its answer had begun. A request that crashes its targets mostly does as
+	// they begin with it, and what runs beside it mostly has begun to answer.
+	Answered bool
+	Void     bool // a run of the request has ended well since, or an operator cleared it
 }
 
 // noted is a Mark as a Table has it.
@@ -49,12 +52,12 @@
 	marks map[targets.Life]*noted
 }
 
-// live returns the crashes that count against the request.
-func (r *record) live() int {
+// weight returns how much counts against the request.
+func (r *record) weight() int {
 	n := 0
 	for _, m := range r.marks {
 		if !m.Void {
-			n++
+			n += m.weight()
 		}
 	}
 	return n
@@ -134,10 +137,11 @@
 	case old == nil:
 		old = &noted{Mark: m, own: own}
 		rec.marks[m.Target] = old
-	case !m.Void || old.Void:
+	case (!m.Void || old.Void) && (!m.Answered || old.Answered):
 		return // nothing new
 	}
-	old.Void = m.Void
+	old.Void = old.Void || m.Void
+	old.Answered = old.Answered || m.Answered
 	if t.records[m.Key] == nil && !t.makeRoom(rec) {
 		return
 	}
@@ -172,7 +176,7 @@
 func (t *Table) note(m *noted, from any) {
 	t.changes++
 	m.change, m.from = t.changes, from
-	if r := t.records[m.Key]; t.guilty[m.Key] || r.live() >= crashesHeld {
+	if r := t.records[m.Key]; t.guilty[m.Key] || r.weight() >= weightHeld {
 		t.unjudged = true
 	}
 }
@@ -202,7 +206,7 @@
 // that hold one, then by the last of them.
 func (r *record) compare(o *record) int {
 	return cmp.Or(
-		cmp.Compare(min(r.live(), crashesHeld), min(o.live(), crashesHeld)),
+		cmp.Compare(min(r.weight(), weightHeld), min(o.weight(), weightHeld)),
 		r.newest().Compare(o.newest()),
 		bytes.Compare(r.key[:], o.key[:]),
 	)
@@ -238,7 +242,7 @@
 // Clear voids all that counts against a request. It reports false when nothing does.
 func (t *Table) Clear(key Key) bool {
 	rec := t.records[key]
-	if rec == nil || rec.live() == 0 {
+	if rec == nil || rec.weight() == 0 {
 		return false
 	}
 	for _, m := range rec.marks {
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -34,6 +34,7 @@
 		one := rapid.Custom(func(t *rapid.T) quarantine.Mark {
 			m := mark(rapid.IntRange(0, 4).Draw(t, "key"), rapid.IntRange(0, 9).Draw(t, "target"), 0)
 			m.At = m.At.Add(time.Duration(len(m.Target.ID)) * time.Second) // the same wherever it is told
+			m.Answered = rapid.Bool().Draw(t, "answered")
 			m.Void = rapid.IntRange(0, 5).Draw(t, "void") == 0
 			return m
 		})
@@ -183,3 +184,21 @@
 		t.Fatalf("%d are held", n)
 	}
 }
+
+// A popular request was at three crashes of another's making, at two of them with six and
+// five events of its answer already there, and was held. What had begun to answer counts
+// half; a request that crashes its targets later than that is held after twice as many.
+func TestWhatHadBegunToAnswerCountsHalf(t *testing.T) {
+	tab := quarantine.NewTable()
+	for n := range 6 {
+		if _, held := tab.Held(start, keyed(1)); held {
+			t.Fatalf("held after %d crashes", n)
+		}
+		m := mark(1, n, 0)
+		m.Answered = true
+		tab.Add(start, m)
+	}
+	if _, held := tab.Held(start, keyed(1)); !held {
+		t.Error("not held after six crashes")
+	}
+}
--- a/runner/run.go
+++ b/runner/run.go
@@ -145,7 +145,7 @@
 	r.cfg.View.Table(func(t *balance.Table) { t.BatchBegan(began, in.ID) })
 	outcome, err := r.attempt(ctx, c, w, in)
 	if err != nil && brokenOff(ctx, err) {
-		r.broke(ctx, c, w, in, began)
+		r.broke(ctx, c, w, in, from, began)
 	}
 	r.cfg.View.Table(func(t *balance.Table) { t.BatchEnded(time.Now(), in.ID, err == nil) })
 	why := "complete"
@@ -185,9 +185,9 @@
 }
 
 // broke notes that a connection ended while the target had an item.
-func (r *Runner) broke(ctx context.Context, c candidate, w *work, in targets.Instance, began time.Time) {
+func (r *Runner) broke(ctx context.Context, c candidate, w *work, in targets.Instance, from uint64, began time.Time) {
 	r.mu.Lock()
-	events := w.last
+	events := w.last - from
 	r.mu.Unlock()
 	r.cfg.Quarantine.Broke(ctx, quarantine.Run{
 		Key: w.content, Request: c.open.Item.GetId(), Target: in, Events: events, Took: time.Since(began),
