--- a/quarantine/judge.go
+++ b/quarantine/attribute.go
@@ -30,18 +30,18 @@
 	return weightSilent
 }
 
-// judge decides which requests are guilty. Each crash has one cause: the request whose
+// attribute decides which requests are the culprits. Each crash has one cause: the request whose
 // crashes weigh most explains all of these, and they count less against the others. Without
 // this a sound request that was sent from one crashed target to the next, beside the
 // cause, would be held as well. Requests that have run well are looked at last: a popular
 // one is at every target that crashes, and would explain all that the others did.
-func (t *Table) judge() {
-	if !t.unjudged {
+func (t *Table) attribute() {
+	if !t.outdated {
 		return
 	}
-	t.unjudged = false
-	clear(t.guilty)
-	fresh, credible := newTrial(), newTrial()
+	t.outdated = false
+	clear(t.culprits)
+	fresh, credible := newAttribution(), newAttribution()
 	for _, r := range t.records {
 		switch {
 		case r.weight() < weightHeld:
@@ -51,82 +51,82 @@
 			fresh.add(r)
 		}
 	}
-	fresh.convict(weightHeld, t.guilty)
+	fresh.findCulprits(weightHeld, t.culprits)
 	for life := range fresh.explained {
 		credible.explain(life)
 	}
-	credible.convict(weightCredible, t.guilty)
+	credible.findCulprits(weightCredible, t.culprits)
 }
 
-// trial finds the guilty among some requests.
-type trial struct {
+// attribution finds the culprits among some requests.
+type attribution struct {
 	suspects  []*suspect
 	at        map[targets.Life][]*suspect
 	explained map[targets.Life]bool
 }
 
-// suspect is a request in a trial.
+// suspect is a request that may be a culprit.
 type suspect struct {
-	key    Key
-	lives  []targets.Life
-	weight int // of its crashes, less what others explain
-	guilty bool
+	key     Key
+	lives   []targets.Life
+	weight  int // of its crashes, less what others explain
+	culprit bool
 }
 
-func newTrial() *trial {
-	return &trial{at: make(map[targets.Life][]*suspect), explained: make(map[targets.Life]bool)}
+func newAttribution() *attribution {
+	return &attribution{at: make(map[targets.Life][]*suspect), explained: make(map[targets.Life]bool)}
 }
 
-func (tr *trial) add(r *record) {
+func (a *attribution) add(r *record) {
 	s := &suspect{key: r.key}
 	for life, m := range r.marks {
 		if !m.Void {
 			s.lives = append(s.lives, life)
-			tr.at[life] = append(tr.at[life], s)
+			a.at[life] = append(a.at[life], s)
 			s.weight += m.weight()
 		}
 	}
-	tr.suspects = append(tr.suspects, s)
+	a.suspects = append(a.suspects, s)
 }
 
 // explain takes a crash whose cause is known.
-func (tr *trial) explain(life targets.Life) {
-	if tr.explained[life] {
+func (a *attribution) explain(life targets.Life) {
+	if a.explained[life] {
 		return
 	}
-	tr.explained[life] = true
-	for _, s := range tr.at[life] {
+	a.explained[life] = true
+	for _, s := range a.at[life] {
 		s.weight -= weightExplained
 	}
 }
 
-// convict adds those whose crashes weigh at least so much to the guilty, the heaviest
+// findCulprits adds those whose crashes weigh at least so much to the culprits, the heaviest
 // first.
-func (tr *trial) convict(least int, guilty map[Key]bool) {
+func (a *attribution) findCulprits(least int, culprits map[Key]bool) {
 	for {
-		worst := tr.worst(least)
-		if worst == nil {
+		heaviest := a.heaviest(least)
+		if heaviest == nil {
 			return
 		}
-		worst.guilty = true
-		guilty[worst.key] = true
-		for _, life := range worst.lives {
-			tr.explain(life)
+		heaviest.culprit = true
+		culprits[heaviest.key] = true
+		for _, life := range heaviest.lives {
+			a.explain(life)
 		}
 	}
 }
 
-// worst returns the request whose crashes weigh most, nil when none is enough.
-func (tr *trial) worst(least int) *suspect {
-	var worst *suspect
+// heaviest returns the request whose crashes weigh most, nil when none is enough.
+func (a *attribution) heaviest(least int) *suspect {
+	var heaviest *suspect
 	most := least
-	for _, s := range tr.suspects {
-		if s.guilty {
+	for _, s := range a.suspects {
+		if s.culprit {
 			continue
 		}
-		if s.weight > most || s.weight == most && (worst == nil || bytes.Compare(s.key[:], worst.key[:]) < 0) {
-			worst, most = s, s.weight
+		if s.weight > most || s.weight == most && (heaviest == nil || bytes.Compare(s.key[:], heaviest.key[:]) < 0) {
+			heaviest, most = s, s.weight
 		}
 	}
-	return worst
+	return heaviest
 }
--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -40,8 +40,8 @@
 // Keeper is the Table of a process. All methods are safe for concurrent use; mu is held
 // for memory only.
 type Keeper struct {
-	cfg  Config
-	some atomic.Bool // a request is held; spares all others the lock
+	cfg     Config
+	anyHeld atomic.Bool // a request is held; spares all others the lock
 
 	mu      sync.Mutex
 	table   *Table
@@ -116,7 +116,7 @@
 
 // Held reports whether a request must not run now, and for how long.
 func (k *Keeper) Held(key Key) (left time.Duration, held bool) {
-	if !k.some.Load() {
+	if !k.anyHeld.Load() {
 		return 0, false
 	}
 	now := time.Now()
@@ -128,7 +128,7 @@
 
 // Settle waits, shortly, while others may still clear a request that has just been held.
 func (k *Keeper) Settle(ctx context.Context, key Key) {
-	if !k.some.Load() {
+	if !k.anyHeld.Load() {
 		return
 	}
 	k.mu.Lock()
@@ -164,7 +164,7 @@
 	k.mu.Lock()
 	before := k.table.Changes()
 	fn(now)
-	held, released := k.turnLocked(now)
+	held, released := k.heldDiffLocked(now)
 	var cases []Case
 	if len(held) > 0 {
 		cases = k.table.Cases(now)
@@ -189,8 +189,8 @@
 	}
 }
 
-// turnLocked returns what is held now and was not, and the reverse. k.mu is held.
-func (k *Keeper) turnLocked(now time.Time) (held, released []Key) {
+// heldDiffLocked returns what is held now and was not, and the reverse. k.mu is held.
+func (k *Keeper) heldDiffLocked(now time.Time) (held, released []Key) {
 	is := make(map[Key]time.Time)
 	for _, key := range k.table.Holds(now) {
 		since, before := k.held[key]
@@ -206,6 +206,6 @@
 		}
 	}
 	k.held = is
-	k.some.Store(len(is) > 0)
+	k.anyHeld.Store(len(is) > 0)
 	return held, released
 }
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -19,11 +19,11 @@
 	// keysMost and marksMost bound memory and what a process that joins is told.
 	keysMost  = 512
 	marksMost = 16
-	// alibiFor is how long a whole answer speaks for a request at least, against crashes
+	// answerFor is how long a whole answer speaks for a request at least, against crashes
 	// that are told of later: a popular one is at each target that crashes.
-	alibiFor = 5 * time.Second
-	// alibisMost bounds the answers that are remembered, in each of two spans.
-	alibisMost = 4096
+	answerFor = 5 * time.Second
+	// answersMost bounds the answers that are remembered, in each of two spans.
+	answersMost = 4096
 )
 
 // Mark says that a request was at a target when that crashed. Marks only ever become
@@ -87,26 +87,26 @@
 // Table holds the crashes that requests were seen at and decides which requests are
 // held. It is pure and not safe for concurrent use.
 type Table struct {
-	records map[Key]*record
-	guilty  map[Key]bool
-	changes uint64
-	// unjudged: a request may have become guilty or not, which may free others. Most marks
+	records  map[Key]*record
+	culprits map[Key]bool
+	changes  uint64
+	// outdated: a request may have become a culprit or not, which may free others. Most marks
 	// are the first of their request and change nothing.
-	unjudged bool
-	// alibis are the requests that were answered in this span and the one before.
-	alibis [2]map[Key]bool
-	turned time.Time // when this span began
+	outdated bool
+	// answers are the requests that were answered in this span and the one before.
+	answers [2]map[Key]bool
+	rotated time.Time // when this span began
 }
 
 // NewTable returns an empty Table.
 func NewTable() *Table {
-	return &Table{records: make(map[Key]*record), guilty: make(map[Key]bool), alibis: [2]map[Key]bool{{}, {}}}
+	return &Table{records: make(map[Key]*record), culprits: make(map[Key]bool), answers: [2]map[Key]bool{{}, {}}}
 }
 
 // Add takes a crash that this process saw.
 func (t *Table) Add(now time.Time, m Mark) {
 	t.take(now, m, nil, true)
-	t.judge()
+	t.attribute()
 }
 
 // Merge takes what somebody else tells.
@@ -114,7 +114,7 @@
 	for _, m := range marks {
 		t.take(now, m, from, false)
 	}
-	t.judge()
+	t.attribute()
 }
 
 // take notes one mark.
@@ -179,8 +179,8 @@
 func (t *Table) note(m *noted, from any) {
 	t.changes++
 	m.change, m.from = t.changes, from
-	if r := t.records[m.Key]; t.guilty[m.Key] || r.weight() >= weightHeld {
-		t.unjudged = true
+	if r := t.records[m.Key]; t.culprits[m.Key] || r.weight() >= weightHeld {
+		t.outdated = true
 	}
 }
 
@@ -201,7 +201,7 @@
 		return false
 	}
 	delete(t.records, least.key)
-	delete(t.guilty, least.key)
+	delete(t.culprits, least.key)
 	return true
 }
 
@@ -217,29 +217,29 @@
 
 // Served takes a whole answer to a request: its target lived through it.
 func (t *Table) Served(now time.Time, key Key) {
-	t.turn(now)
-	if len(t.alibis[0]) < alibisMost {
-		t.alibis[0][key] = true
+	t.rotate(now)
+	if len(t.answers[0]) < answersMost {
+		t.answers[0][key] = true
 	}
 	t.Clear(key)
 }
 
-// turn begins a new span of answers when the last one is over.
-func (t *Table) turn(now time.Time) {
-	if now.Sub(t.turned) < alibiFor {
+// rotate begins a new span of answers when the last one is over.
+func (t *Table) rotate(now time.Time) {
+	if now.Sub(t.rotated) < answerFor {
 		return
 	}
-	if now.Sub(t.turned) > 2*alibiFor {
-		t.alibis[0] = map[Key]bool{}
+	if now.Sub(t.rotated) > 2*answerFor {
+		t.answers[0] = map[Key]bool{}
 	}
-	t.alibis[0], t.alibis[1] = map[Key]bool{}, t.alibis[0]
-	t.turned = now
+	t.answers[0], t.answers[1] = map[Key]bool{}, t.answers[0]
+	t.rotated = now
 }
 
 // answered reports whether a request had a whole answer lately.
 func (t *Table) answered(now time.Time, key Key) bool {
-	t.turn(now)
-	return t.alibis[0][key] || t.alibis[1][key]
+	t.rotate(now)
+	return t.answers[0][key] || t.answers[1][key]
 }
 
 // Clear voids all that counts against a request. It reports false when nothing does.
@@ -254,13 +254,13 @@
 			t.note(m, nil)
 		}
 	}
-	t.judge()
+	t.attribute()
 	return true
 }
 
 // Held reports whether a request must not run now, and until when.
 func (t *Table) Held(now time.Time, key Key) (until time.Time, held bool) {
-	if !t.guilty[key] {
+	if !t.culprits[key] {
 		return time.Time{}, false
 	}
 	until = t.records[key].newest().Add(HoldFor)
@@ -273,20 +273,20 @@
 		for life, m := range r.marks {
 			if now.Sub(m.At) > forgetAfter {
 				delete(r.marks, life)
-				t.unjudged = true
+				t.outdated = true
 			}
 		}
 		if len(r.marks) == 0 {
 			delete(t.records, key)
 		}
 	}
-	t.judge()
+	t.attribute()
 }
 
 // Holds returns the requests that are held now.
 func (t *Table) Holds(now time.Time) []Key {
 	var out []Key
-	for key := range t.guilty {
+	for key := range t.culprits {
 		if _, held := t.Held(now, key); held {
 			out = append(out, key)
 		}
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -167,7 +167,7 @@
 	}
 }
 
-// A caller has so many different requests crash targets that the table is full of guilty
+// A caller has so many different requests crash targets that the table is full of held
 // ones. Deciding anew at each mark took time that grew with the cube of their number, so that
 // a process did nothing else. The work for one more mark has a bound.
 func TestAFullTableStaysCheap(t *testing.T) {
