Keep leases through a store outage of two thirds of their length

Cause: a view was renewed only once it was a third of a lease old, so that up to 1.75 s of the lease were gone when the outage began; and after it the renewal waited behind a read that hung for its whole time-out of 1 s. 1.75 + 3 + 1.25 s is over 4.5 s. Ruled out: the follower's back-off (the renewal does not go through it).

Now a view is renewed from a seventh of its lease on, each check starts a read of its own, and nobody waits over 100 ms for the read of another.

TestOwnersActThroughStoreOutage and TestKeysAreAcceptedThroughStoreOutage play the outage at each phase of the renewal and failed before.

--- a/access/access.go
+++ b/access/access.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"pumiceford/catalog"
+	"pumiceford/store"
 )
 
 // Bounds of authentication.
@@ -200,21 +201,22 @@
 	return a.cfg.Clock() - at
 }
 
-// Renew confirms the configuration well before the lease expires, if keys are in use. It is
-// called several times within each lease.
-func (a *Authenticator) Renew(ctx context.Context) error {
-	cat := a.cfg.Catalog()
-	if a.lease <= 0 || cat == nil || !cat.RequiresKey() {
-		return nil
+// KeepLease confirms the configuration well before the lease expires, as long as keys are in
+// use, until ctx ends. It calls onFailure for each read that fails.
+func (a *Authenticator) KeepLease(ctx context.Context, onFailure func()) {
+	if a.lease <= 0 {
+		return
 	}
-	return a.cfg.Source.Confirm(ctx, a.lease/renewDivisor)
+	store.KeepConfirmed(ctx, a.lease, func(ctx context.Context) {
+		if cat := a.cfg.Catalog(); cat == nil || !cat.RequiresKey() {
+			return
+		}
+		if a.cfg.Source.Confirm(ctx, store.RenewAfter(a.lease)) != nil {
+			onFailure()
+		}
+	})
 }
 
-// renewDivisor is the ratio of the lease to the age at which it is renewed. The rest of the lease
-// covers the time in which the store is unresponsive and no connection through a peer has been
-// found yet.
-const renewDivisor = 3
-
 // ConfigAge returns the time since the last confirmation. It reports false if there was none.
 func (a *Authenticator) ConfigAge() (time.Duration, bool) {
 	age := a.age()
--- a/access/access_test.go
+++ b/access/access_test.go
@@ -68,12 +68,7 @@
 	h.follower = store.NewFollower(failover, configPartition, h, store.FollowerConfig{Wait: 2 * time.Second, Clock: h.clock})
 	h.auth = NewAuthenticator(Config{Catalog: h.current.Get, Source: h.follower, KeyLease: keyLease, Clock: h.clock})
 	go h.follower.Run(ctx)
-	go func() {
-		for ctx.Err() == nil {
-			_ = h.auth.Renew(ctx) // a failure shows in refused requests
-			time.Sleep(250 * time.Millisecond)
-		}
-	}()
+	go h.auth.KeepLease(ctx, func() {}) // a failure shows in refused requests
 	return h
 }
 
@@ -175,7 +170,7 @@
 			time.Sleep(time.Second / perSecond)
 		}
 		all.Wait()
-		maxCalls := int(seconds*time.Second/minRefreshInterval) + seconds*5 // plus the calls of the follower and of Renew
+		maxCalls := int(seconds*time.Second/minRefreshInterval) + seconds*5 // plus the calls of the follower and of KeepLease
 		if got := s.CallCount() - before; got > maxCalls {
 			t.Errorf("got %d calls to the store for %d unknown keys", got, seconds*perSecond)
 		}
@@ -362,3 +357,24 @@
 		}
 	}
 }
+
+// Guards against callers that are refused although the store does not respond for less than
+// the time in which they are owed a response.
+func TestKeysAreAcceptedThroughStoreOutage(t *testing.T) {
+	const outage = 3 * time.Second // 0.6 of keyLease
+	for phase := time.Duration(0); phase < 2*time.Second; phase += 50 * time.Millisecond {
+		inVirtualTime(t, func(ctx context.Context, t *testing.T) {
+			s := sharedstore.New(1)
+			h := newTestHost(ctx, s)
+			h.put("a")
+			time.Sleep(10*time.Second + phase)
+			s.SetFault(hostName, sharedstore.NoResponse)
+			time.AfterFunc(outage, func() { s.SetFault(hostName, sharedstore.NoFault) })
+			for since := time.Now(); time.Since(since) < outage+2*time.Second; time.Sleep(20 * time.Millisecond) {
+				if err := h.identify(ctx, "a"); err != nil {
+					t.Fatalf("outage at %s: refused after %s: %v", phase, time.Since(since), err)
+				}
+			}
+		})
+	}
+}
--- a/daemon/background.go
+++ b/daemon/background.go
@@ -83,18 +83,14 @@
 		n.metrics.SetGauge("partitions_followed", float64(n.jobs.FollowedPartitions()))
 		n.metrics.SetGauge("caller_reads_per_second", n.jobs.CallerReadRate())
 		n.metrics.SetGauge("catalog_seconds", n.view.CatalogAge(now).Seconds())
-	}
-}
-
-// renewKeyLease keeps the configuration confirmed while keys are in use. A failure is
-// counted but not logged: it shows in the requests that are refused because of it.
-func (n *entryNode) renewKeyLease(ctx context.Context) {
-	for wait.For(ctx, keyRenewInterval) == nil {
-		if err := n.access.Renew(ctx); err != nil {
-			n.metrics.Count("configuration_not_confirmed")
-		}
 		if age, ok := n.access.ConfigAge(); ok {
 			n.metrics.SetGauge("configuration_confirmed_seconds_ago", age.Seconds())
 		}
 	}
 }
+
+// keepKeyLease keeps the configuration confirmed while keys are in use. A failure is
+// counted but not logged: it shows in the requests that are refused because of it.
+func (n *entryNode) keepKeyLease(ctx context.Context) {
+	n.access.KeepLease(ctx, func() { n.metrics.Count("configuration_not_confirmed") })
+}
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -91,11 +91,9 @@
 	expireInterval = 200 * time.Millisecond
 	ownersInterval = 4 * time.Second
 	fetchInterval  = 100 * time.Millisecond
-	// readsPerKeyLease is the number of configuration reads that fit in one key lease.
-	readsPerKeyLease = 4
-	// keyRenewInterval is the time between two checks whether the configuration has to be
-	// confirmed again.
-	keyRenewInterval = 250 * time.Millisecond
+	// readsPerKeyLease is the number of configuration reads that fit in one key lease. They
+	// bring a new configuration early; the lease is kept by reads of its own.
+	readsPerKeyLease = 3
 	// registryStartWait is how long a new process waits for the catalog and the registry
 	// before it loads a copy of the fleet.
 	registryStartWait = 50 * time.Millisecond
@@ -219,8 +217,7 @@
 	return n, nil
 }
 
-// configReadWait returns how long a read of the configuration waits for records. With a
-// key lease it is short enough that the reads themselves renew the lease.
+// configReadWait returns how long a read of the configuration waits for records.
 func configReadWait(set *settings.Gateway) time.Duration {
 	if set.KeyLease == 0 {
 		return storeReadWait
@@ -249,7 +246,7 @@
 	ops := opsHandler(n.metrics, n.quarantine)
 	ops.HandleFunc("GET /limits", n.limitsHandler)
 	g.Go(func() error { return serve(ctx, n.httpServer(ops), listeners[3]) })
-	for _, loop := range []func(context.Context){n.followStore, n.watchPeers, n.maintainCopies, n.expireTargets, n.renewKeyLease, n.shards.Run, n.runner.Run, n.quarantine.Run, n.archive.Run} {
+	for _, loop := range []func(context.Context){n.followStore, n.watchPeers, n.maintainCopies, n.expireTargets, n.keepKeyLease, n.shards.Run, n.runner.Run, n.quarantine.Run, n.archive.Run} {
 		g.Go(func() error { loop(ctx); return nil })
 	}
 	g.Go(func() error { onReload(ctx, reloads, n.log, func() error { return n.reload(file) }); return nil })
--- a/shards/manager.go
+++ b/shards/manager.go
@@ -24,10 +24,9 @@
 	unownedCheckInterval = time.Second
 	// neededPollInterval is how often a process that needs no shards checks whether it does.
 	neededPollInterval = 20 * time.Millisecond
-	// renewInterval is how often the age of the view is checked. The view is confirmed again
-	// once it is older than the lease divided by renewDivisor.
-	renewInterval = 250 * time.Millisecond
-	renewDivisor  = 3
+	// readsPerLease is the number of reads per lease that wait for records. They only bring new
+	// records early; renew keeps the view confirmed.
+	readsPerLease = 2
 	// takeoverTimeout is how long an owner may fail to act before its shards are taken over.
 	// Most killed processes restart sooner and resume their shards.
 	takeoverTimeout = 3 * time.Second
@@ -89,7 +88,7 @@
 // NewManager prepares the shards of a process. It reads and writes no records before Run.
 func NewManager(cfg Config) *Manager {
 	m := &Manager{cfg: cfg, table: NewTable(cfg.Self, cfg.Lease), outages: make(map[int]outage)}
-	m.follower = store.NewFollower(cfg.Log, cfg.Partition, sink{m}, store.FollowerConfig{Wait: cfg.Lease / (renewDivisor + 1), Clock: cfg.Clock})
+	m.follower = store.NewFollower(cfg.Log, cfg.Partition, sink{m}, store.FollowerConfig{Wait: cfg.Lease / readsPerLease, Clock: cfg.Clock})
 	return m
 }
 
@@ -184,11 +183,11 @@
 
 // renew keeps the view confirmed within the lease.
 func (m *Manager) renew(ctx context.Context) {
-	for wait.For(ctx, renewInterval) == nil {
-		if m.follower.Confirm(ctx, m.cfg.Lease/renewDivisor) != nil {
+	store.KeepConfirmed(ctx, m.cfg.Lease, func(ctx context.Context) {
+		if m.follower.Confirm(ctx, store.RenewAfter(m.cfg.Lease)) != nil {
 			m.cfg.Metrics.Count("shards_not_confirmed") // the process stops acting at the end of the lease
 		}
-	}
+	})
 }
 
 // watch takes over the watched shards whose owners have failed.
--- a/shards/manager_test.go
+++ b/shards/manager_test.go
@@ -259,3 +259,35 @@
 		}
 	})
 }
+
+// Guards against shards whose owners stop acting although the store does not respond for
+// less than two thirds of the lease.
+func TestOwnersActThroughStoreOutage(t *testing.T) {
+	const outage = 3 * time.Second
+	for phase := time.Duration(0); phase < 2*time.Second; phase += 50 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer func() {
+				cancel()
+				time.Sleep(time.Minute)
+			}()
+			c := newCluster(ctx)
+			time.Sleep(10*time.Second + phase)
+			for _, h := range c.hosts {
+				c.store.SetFault(h.name, sharedstore.NoResponse)
+			}
+			time.AfterFunc(outage, func() {
+				for _, h := range c.hosts {
+					c.store.SetFault(h.name, sharedstore.NoFault)
+				}
+			})
+			for end := time.Now().Add(outage + 2*time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+				for s := range shardCount {
+					if acting := c.acting(s); len(acting) != 1 {
+						t.Fatalf("outage at %s: %v act for shard %d at %s, 1 process expected", phase, acting, s, time.Until(end))
+					}
+				}
+			}
+		})
+	}
+}
--- a/store/follower.go
+++ b/store/follower.go
@@ -71,6 +71,9 @@
 	sharedLoadWait = 500 * time.Millisecond
 	// checkTimeout bounds reading up to the end of a partition.
 	checkTimeout = time.Second
+	// sharedCheckWait is how long a caller waits for a read to the end started by another
+	// caller, which may hang on an unresponsive connection.
+	sharedCheckWait = 100 * time.Millisecond
 )
 
 // Follower keeps a Sink up to date with one partition. Its methods may be called
@@ -90,7 +93,7 @@
 	// confirmedAt is the start, by cfg.Clock, of the last read that reached the end.
 	confirmedAt  time.Duration
 	hasConfirmed bool
-	checkSem     chan struct{} // serialises reads up to the end of the partition
+	checkSem     chan struct{} // lets concurrent callers share a read up to the end
 	changed      chan struct{} // closed and replaced on each change
 }
 
@@ -310,12 +313,15 @@
 	if isCurrent() {
 		return nil
 	}
+	timer := time.NewTimer(sharedCheckWait)
+	defer timer.Stop()
 	select {
 	case f.checkSem <- struct{}{}:
+		defer func() { <-f.checkSem }()
+	case <-timer.C:
 	case <-ctx.Done():
 		return errors.Mark(ctx.Err(), ErrUnavailable)
 	}
-	defer func() { <-f.checkSem }()
 	// The read of another caller may have brought the state up to date meanwhile.
 	if isCurrent() {
 		return nil
