Wait for loads that a busy store has queued

Cause: the store queues reads for up to 2 s and refuses further ones, while a load gave up after 0.8 s (1 s if a caller waited for it) and started again. Once the queue is over 0.8 s long every read in it is served for nobody.

Now a read of newest records may take 3.2 s to begin, longer than the store queues reads, whatever their number; a load goes on when the callers that wait for it give up, and callers share one load. A load that hangs is replaced after 3.2 s (before 0.5 s; the failover through peers after 0.8 s is as before).

--- a/standin/sharedstore/sharedstore.go
+++ b/standin/sharedstore/sharedstore.go
@@ -40,6 +40,33 @@
 	changed         chan struct{} // closed and replaced at each change
 	calls           int
 	reads           readQuota
+	bandwidth       readBandwidth
+}
+
+// readBandwidth is the bandwidth that the reads of all hosts share. Reads are served in order of
+// arrival, also those whose caller no longer waits.
+type readBandwidth struct {
+	bytesPerSecond int // 0 sets no limit
+	busyUntil      time.Time
+}
+
+// maxReadQueue is the longest time for which a read waits for bandwidth. Further reads are refused.
+const maxReadQueue = 2 * time.Second
+
+// take reserves bandwidth for a read and returns how long it takes. It reports false if the read is
+// refused.
+func (b *readBandwidth) take(now time.Time, bytes int) (time.Duration, bool) {
+	if b.bytesPerSecond == 0 {
+		return 0, true
+	}
+	if b.busyUntil.Before(now) {
+		b.busyUntil = now
+	}
+	if b.busyUntil.Sub(now) > maxReadQueue {
+		return 0, false
+	}
+	b.busyUntil = b.busyUntil.Add(time.Duration(float64(bytes) / float64(b.bytesPerSecond) * float64(time.Second)))
+	return b.busyUntil.Sub(now), true
 }
 
 // readQuota limits the reads of all hosts together.
@@ -117,6 +144,14 @@
 	s.reads.perSecond = n
 }
 
+// SetReadBandwidth limits the bytes per second of the reads of all hosts together. Zero sets no
+// limit.
+func (s *Store) SetReadBandwidth(bytesPerSecond int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.bandwidth.bytesPerSecond = bytesPerSecond
+}
+
 // CallCount returns the number of calls so far.
 func (s *Store) CallCount() int {
 	s.mu.Lock()
@@ -280,9 +315,12 @@
 	defer until.Stop()
 	for {
 		page, changed, err := c.store.page(p, from)
-		if err != nil || len(page.Records) > 0 || wait <= 0 {
+		if err != nil {
 			return page, err
 		}
+		if len(page.Records) > 0 || wait <= 0 {
+			return page, c.transfer(ctx, page.Records)
+		}
 		select {
 		case <-changed:
 			if c.unresponsive(p) {
@@ -321,11 +359,45 @@
 // newestPageKeys is the largest number of keys in a page of newest records.
 const newestPageKeys = 500
 
+// transfer waits until the read of the given records is served.
+func (c *HostClient) transfer(ctx context.Context, recs []store.Record) error {
+	bytes := 0
+	for _, r := range recs {
+		bytes += len(r.Key) + len(r.Value)
+	}
+	c.store.mu.Lock()
+	took, ok := c.store.bandwidth.take(time.Now(), bytes)
+	c.store.mu.Unlock()
+	if !ok {
+		return store.ErrRefused
+	}
+	if took == 0 {
+		return nil
+	}
+	timer := time.NewTimer(took)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return errors.Mark(ctx.Err(), store.ErrUnavailable)
+	}
+}
+
 // Newest implements store.Log.
 func (c *HostClient) Newest(ctx context.Context, p store.Partition, after string) (store.Snapshot, error) {
 	if err := c.beginRead(ctx, p); err != nil {
 		return store.Snapshot{}, err
 	}
+	snap := c.newest(p, after)
+	if err := c.transfer(ctx, snap.Records); err != nil {
+		return store.Snapshot{}, err
+	}
+	return snap, nil
+}
+
+// newest returns a page of the newest records of a partition.
+func (c *HostClient) newest(p store.Partition, after string) store.Snapshot {
 	s := c.store
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -344,7 +416,7 @@
 	for _, k := range keys {
 		snap.Records = append(snap.Records, l.newest[k])
 	}
-	return snap, nil
+	return snap
 }
 
 // Join implements store.Groups.
--- a/store/follower.go
+++ b/store/follower.go
@@ -66,9 +66,15 @@
 	// minRetryDelay and maxRetryDelay bound the exponential back-off after failed reads.
 	minRetryDelay = 50 * time.Millisecond
 	maxRetryDelay = 400 * time.Millisecond
-	// sharedLoadWait is how long a caller waits for a load started by another caller, which
-	// may hang on an unresponsive connection.
-	sharedLoadWait = 500 * time.Millisecond
+	// LoadResponseTimeout is how long a read of the newest records may take to begin to arrive.
+	// It exceeds the time for which a busy store queues reads: reads that are given up in its
+	// queue and repeated would keep it busy for ever.
+	LoadResponseTimeout = 3200 * time.Millisecond
+	// loadTimeout bounds a full load, which may take several reads.
+	loadTimeout = 4 * LoadResponseTimeout
+	// hungLoadAge is the age from which a load counts as hung, so that the next caller starts
+	// another one.
+	hungLoadAge = LoadResponseTimeout
 	// checkTimeout bounds reading up to the end of a partition.
 	checkTimeout = time.Second
 	// sharedCheckWait is how long a caller waits for a read to the end started by another
@@ -86,10 +92,10 @@
 	mu         sync.Mutex
 	sink       Sink
 	loaded     bool
-	loadsDone  int           // number of completed full loads
-	loadSem    chan struct{} // serialises full loads of this partition
-	nextOffset int64         // offset of the next record to apply
-	asOf       time.Time     // time up to which the state is known to be complete
+	loading    *sharedLoad     // the last load started, nil if there was none
+	runCtx     context.Context // of Run, nil before
+	nextOffset int64           // offset of the next record to apply
+	asOf       time.Time       // time up to which the state is known to be complete
 	// confirmedAt is the start, by cfg.Clock, of the last read that reached the end.
 	confirmedAt  time.Duration
 	hasConfirmed bool
@@ -112,13 +118,15 @@
 	return &Follower{
 		log: log, partition: part, sink: sink, cfg: cfg,
 		checkSem: make(chan struct{}, 1),
-		loadSem:  make(chan struct{}, 1),
 		changed:  make(chan struct{}),
 	}
 }
 
 // Run follows the partition until ctx is cancelled.
 func (f *Follower) Run(ctx context.Context) {
+	f.mu.Lock()
+	f.runCtx = ctx
+	f.mu.Unlock()
 	retryDelay := minRetryDelay
 	var failedSince time.Time
 	for ctx.Err() == nil {
@@ -152,44 +160,74 @@
 	loaded, from := f.loaded, f.nextOffset
 	f.mu.Unlock()
 	if !loaded {
+		ctx, cancel := context.WithTimeout(ctx, hungLoadAge)
+		defer cancel()
 		return true, f.load(ctx)
 	}
 	return f.read(ctx, from, f.cfg.Wait)
 }
 
-// load reads the whole partition. Concurrent callers share one load, since each further
-// one would transfer the same records again.
+// sharedLoad is a full load that several callers wait for.
+type sharedLoad struct {
+	startedAt time.Time     // zero while the load waits for the limit; guarded by Follower.mu
+	done      chan struct{} // closed at the end
+	err       error         // set before done is closed
+}
+
+// inProgress reports whether the load has not ended and does not hang. The caller holds
+// Follower.mu.
+func (l *sharedLoad) inProgress() bool {
+	select {
+	case <-l.done:
+		return false
+	default:
+		return l.startedAt.IsZero() || time.Since(l.startedAt) < hungLoadAge
+	}
+}
+
+// load reads the whole partition. Concurrent callers share one load, since each further one
+// would transfer the same records again. The load goes on when the callers stop waiting.
 func (f *Follower) load(ctx context.Context) error {
-	before := f.loadCount()
-	timer := time.NewTimer(sharedLoadWait)
-	defer timer.Stop()
+	l := f.startLoad(ctx)
 	select {
-	case f.loadSem <- struct{}{}:
-		defer func() { <-f.loadSem }()
-	case <-timer.C:
+	case <-l.done:
+		return l.err
 	case <-ctx.Done():
 		return errors.Mark(ctx.Err(), ErrUnavailable)
 	}
-	if f.loadCount() != before {
-		return nil
-	}
-	release, err := f.cfg.LoadLimit.acquire(ctx)
-	if err != nil {
-		return err
-	}
-	defer release()
-	return f.loadNow(ctx)
 }
 
-func (f *Follower) loadCount() int {
+// startLoad returns the load in progress, or starts one if there is none or it hangs.
+func (f *Follower) startLoad(ctx context.Context) *sharedLoad {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.loadsDone
+	if f.loading != nil && f.loading.inProgress() {
+		return f.loading
+	}
+	l := &sharedLoad{done: make(chan struct{})}
+	f.loading = l
+	if f.runCtx != nil {
+		ctx = f.runCtx
+	}
+	go func() {
+		defer close(l.done)
+		release, err := f.cfg.LoadLimit.acquire(ctx)
+		if err != nil {
+			l.err = err
+			return
+		}
+		defer release()
+		f.mu.Lock()
+		l.startedAt = time.Now()
+		f.mu.Unlock()
+		l.err = f.loadNow(ctx)
+	}()
+	return l
 }
 
 // loadNow reads the whole partition and replaces the state.
 func (f *Follower) loadNow(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, f.cfg.Wait+readTimeoutMargin)
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	start, startClock := time.Now(), f.cfg.Clock()
 	snap, err := NewestAll(ctx, f.log, f.partition)
@@ -198,7 +236,6 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.loadsDone++
 	if f.loaded && snap.End < f.nextOffset {
 		return nil // concurrent reads have already moved past the snapshot
 	}
