Let only the owner and the backup load a partition for callers

Causes: (1) a process to which neither the owner nor the backup replied loaded the partition itself; (2) the backup was chosen among the processes that had not failed lately, so each process had another one; (3) a called process used up the caller's whole time-out, so its reply 'not sure' came too late and it counted as failed.

Now the backup is the same for all, other processes refuse the call with a time to retry unless they cannot connect to either, and the called process gives up 50 ms sooner. The owners are read again after 0.5 s, not 4 s, if that fails. What is loaded for callers is bounded by partitions x owners, whatever the number of processes.

--- a/daemon/background.go
+++ b/daemon/background.go
@@ -39,7 +39,10 @@
 		}
 		if now := time.Now(); now.After(next) {
 			next = now.Add(ownersInterval)
-			n.refreshPeers(ctx)
+			if err := n.refreshPeers(ctx); err != nil {
+				n.metrics.Count("group_failures")
+				next = now.Add(ownersRetryInterval)
+			}
 		}
 		_ = wait.For(ctx, fetchInterval)
 	}
@@ -61,11 +64,12 @@
 	}
 }
 
-func (n *entryNode) refreshPeers(ctx context.Context) {
+// refreshPeers reads the owners of the job partitions, which are the peers of this process.
+// The known ones stay if that fails.
+func (n *entryNode) refreshPeers(ctx context.Context) error {
 	owners, err := n.store.Owners(ctx, jobGroup)
 	if err != nil {
-		n.metrics.Count("group_failures")
-		return // the known peers stay
+		return err
 	}
 	n.routes.SetOwners(n.deps.JobsTopic, owners)
 	var addrs []string
@@ -73,6 +77,7 @@
 		addrs = append(addrs, o.Member)
 	}
 	n.peerPool.Set(append(addrs, n.set.Seeds...))
+	return nil
 }
 
 // expireTargets drops lapsed targets from the view and updates the gauges until ctx ends.
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -90,7 +90,10 @@
 	registryPause  = 250 * time.Millisecond
 	expireInterval = 200 * time.Millisecond
 	ownersInterval = 4 * time.Second
-	fetchInterval  = 100 * time.Millisecond
+	// ownersRetryInterval is the interval after a failure. A process that knows no owners loads
+	// the partitions of its callers' jobs itself.
+	ownersRetryInterval = 500 * time.Millisecond
+	fetchInterval       = 100 * time.Millisecond
 	// readsPerKeyLease is the number of configuration reads that fit in one key lease. They
 	// bring a new configuration early; the lease is kept by reads of its own.
 	readsPerKeyLease = 3
--- a/jobroute/jobroute.go
+++ b/jobroute/jobroute.go
@@ -4,11 +4,12 @@
 // Every process can serve such a call itself by following the partition on the shared
 // store. Since callers connect to any process, every process would then follow every
 // partition, and each result would be read once per process. A call is therefore forwarded
-// to the owner. If the owner does not reply, the call goes to the partition's backup,
-// which is one other process and the same for all callers. Only if the backup does not
-// reply either does this process follow the partition. Ownership comes from the store's
-// group and may be out of date, so the called process replies from the partition's state
-// and never relies on being its owner.
+// to the owner. If the owner does not reply, the call goes to the partition's backups in
+// turn, which are a few other processes and the same for all callers. Other processes refuse
+// the call then, unless they cannot connect to any of these: in a large fleet the loads of
+// all processes together would keep the store busy for minutes, and the owners' loads with
+// them. Ownership comes from the store's group and may be out of date, so the called process
+// replies from the partition's state and never relies on being its owner.
 package jobroute
 
 import (
@@ -65,9 +66,15 @@
 	// takes about 10 ms, or 100 ms to accept a job while two processes race to append to
 	// the partition. The rest of a caller's 500 ms is enough to serve the call locally.
 	callTimeout = 300 * time.Millisecond
+	// replyMargin is how much sooner than the caller the called process gives up, so that its
+	// reply arrives in time and it does not count as unresponsive.
+	replyMargin = 50 * time.Millisecond
 	// avoidDuration is how long no calls are sent to a process that did not reply. The
 	// group takes 1.6 s to reassign its partitions.
 	avoidDuration = 2 * time.Second
+	// backupCount is how many processes besides the owner may follow a partition for callers.
+	// It bounds what all processes together load after a restart, whatever their number.
+	backupCount = 1
 )
 
 // Config holds the dependencies of a Router.
@@ -89,13 +96,19 @@
 	mu     sync.Mutex
 	owners map[int]string // address of the owner by partition
 	// members holds the distinct addresses of all owners, sorted.
-	members    []string
-	avoidUntil map[string]time.Time // by address, when calls to the process may resume
+	members []string
+	failed  map[string]callFailure // by address, the last failed call
+}
+
+// callFailure is a failed call to a process.
+type callFailure struct {
+	avoidUntil time.Time // calls to the process may resume then
+	notReached bool      // no connection to the process could be opened
 }
 
 // New returns a Router without owners; it serves all calls locally until SetOwners.
 func New(cfg Config) *Router {
-	return &Router{cfg: cfg, owners: make(map[int]string), avoidUntil: make(map[string]time.Time)}
+	return &Router{cfg: cfg, owners: make(map[int]string), failed: make(map[string]callFailure)}
 }
 
 // SetOwners replaces the owners by those that all lists for the partitions of topic.
@@ -109,45 +122,65 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.owners, r.members = owners, slices.Compact(slices.Sorted(maps.Values(owners)))
-	for addr, until := range r.avoidUntil {
-		if !time.Now().Before(until) {
-			delete(r.avoidUntil, addr)
+	for addr, f := range r.failed {
+		if !time.Now().Before(f.avoidUntil) {
+			delete(r.failed, addr)
 		}
 	}
 }
 
-// candidates returns the addresses to forward a call about a job to, in order: the owner
-// of its partition and the backup, which is the same for all callers. When an owner fails,
-// only the backup starts to follow the partition, not every process that receives calls
-// about its jobs. local reports that this process is the owner or the backup, or that there
-// is no backup.
-func (r *Router) candidates(job string) (addrs []string, local bool) {
+// servers returns the processes that may serve calls about a job, in order: the owner of its
+// partition and the backups. It returns fewer than there should be while few members are known.
+// The caller holds r.mu.
+func (r *Router) servers(job string) []string {
 	part := r.cfg.PartitionOf(job)
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	owner := r.owners[part]
-	if owner == r.cfg.Self {
-		return nil, true
+	others := slices.DeleteFunc(slices.Clone(r.members), func(addr string) bool { return addr == owner })
+	backups := routing.Top(others, uint64(part), backupCount)
+	if owner == "" {
+		return backups
 	}
+	return append([]string{owner}, backups...)
+}
+
+// candidates returns the addresses to forward a call about a job to, in order: the first two
+// servers that have not failed recently, up to this process.
+func (r *Router) candidates(job string) (addrs []string) {
+	const maxCandidates = 2 // further calls would exceed the time that callers wait
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	now := time.Now()
-	usable := func(addr string) bool { return !now.Before(r.avoidUntil[addr]) }
-	if owner != "" && usable(owner) {
-		addrs = append(addrs, owner)
-	}
-	var others []string
-	for _, addr := range r.members {
-		if addr != owner && usable(addr) {
-			others = append(others, addr)
+	for _, addr := range r.servers(job) {
+		if addr == r.cfg.Self || len(addrs) == maxCandidates {
+			break
+		}
+		if !now.Before(r.failed[addr].avoidUntil) {
+			addrs = append(addrs, addr)
 		}
 	}
-	if len(others) == 0 {
-		return addrs, true
+	return addrs
+}
+
+// mayLoad reports whether this process may load the partition of a job from the store: it is
+// the owner or a backup, there are fewer of these than there should be, or this process cannot
+// connect to any of them.
+func (r *Router) mayLoad(job string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	servers := r.servers(job)
+	if len(servers) <= backupCount {
+		return true
 	}
-	backup := routing.Top(others, uint64(part), 1)[0]
-	if backup == r.cfg.Self {
-		return addrs, true
+	now := time.Now()
+	for _, addr := range servers {
+		if addr == r.cfg.Self {
+			return true
+		}
+		if f := r.failed[addr]; !f.notReached || !now.Before(f.avoidUntil) {
+			return false
+		}
 	}
-	return append(addrs, backup), false
+	return true
 }
 
 // errDeclined is the error for a process that declined a call because it cannot reach the
@@ -159,9 +192,8 @@
 // process which did not reply may have executed the call, whatever the outcome elsewhere
 // or here.
 func (r *Router) forward(ctx context.Context, job string, timeout time.Duration, call *wire.JobCall) (reply *wire.JobReply, sent, ok bool) {
-	addrs, local := r.candidates(job)
 	var unsure *wire.JobReply
-	for _, addr := range addrs {
+	for _, addr := range r.candidates(job) {
 		reply, s, ok := r.forwardTo(ctx, job, addr, timeout, call)
 		sent = sent || s
 		if ok && (isWrite(call) || reply.GetOutcome() != wire.JobReply_UNSURE) {
@@ -178,7 +210,7 @@
 			read.WaitMs = 0 // the first call has waited
 		}
 	}
-	if unsure != nil && !local && !r.cfg.Local.Has(job) {
+	if unsure != nil && !r.mayLoad(job) && !r.cfg.Local.Has(job) {
 		return unsure, sent, true
 	}
 	return nil, sent, false
@@ -190,7 +222,7 @@
 	start := time.Now()
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	call.TimeoutMs = uint32(timeout.Milliseconds())
+	call.TimeoutMs = uint32((timeout - replyMargin).Milliseconds())
 	reply, err := r.cfg.Remote.Call(callCtx, addr, call)
 	if err == nil && reply.GetOutcome() == wire.JobReply_DECLINED {
 		err = errDeclined
@@ -206,7 +238,7 @@
 		return nil, sent, false
 	}
 	r.mu.Lock()
-	r.avoidUntil[addr] = time.Now().Add(avoidDuration)
+	r.failed[addr] = callFailure{avoidUntil: time.Now().Add(avoidDuration), notReached: dialErr != nil}
 	r.mu.Unlock()
 	r.cfg.Metrics.Count("job_call_not_passed_on")
 	r.cfg.Log.Warn("job call to another process failed", logging.F("job", job),
@@ -259,12 +291,15 @@
 
 // checkLocal returns the error for a call that cannot be served locally, or nil if it can.
 func (r *Router) checkLocal(job string) error {
-	if canServeLocally(r.cfg.Local, r.cfg.StoreUnavailable, job) {
+	storeReachable := canServeLocally(r.cfg.Local, r.cfg.StoreUnavailable, job)
+	mayLoad := r.cfg.Local.Has(job) || r.mayLoad(job)
+	if storeReachable && mayLoad {
 		return nil
 	}
 	err := r.cfg.Local.Unavailable()
 	r.cfg.Metrics.Count("job_call_not_tried")
-	r.cfg.Log.Warn("job call refused: store unavailable and job not known here", logging.F("job", job), logging.F("error", err.Error()))
+	r.cfg.Log.Warn("job call refused: no process that serves the job replies, and it is not known here", logging.F("job", job),
+		logging.F("store_reachable", storeReachable), logging.F("error", err.Error()))
 	return err
 }
 
--- a/jobroute/jobroute_test.go
+++ b/jobroute/jobroute_test.go
@@ -56,6 +56,9 @@
 func (c cluster) Call(ctx context.Context, addr string, call *wire.JobCall) (*wire.JobReply, error) {
 	p := c[addr]
 	p.calls.Add(1)
+	if wait.For(ctx, callDelay) != nil {
+		return nil, ctx.Err()
+	}
 	switch p.mode.Load() {
 	case unreachable:
 		return nil, &link.DialError{Addr: addr, Cause: errConnectionLost}
@@ -67,11 +70,23 @@
 		return nil, errConnectionLost
 	case serving, storeUnreachable:
 	}
-	return p.server.Serve(ctx, call), nil
+	reply := p.server.Serve(context.WithoutCancel(ctx), call)
+	if wait.For(ctx, callDelay) != nil {
+		return nil, ctx.Err()
+	}
+	return reply, nil
 }
 
+// callDelay is the delay between two processes, one way.
+const callDelay = 2 * time.Millisecond
+
 // startProcesses starts count processes, of which the first owns all partitions.
 func startProcesses(ctx context.Context, s *sharedstore.Store, count int) []*process {
+	return startProcessesOver(ctx, count, func(host string) store.Log { return s.ClientFor(host) })
+}
+
+// startProcessesOver is like startProcesses. logFor returns the store's log for a host.
+func startProcessesOver(ctx context.Context, count int, logFor func(host string) store.Log) []*process {
 	all := make(cluster)
 	var out []*process
 	var owners []store.Owner
@@ -80,7 +95,7 @@
 	}
 	for i := range count {
 		p := &process{name: fmt.Sprint("p", i)}
-		p.jobs = jobstore.New(ctx, s.ClientFor(p.name), jobstore.Settings{
+		p.jobs = jobstore.New(ctx, logFor(p.name), jobstore.Settings{
 			Topic: topic, ProgressTopic: "progress", Partitions: numPartitions, MaxAppendBytes: 2 << 20, Retention: time.Minute,
 		}, logging.Logger{})
 		unavailable := func() bool { return p.mode.Load() == storeUnreachable }
@@ -103,7 +118,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		fn(ctx, t, sharedstore.New(numPartitions))
 		cancel()
-		synctest.Wait()
+		time.Sleep(time.Minute) // lets abandoned calls end
 	})
 }
 
@@ -518,3 +533,95 @@
 		}
 	})
 }
+
+// timeoutLog gives up a read of newest records that has not begun to arrive in time.
+type timeoutLog struct{ store.Log }
+
+// Newest implements store.Log.
+func (l timeoutLog) Newest(ctx context.Context, p store.Partition, after string) (store.Snapshot, error) {
+	ctx, cancel := context.WithTimeout(ctx, store.LoadResponseTimeout)
+	defer cancel()
+	return l.Log.Newest(ctx, p, after)
+}
+
+// runPartition loads a partition and keeps it open, as its runner does.
+func (p *process) runPartition(ctx context.Context, number int) {
+	for p.jobs.Refresh(ctx, number, time.Second) != nil {
+		if wait.For(ctx, 100*time.Millisecond) != nil {
+			return
+		}
+	}
+	for wait.For(ctx, 100*time.Millisecond) == nil {
+		p.jobs.OpenItems(number)
+	}
+}
+
+// readRegistry reads the registry until that succeeds, as each process does at its start.
+func readRegistry(ctx context.Context, log store.Log) {
+	for {
+		if _, err := log.Newest(ctx, registryPartition, ""); err == nil || wait.For(ctx, 50*time.Millisecond) != nil {
+			return
+		}
+	}
+}
+
+var registryPartition = store.Partition{Topic: "registry"}
+
+// Guards against jobs that stay unreadable after all processes have restarted, because every
+// process loads partitions for its callers until no load ends in time, those of the runners
+// included. All processes of a large fleet start at once while callers read at all of them;
+// one load of each partition takes the store an eighth of a second, two loads for each
+// process three seconds.
+func TestLargeFleetReadsJobsAfterRestart(t *testing.T) {
+	for _, processes := range []int{100, 200} {
+		runInBubble(t, func(ctx context.Context, t *testing.T, s *sharedstore.Store) {
+			const jobsPerPartition, bodyBytes = 5, 20 << 10
+			ids := putJobs(ctx, t, s, jobsPerPartition, bodyBytes)
+			s.SetReadBandwidth(2 * processes * jobsPerPartition * bodyBytes / 3)
+			all := startProcessesOver(ctx, processes, func(host string) store.Log { return timeoutLog{s.ClientFor(host)} })
+			spreadPartitions(all)
+			s.Put(registryPartition, "targets", make([]byte, jobsPerPartition*bodyBytes))
+			failed := &failureCounter{}
+			for n, p := range all {
+				go readRegistry(ctx, timeoutLog{s.ClientFor(p.name)})
+				go p.readLoop(ctx, ids[n%len(ids):], failed)
+				if n < numPartitions {
+					go p.runPartition(ctx, n)
+				}
+			}
+			const recoveryTime = 5 * time.Second
+			time.Sleep(recoveryTime)
+			for _, p := range all[numPartitions:] {
+				if n := p.jobs.FollowedPartitions(); n > 0 {
+					t.Fatalf("%d processes: %s, which is neither an owner nor a backup, follows %d partitions", processes, p.name, n)
+				}
+			}
+			failed.reset()
+			time.Sleep(time.Second)
+			if n := failed.reset(); n > 0 {
+				t.Errorf("%d processes: %d reads failed within a second, %s after the restart", processes, n, recoveryTime)
+			}
+		})
+	}
+}
+
+// putJobs stores jobs in all partitions and returns their ids.
+func putJobs(ctx context.Context, t *testing.T, s *sharedstore.Store, perPartition, bodyBytes int) (ids []string) {
+	t.Helper()
+	writer := startProcesses(ctx, s, 1)[0]
+	stored := make(map[int]int)
+	for n := 0; len(ids) < perPartition*numPartitions; n++ {
+		spec := newSpec(fmt.Sprint("job", n))
+		part := writer.jobs.PartitionOf(spec.GetId())
+		if stored[part] == perPartition {
+			continue
+		}
+		stored[part]++
+		spec.Items[0].Body = make([]byte, bodyBytes)
+		if err := writer.jobs.Accept(ctx, spec); err != nil {
+			t.Fatal(err)
+		}
+		ids = append(ids, spec.GetId())
+	}
+	return ids
+}
