Refuse a job whose id is kept as a hint of another job

While a job's home partition is away, a second job with the same id and other items was reported as accepted, because only the id of the hint was compared; at the hand-off it would have been dropped. It now gets the conflict error that a job at its home gets. Found by reading; TestHintOfOtherJobIsAConflict fails before.

--- a/jobstore/accept.go
+++ b/jobstore/accept.go
@@ -74,6 +74,9 @@
 		return home.number, true, s.acceptHome(ctx, home, spec)
 	}
 	if hint, n := s.knownHint(spec.GetId()); hint != nil {
+		if !jobs.SameWork(hint, spec) {
+			return n, true, ErrJobConflict
+		}
 		return n, true, nil
 	}
 	candidates := s.candidates(home, spec.GetId())
--- a/jobstore/homes_test.go
+++ b/jobstore/homes_test.go
@@ -113,6 +113,28 @@
 	})
 }
 
+// Guards against a job that is reported as accepted although another job with its id is kept as
+// a hint, so that it never runs.
+func TestHintOfOtherJobIsAConflict(t *testing.T) {
+	inBubble(t, func(ctx context.Context, t *testing.T) {
+		s := sharedstore.New(partitionCount)
+		st := openMany(ctx, s.ClientFor("a"))
+		home := st.PartitionOf("job")
+		s.SetPartitionDown(jobsPart(home), true)
+		first := specSentNow("job", 2)
+		if err := st.Accept(ctx, first); err != nil {
+			t.Fatal(err)
+		}
+		_ = st.Refresh(ctx, hintPartition(s, home), 0) // follow the partition with the hint
+		if err := st.Accept(ctx, first); err != nil {
+			t.Errorf("same job again: %v", err)
+		}
+		if err := st.Accept(ctx, specSentNow("job", 3)); !errors.Is(err, jobstore.ErrJobConflict) {
+			t.Errorf("other job with the same id: got %v, want ErrJobConflict", err)
+		}
+	})
+}
+
 // hintPartition returns the partition other than home that has records, or -1 if none has.
 func hintPartition(s *sharedstore.Store, home int) int {
 	time.Sleep(time.Second)
