Bound the memory of responses about jobs that callers read slowly

200 callers that stop reading a page of results held 200 pages of up to 1 MB, for as long as they stayed connected: no write deadline, no bound.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -77,6 +77,7 @@
 	Catalog  func() *catalog.Catalog
 	Limits   func() catalog.Limits
 	Stopping func() bool
+	Log      logging.Logger
 }
 
 // Intervals and bounds of an entry.
@@ -233,7 +234,7 @@
 	if err != nil {
 		return err
 	}
-	front := n.httpServer(n.deps.FrontHandler(FrontConfig{Gateway: n.gateway, Access: n.access, Limiter: n.limiter, Jobs: n.routes, Catalog: n.view.Catalog, Limits: n.limits, Stopping: n.stopping.Load}))
+	front := n.httpServer(n.deps.FrontHandler(FrontConfig{Gateway: n.gateway, Access: n.access, Limiter: n.limiter, Jobs: n.routes, Catalog: n.view.Catalog, Limits: n.limits, Stopping: n.stopping.Load, Log: n.log.WithPrefix("front")}))
 	drainer := newConnDrainer()
 	front.ConnState = drainer.trackState
 	g, ctx := errgroup.WithContext(ctx)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -48,6 +48,7 @@
 	StoreUnavailable Reason = "unsure"           // the shared store does not respond
 	JobNotFound      Reason = "unknown"          // there is no such job
 	JobConflict      Reason = "conflict"         // another job has the same ID
+	SlowCallers      Reason = "slow_callers"     // responses that callers do not read hold too much memory
 	Quarantined      Reason = "quarantined"      // it crashes the targets that run it
 
 	UnknownKey         Reason = "unknown_key"         // its key belongs to no workspace
