--- a/ratelimit/bucket.go
+++ b/ratelimit/bucket.go
@@ -55,12 +55,12 @@
 // Bounds of the retry-after time of a denied request.
 const (
 	minRetryAfter = 20 * time.Millisecond
-	// minMaxRetryAfter is the upper bound for a limit with few shares.
-	minMaxRetryAfter = 1500 * time.Millisecond
+	// baseMaxRetryAfter is the upper bound where a limit has few shares.
+	baseMaxRetryAfter = 1500 * time.Millisecond
 )
 
-// denialWeight is how many grants a recent denial counts for in the retry-after time. Callers
-// that were denied mostly obtain a grant from another share by then.
+// denialWeight is the number of grants that each recent denial counts for in the retry-after
+// time. Hosts far over a limit with many shares would otherwise ask all of them again at once.
 const denialWeight = 3
 
 // take removes up to want grants from the bucket. If it grants none although some were
--- a/ratelimit/plan.go
+++ b/ratelimit/plan.go
@@ -91,7 +91,7 @@
 		n = min(max(int(l.Rate/minShareRate), 2), maxShares, shards)
 	}
 	shardOf := shardsOf(l.Workspace, n+1, shards)
-	maxRetryAfter := max(time.Duration(n)*deniedInterval, minMaxRetryAfter)
+	maxRetryAfter := max(time.Duration(n)*deniedInterval, baseMaxRetryAfter)
 	for i := range n {
 		p.Shares = append(p.Shares, Share{
 			Index: i, Shard: shardOf[i], Rate: l.Rate / float64(n), Depth: max((l.Burst+depthFraction*headroom)/float64(n), 1),
--- a/store/renew.go
+++ b/store/renew.go
@@ -7,13 +7,13 @@
 	"pumiceford/internal/wait"
 )
 
-// Fractions of a lease. An unresponsive store goes unnoticed until the next renewal, and reads
-// that are pending when it responds again get no reply. At these fractions a store that does
-// not respond for two thirds of a lease lets no lease run out.
+// Fractions of a lease. A lease that is up to renewAfterFraction and a check old when the store
+// stops responding, and is renewed at the first check after it responds again, lasts through an
+// outage of two thirds of its length.
 const (
 	renewAfterFraction = 1.0 / 7
-	checkLeaseFraction = 1.0 / 18
-	minRenewalInterval = 20 * time.Millisecond
+	checkFraction      = 1.0 / 18
+	minCheckInterval   = 20 * time.Millisecond
 )
 
 // RenewAfter returns the age from which a confirmation is renewed so that the lease lasts
@@ -27,7 +27,7 @@
 // itself within a second or so, and to do nothing while the last confirmation is younger than
 // RenewAfter.
 func KeepConfirmed(ctx context.Context, lease time.Duration, confirm func(ctx context.Context)) {
-	interval := max(time.Duration(checkLeaseFraction*float64(lease)), minRenewalInterval)
+	interval := max(time.Duration(checkFraction*float64(lease)), minCheckInterval)
 	for wait.For(ctx, interval) == nil {
 		go confirm(ctx)
 	}
