--- a/jobroute/jobroute.go
+++ b/jobroute/jobroute.go
@@ -73,7 +73,8 @@
 	// group takes 1.6 s to reassign its partitions.
 	avoidDuration = 2 * time.Second
 	// backupCount is how many processes besides the owner may follow a partition for callers.
-	// It bounds what all processes together load after a restart, whatever their number.
+	// It bounds what all processes together load after a restart, whatever their number, and how
+	// many calls a caller waits for.
 	backupCount = 1
 )
 
@@ -88,8 +89,10 @@
 	Metrics          *metrics.Set
 }
 
-// Router is a Service that forwards each call to the owner of the job's partition or to
-// its backup, and serves it locally otherwise. Its methods are safe for concurrent use.
+// Router is a Service that forwards each call to the owner of the job's partition or to a
+// backup. If none of them replies, it serves the call locally where that loads no further
+// partition or mayLoad permits it, and refuses it otherwise. Its methods are safe for
+// concurrent use.
 type Router struct {
 	cfg Config
 
@@ -143,15 +146,14 @@
 	return append([]string{owner}, backups...)
 }
 
-// candidates returns the addresses to forward a call about a job to, in order: the first two
-// servers that have not failed recently, up to this process.
+// candidates returns the addresses to forward a call about a job to, in order: the servers
+// before this process that have not failed recently.
 func (r *Router) candidates(job string) (addrs []string) {
-	const maxCandidates = 2 // further calls would exceed the time that callers wait
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
 	for _, addr := range r.servers(job) {
-		if addr == r.cfg.Self || len(addrs) == maxCandidates {
+		if addr == r.cfg.Self {
 			break
 		}
 		if !now.Before(r.failed[addr].avoidUntil) {
