Pace the grant requests of an exhausted workspace instead of longer denials

Cause: with sixteen shares the retry-after time of a denied share had been raised to 5.6 s, to bound messages, and a host remembers denials until then. Now the bound is 1.5 s as before; once all shares have denied a request, a host asks one share at a time, in turn, pauses 0.6 s after a denial, and asks freely again after eight grants in a row.

--- a/ratelimit/bucket.go
+++ b/ratelimit/bucket.go
@@ -9,7 +9,6 @@
 // grants at most rate x span + depth. It is not safe for concurrent use.
 type bucket struct {
 	rate, depth  float64       // grants per second, grants
-	maxRetry     time.Duration // bound of the retry-after time
 	level        float64       // grants available at updatedAt
 	updatedAt    time.Duration // time of the last refill
 	version      int64         // version of the limit
@@ -21,7 +20,7 @@
 // given time. The bucket holds one grant at that time, so that callers can be served at
 // once, and has refilled at its rate since then.
 func newBucket(s Share, version int64, since, now time.Duration) *bucket {
-	b := &bucket{rate: s.Rate, depth: s.Depth, maxRetry: s.MaxRetryAfter, version: version, actingSince: since, updatedAt: since, level: 1}
+	b := &bucket{rate: s.Rate, depth: s.Depth, version: version, actingSince: since, updatedAt: since, level: 1}
 	b.fill(now)
 	return b
 }
@@ -43,7 +42,7 @@
 		return
 	}
 	b.fill(now)
-	b.rate, b.depth, b.maxRetry, b.version = s.Rate, s.Depth, s.MaxRetryAfter, version
+	b.rate, b.depth, b.version = s.Rate, s.Depth, version
 	b.level = min(b.level, b.depth)
 }
 
@@ -55,14 +54,9 @@
 // Bounds of the retry-after time of a denied request.
 const (
 	minRetryAfter = 20 * time.Millisecond
-	// baseMaxRetryAfter is the upper bound where a limit has few shares.
-	baseMaxRetryAfter = 1500 * time.Millisecond
+	maxRetryAfter = 1500 * time.Millisecond
 )
 
-// denialWeight is the number of grants that each recent denial counts for in the retry-after
-// time. Hosts far over a limit with many shares would otherwise ask all of them again at once.
-const denialWeight = 3
-
 // take removes up to want grants from the bucket. If it grants none although some were
 // wanted, it returns a retry-after time that grows with the number of recent denials, so
 // that a workspace far over its limit causes few messages.
@@ -75,9 +69,9 @@
 	}
 	b.recentDenied++
 	if b.rate <= 0 {
-		return 0, b.maxRetry
+		return 0, maxRetryAfter
 	}
-	missing := 1 - b.level + denialWeight*b.recentDenied
+	missing := 1 - b.level + b.recentDenied
 	retryAfter = time.Duration(missing / b.rate * float64(time.Second))
-	return 0, min(max(retryAfter, minRetryAfter), b.maxRetry)
+	return 0, min(max(retryAfter, minRetryAfter), maxRetryAfter)
 }
--- a/ratelimit/cluster_test.go
+++ b/ratelimit/cluster_test.go
@@ -441,3 +441,19 @@
 		}
 	})
 }
+
+// Guards against refusals below the limit that outlast a surge, because hosts remember for
+// seconds that shares had no grants left. A workspace sends 12 times its limit for 4 s and then
+// half of it.
+func TestSurgeDoesNotOutlastItself(t *testing.T) {
+	runCluster(t, 31, func(c *cluster) {
+		c.runLoads(4*time.Second, load{large, 12 * large.Rate, c.hosts}) // and one second for the results
+		c.mu.Lock()
+		clear(c.sent)
+		clear(c.overLimit)
+		clear(c.noGrant)
+		c.mu.Unlock()
+		c.runLoads(4*time.Second, load{large, 0.5 * large.Rate, c.hosts})
+		c.checkRefused(0.02, large)
+	})
+}
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -93,6 +93,7 @@
 	mu           sync.Mutex
 	shares       map[shareKey]*localShare
 	unansweredAt map[string]time.Duration // time of the last unanswered request, by address
+	paces        map[string]*pace         // by workspace
 	lastSweep    time.Duration
 }
 
@@ -117,7 +118,7 @@
 
 // NewLimiter returns a Limiter that holds no grants.
 func NewLimiter(cfg LimiterConfig) *Limiter {
-	return &Limiter{cfg: cfg, shares: make(map[shareKey]*localShare), unansweredAt: make(map[string]time.Duration)}
+	return &Limiter{cfg: cfg, shares: make(map[shareKey]*localShare), unansweredAt: make(map[string]time.Duration), paces: make(map[string]*pace)}
 }
 
 // Admit admits one request and waits up to admitTimeout for a grant. Its errors are
@@ -128,9 +129,14 @@
 	defer cancel()
 	l.awaitAnyOwner(ctx)
 	noGrant := &NoGrantError{Workspace: limit.Workspace}
-	retryAfter := plan.Shares[0].MaxRetryAfter
-	for _, s := range l.requestOrder(plan) {
+	retryAfter := maxRetryAfter
+	order, wait := l.requestOrder(limit.Workspace, plan)
+	if wait > 0 {
+		return &OverLimitError{Workspace: limit.Workspace, RetryAfter: wait}
+	}
+	for _, s := range order {
 		if s.Reserve && noGrant.Unanswered+noGrant.NotActing == 0 {
+			l.recordDenial(limit.Workspace)
 			return &OverLimitError{Workspace: limit.Workspace, RetryAfter: retryAfter}
 		}
 		r := l.take(ctx, limit, s, plan.GrantTTL)
@@ -151,19 +157,52 @@
 
 // requestOrder returns the shares in the order in which they are tried. Shares of processes
 // that recently failed to reply come after the others: a request that tries two of them
-// first would use up admitTimeout.
-func (l *Limiter) requestOrder(p Plan) []Share {
+// first would use up admitTimeout. For an exhausted workspace it returns a share that holds
+// unspent grants or, if there is none, the one to ask, each with the reserve, or a wait.
+func (l *Limiter) requestOrder(workspace string, p Plan) (order []Share, wait time.Duration) {
 	ordered := p.Order(l.cfg.Self)
-	primary := ordered[:len(ordered)-1]
+	primary, reserve := ordered[:len(ordered)-1], ordered[len(ordered)-1]
 	now := l.cfg.Clock()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	for _, s := range primary {
+		if ls := l.shares[shareKey{workspace, s.Index}]; ls != nil && ls.grants > 0 && now < ls.expiresAt {
+			return []Share{s, reserve}, 0
+		}
+	}
+	position, all, wait := l.pace(workspace).begin(now, len(primary))
+	if wait > 0 {
+		return nil, wait
+	}
+	if !all {
+		s := primary[position]
+		// The pace bounds the messages, so an earlier denial need not hold.
+		l.localShare(shareKey{workspace, s.Index}).deniedUntil = 0
+		return []Share{s, reserve}, 0
+	}
 	if len(l.unansweredAt) > 0 {
 		slices.SortStableFunc(primary, func(a, b Share) int {
 			return cmp.Compare(l.suspectRank(a, now), l.suspectRank(b, now))
 		})
 	}
-	return ordered
+	return ordered, 0
+}
+
+// pace returns the pace of a workspace and creates it if it is missing. The caller holds l.mu.
+func (l *Limiter) pace(workspace string) *pace {
+	p := l.paces[workspace]
+	if p == nil {
+		p = &pace{}
+		l.paces[workspace] = p
+	}
+	return p
+}
+
+// recordDenial records that all shares that were asked for a workspace denied a request.
+func (l *Limiter) recordDenial(workspace string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pace(workspace).denied(l.cfg.Clock())
 }
 
 // suspectRank returns 1 for a share whose process failed to reply within the last
@@ -305,6 +344,9 @@
 		r := l.sendRequest(owner, req, requestedAt)
 		l.mu.Lock()
 		ls.applyReply(r, replyToWaiters(waiters, r), requestedAt, ttl)
+		if r.Outcome == Granted && r.Granted >= req.Want {
+			l.pace(limit.Workspace).granted()
+		}
 		if r.Outcome == Unanswered {
 			l.unansweredAt[owner] = l.cfg.Clock()
 		}
@@ -373,6 +415,11 @@
 			delete(l.shares, k)
 		}
 	}
+	for ws, p := range l.paces {
+		if now-p.lastUsed > shareIdleTimeout {
+			delete(l.paces, ws)
+		}
+	}
 	for addr, at := range l.unansweredAt {
 		if now-at >= suspectPeriod {
 			delete(l.unansweredAt, addr)
--- a/ratelimit/plan.go
+++ b/ratelimit/plan.go
@@ -40,8 +40,6 @@
 	Rate    float64 // grants per second
 	Depth   float64 // maximum number of grants at once
 	Reserve bool    // used only while another share has no granter or its granter does not reply
-	// MaxRetryAfter bounds the retry-after time of a denied grant request.
-	MaxRetryAfter time.Duration
 }
 
 // Fractions of the tolerance, and bounds of a plan.
@@ -65,9 +63,6 @@
 	minShareRate = 5
 	maxShares    = 16
 	minSplitRate = 4
-	// deniedInterval is the minimum mean interval at which a host far over a limit asks for
-	// grants, however many shares the limit has.
-	deniedInterval = 350 * time.Millisecond
 	// minGrantTTL and maxGrantTTL bound how long a grant may be kept before it is spent.
 	minGrantTTL = 100 * time.Millisecond
 	maxGrantTTL = time.Second
@@ -91,18 +86,15 @@
 		n = min(max(int(l.Rate/minShareRate), 2), maxShares, shards)
 	}
 	shardOf := shardsOf(l.Workspace, n+1, shards)
-	maxRetryAfter := max(time.Duration(n)*deniedInterval, baseMaxRetryAfter)
 	for i := range n {
 		p.Shares = append(p.Shares, Share{
 			Index: i, Shard: shardOf[i], Rate: l.Rate / float64(n), Depth: max((l.Burst+depthFraction*headroom)/float64(n), 1),
-			MaxRetryAfter: maxRetryAfter,
 		})
 	}
 	reserve := reserveFraction * headroom
 	p.Shares = append(p.Shares, Share{
 		Index: n, Shard: shardOf[n], Reserve: true,
 		Depth: max(reserveBurstFraction*reserve, 1), Rate: (1 - reserveBurstFraction) * reserve / (tol.Window + p.GrantTTL).Seconds(),
-		MaxRetryAfter: maxRetryAfter,
 	})
 	return p
 }
