jobroute: load a job here when its servers are cut off, not busy

Cause: since the backup became the only other process that loads a partition, others refused the call unless they could connect to neither. The reason for that rule are servers that are busy; one that is not reached or declines because it cannot reach the store is not. Now such a call is served here if at least one of the two is not reached and the other declines. Servers that reply too late still forbid it.

TestJobIsReadWithoutOwnerAndBackup fails before.

--- a/jobroute/jobroute.go
+++ b/jobroute/jobroute.go
@@ -107,8 +107,12 @@
 type callFailure struct {
 	avoidUntil time.Time // calls to the process may resume then
 	notReached bool      // no connection to the process could be opened
+	declined   bool      // the process cannot reach the store
 }
 
+// busy reports whether the process was reached and did not reply in time.
+func (f callFailure) busy() bool { return !f.notReached && !f.declined }
+
 // New returns a Router without owners; it serves all calls locally until SetOwners.
 func New(cfg Config) *Router {
 	return &Router{cfg: cfg, owners: make(map[int]string), failed: make(map[string]callFailure)}
@@ -164,8 +168,9 @@
 }
 
 // mayLoad reports whether this process may load the partition of a job from the store: it is
-// the owner or a backup, there are fewer of these than there should be, or this process cannot
-// connect to any of them.
+// the owner or a backup, there are fewer of these than there should be, or they cannot serve the
+// job: this process does not reach all of them, and the others do not reach the store. Servers
+// that are busy do not count, since they may be waiting for the store.
 func (r *Router) mayLoad(job string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -174,15 +179,18 @@
 		return true
 	}
 	now := time.Now()
+	anyNotReached := false
 	for _, addr := range servers {
 		if addr == r.cfg.Self {
 			return true
 		}
-		if f := r.failed[addr]; !f.notReached || !now.Before(f.avoidUntil) {
+		f, failed := r.failed[addr]
+		if !failed || !now.Before(f.avoidUntil) || f.busy() {
 			return false
 		}
+		anyNotReached = anyNotReached || f.notReached
 	}
-	return true
+	return anyNotReached
 }
 
 // errDeclined is the error for a process that declined a call because it cannot reach the
@@ -240,7 +248,7 @@
 		return nil, sent, false
 	}
 	r.mu.Lock()
-	r.failed[addr] = callFailure{avoidUntil: time.Now().Add(avoidDuration), notReached: dialErr != nil}
+	r.failed[addr] = callFailure{avoidUntil: time.Now().Add(avoidDuration), notReached: dialErr != nil, declined: errors.Is(err, errDeclined)}
 	r.mu.Unlock()
 	r.cfg.Metrics.Count("job_call_not_passed_on")
 	r.cfg.Log.Warn("job call to another process failed", logging.F("job", job),
--- a/jobroute/jobroute_test.go
+++ b/jobroute/jobroute_test.go
@@ -453,6 +453,39 @@
 	})
 }
 
+// Guards against jobs that cannot be read for as long as their owner is cut off, because the
+// backup cannot reach the store either and other processes refuse the call.
+func TestJobIsReadWithoutOwnerAndBackup(t *testing.T) {
+	for _, backupMode := range []callMode{unreachable, storeUnreachable} {
+		runInBubble(t, func(ctx context.Context, t *testing.T, s *sharedstore.Store) {
+			all := startProcesses(ctx, s, 20)
+			spreadPartitions(all)
+			if err := all[19].router.Accept(ctx, newSpec("job")); err != nil {
+				t.Fatal(err)
+			}
+			owner := all[0].jobs.PartitionOf("job")
+			for n, p := range all[:numPartitions] {
+				switch {
+				case n == owner:
+					p.mode.Store(unreachable)
+				case backupMode == storeUnreachable:
+					s.SetFault(p.name, sharedstore.Refuse)
+					p.mode.Store(storeUnreachable)
+				default:
+					p.mode.Store(unreachable)
+				}
+			}
+			end := all[18].router.End(ctx, "job")
+			if end != nil {
+				t.Errorf("backup in mode %d: end: %v", backupMode, end)
+			}
+			if res, err := all[19].router.Results(ctx, "job", 0, 0); backupMode == unreachable && (err != nil || res.Total != 1) {
+				t.Errorf("backup in mode %d: got %+v, %v", backupMode, res, err)
+			}
+		})
+	}
+}
+
 // spreadPartitions makes each of the first processes the owner of one partition.
 func spreadPartitions(all []*process) {
 	var owners []store.Owner
