ratelimit: an exhausted workspace does not ask a share whose process does not reply

With one share asked at a time, a share of a dead process was a request lost although others had grants left.

--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -175,7 +175,8 @@
 		return nil, wait
 	}
 	if !all {
-		s := primary[position]
+		turn := slices.Concat(primary[position:], primary[:position])
+		s := turn[max(slices.IndexFunc(turn, func(s Share) bool { return l.suspectRank(s, now) == 0 }), 0)]
 		// The pace bounds the messages, so an earlier denial need not hold.
 		l.localShare(shareKey{workspace, s.Index}).deniedUntil = 0
 		return []Share{s, reserve}, 0
