--- a/standin/sharedstore/sharedstore.go
+++ b/standin/sharedstore/sharedstore.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"pumiceford/internal/wait"
 	"pumiceford/store"
 )
 
@@ -356,9 +357,6 @@
 	return page, s.changed, nil
 }
 
-// newestPageKeys is the largest number of keys in a page of newest records.
-const newestPageKeys = 500
-
 // transfer waits until the read of the given records is served.
 func (c *HostClient) transfer(ctx context.Context, recs []store.Record) error {
 	bytes := 0
@@ -374,16 +372,15 @@
 	if took == 0 {
 		return nil
 	}
-	timer := time.NewTimer(took)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return errors.Mark(ctx.Err(), store.ErrUnavailable)
+	if err := wait.For(ctx, took); err != nil {
+		return errors.Mark(err, store.ErrUnavailable)
 	}
+	return nil
 }
 
+// newestPageKeys is the largest number of keys in a page of newest records.
+const newestPageKeys = 500
+
 // Newest implements store.Log.
 func (c *HostClient) Newest(ctx context.Context, p store.Partition, after string) (store.Snapshot, error) {
 	if err := c.beginRead(ctx, p); err != nil {
