jobroute: one backup in name and code, and what its test shows

The list of backups held one entry, chosen by Top; it is routing.Best now, and the package comment says when other processes serve a call.

--- a/jobroute/jobroute.go
+++ b/jobroute/jobroute.go
@@ -4,12 +4,12 @@
 // Every process can serve such a call itself by following the partition on the shared
 // store. Since callers connect to any process, every process would then follow every
 // partition, and each result would be read once per process. A call is therefore forwarded
-// to the owner. If the owner does not reply, the call goes to the partition's backups in
-// turn, which are a few other processes and the same for all callers. Other processes refuse
-// the call then, unless they cannot connect to any of these: in a large fleet the loads of
-// all processes together would keep the store busy for minutes, and the owners' loads with
-// them. Ownership comes from the store's group and may be out of date, so the called process
-// replies from the partition's state and never relies on being its owner.
+// to the owner. If the owner does not reply, the call goes to the partition's backup, which
+// is one other process and the same for all callers. Other processes refuse the call then,
+// unless these two are cut off: in a large fleet the loads of all processes together would
+// keep the store busy for minutes, and the owners' loads with them. Ownership comes from the
+// store's group and may be out of date, so the called process replies from the partition's
+// state and never relies on being its owner.
 package jobroute
 
 import (
@@ -72,10 +72,6 @@
 	// avoidDuration is how long no calls are sent to a process that did not reply. The
 	// group takes 1.6 s to reassign its partitions.
 	avoidDuration = 2 * time.Second
-	// backupCount is how many processes besides the owner may follow a partition for callers.
-	// It bounds what all processes together load after a restart, whatever their number, and how
-	// many calls a caller waits for.
-	backupCount = 1
 )
 
 // Config holds the dependencies of a Router.
@@ -89,8 +85,8 @@
 	Metrics          *metrics.Set
 }
 
-// Router is a Service that forwards each call to the owner of the job's partition or to a
-// backup. If none of them replies, it serves the call locally where that loads no further
+// Router is a Service that forwards each call to the owner of the job's partition or to its
+// backup. If neither replies, it serves the call locally where that loads no further
 // partition or mayLoad permits it, and refuses it otherwise. Its methods are safe for
 // concurrent use.
 type Router struct {
@@ -137,17 +133,13 @@
 }
 
 // servers returns the processes that may serve calls about a job, in order: the owner of its
-// partition and the backups. It returns fewer than there should be while few members are known.
-// The caller holds r.mu.
+// partition and the backup. It leaves out the one that is not known. The caller holds r.mu.
 func (r *Router) servers(job string) []string {
 	part := r.cfg.PartitionOf(job)
 	owner := r.owners[part]
 	others := slices.DeleteFunc(slices.Clone(r.members), func(addr string) bool { return addr == owner })
-	backups := routing.Top(others, uint64(part), backupCount)
-	if owner == "" {
-		return backups
-	}
-	return append([]string{owner}, backups...)
+	backup := routing.Best(others, uint64(part))
+	return slices.DeleteFunc([]string{owner, backup}, func(addr string) bool { return addr == "" })
 }
 
 // candidates returns the addresses to forward a call about a job to, in order: the servers
@@ -168,14 +160,14 @@
 }
 
 // mayLoad reports whether this process may load the partition of a job from the store: it is
-// the owner or a backup, there are fewer of these than there should be, or they cannot serve the
-// job: this process does not reach all of them, and the others do not reach the store. Servers
-// that are busy do not count, since they may be waiting for the store.
+// the owner or the backup, one of the two is not known, or neither can serve the job, because
+// this process does not reach them or does not reach one and the other declines. A server that
+// is busy may be waiting for the store, so it forbids loading.
 func (r *Router) mayLoad(job string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	servers := r.servers(job)
-	if len(servers) <= backupCount {
+	if len(servers) < 2 {
 		return true
 	}
 	now := time.Now()
@@ -301,9 +293,8 @@
 
 // checkLocal returns the error for a call that cannot be served locally, or nil if it can.
 func (r *Router) checkLocal(job string) error {
-	storeReachable := canServeLocally(r.cfg.Local, r.cfg.StoreUnavailable, job)
-	mayLoad := r.cfg.Local.Has(job) || r.mayLoad(job)
-	if storeReachable && mayLoad {
+	storeReachable := !r.cfg.StoreUnavailable()
+	if r.cfg.Local.Has(job) || storeReachable && r.mayLoad(job) {
 		return nil
 	}
 	err := r.cfg.Local.Unavailable()
--- a/jobroute/jobroute_test.go
+++ b/jobroute/jobroute_test.go
@@ -453,9 +453,10 @@
 	})
 }
 
-// Guards against jobs that cannot be read for as long as their owner is cut off, because the
-// backup cannot reach the store either and other processes refuse the call.
-func TestJobIsReadWithoutOwnerAndBackup(t *testing.T) {
+// Guards against jobs that cannot be ended, or not be read either, for as long as their owner is
+// cut off and the backup is cut off too or cannot reach the store. In the latter case the backup
+// is unsure about a read, and the caller is told so.
+func TestJobIsServedWithoutOwnerAndBackup(t *testing.T) {
 	for _, backupMode := range []callMode{unreachable, storeUnreachable} {
 		runInBubble(t, func(ctx context.Context, t *testing.T, s *sharedstore.Store) {
 			all := startProcesses(ctx, s, 20)
@@ -479,8 +480,16 @@
 			if end != nil {
 				t.Errorf("backup in mode %d: end: %v", backupMode, end)
 			}
-			if res, err := all[19].router.Results(ctx, "job", 0, 0); backupMode == unreachable && (err != nil || res.Total != 1) {
-				t.Errorf("backup in mode %d: got %+v, %v", backupMode, res, err)
+			res, err := all[19].router.Results(ctx, "job", 0, 0)
+			switch backupMode {
+			case unreachable:
+				if err != nil || res.Total != 1 {
+					t.Errorf("backup in mode %d: got %+v, %v", backupMode, res, err)
+				}
+			case storeUnreachable:
+				if !errors.Is(err, jobstore.ErrStoreUnavailable) {
+					t.Errorf("backup in mode %d: got %+v, %v, want ErrStoreUnavailable", backupMode, res, err)
+				}
 			}
 		})
 	}
