--- a/access/access.go
+++ b/access/access.go
@@ -207,14 +207,12 @@
 	if a.lease <= 0 {
 		return
 	}
-	store.KeepConfirmed(ctx, a.lease, func(ctx context.Context) {
+	store.KeepConfirmed(ctx, a.lease, func(ctx context.Context, maxAge time.Duration) error {
 		if cat := a.cfg.Catalog(); cat == nil || !cat.RequiresKey() {
-			return
-		}
-		if a.cfg.Source.Confirm(ctx, store.RenewAfter(a.lease)) != nil {
-			onFailure()
+			return nil
 		}
-	})
+		return a.cfg.Source.Confirm(ctx, maxAge)
+	}, onFailure)
 }
 
 // ConfigAge returns the time since the last confirmation. It reports false if there was none.
--- a/daemon/limits.go
+++ b/daemon/limits.go
@@ -15,7 +15,7 @@
 )
 
 // shardLease is how long a process may act as owner of its shards without contact with the
-// store. A shorter store outage has no effect on rate limits.
+// store. A store outage of up to two thirds of it has no effect on rate limits.
 const shardLease = 4500 * time.Millisecond
 
 // setUpRateLimits creates the shard manager, the granter and the limiter, which enforce the
--- a/shards/manager.go
+++ b/shards/manager.go
@@ -190,13 +190,10 @@
 	return ch
 }
 
-// renew keeps the view confirmed within the lease.
+// renew keeps the view confirmed within the lease. If it fails, the process stops acting at the end
+// of the lease.
 func (m *Manager) renew(ctx context.Context) {
-	store.KeepConfirmed(ctx, m.cfg.Lease, func(ctx context.Context) {
-		if m.follower.Confirm(ctx, store.RenewAfter(m.cfg.Lease)) != nil {
-			m.cfg.Metrics.Count("shards_not_confirmed") // the process stops acting at the end of the lease
-		}
-	})
+	store.KeepConfirmed(ctx, m.cfg.Lease, m.follower.Confirm, func() { m.cfg.Metrics.Count("shards_not_confirmed") })
 }
 
 // watch takes over the watched shards whose owners have failed.
--- a/store/renew.go
+++ b/store/renew.go
@@ -16,19 +16,18 @@
 	minCheckInterval   = 20 * time.Millisecond
 )
 
-// RenewAfter returns the age from which a confirmation is renewed so that the lease lasts
-// through a store outage of two thirds of it.
-func RenewAfter(lease time.Duration) time.Duration {
-	return time.Duration(renewAfterFraction * float64(lease))
-}
-
-// KeepConfirmed calls confirm several times per lease until ctx ends. Calls overlap, since an
-// earlier one may hang on a connection that has become unresponsive; confirm has to end by
-// itself within a second or so, and to do nothing while the last confirmation is younger than
-// RenewAfter.
-func KeepConfirmed(ctx context.Context, lease time.Duration, confirm func(ctx context.Context)) {
+// KeepConfirmed keeps a lease confirmed until ctx ends: several times per lease it calls confirm,
+// which ensures that the last confirmation is at most maxAge ago, as Follower.Confirm does. It
+// calls onFailure for each error. Calls overlap, since an earlier one may hang on a connection that
+// has become unresponsive, so confirm has to end by itself within a second or so.
+func KeepConfirmed(ctx context.Context, lease time.Duration, confirm func(ctx context.Context, maxAge time.Duration) error, onFailure func()) {
 	interval := max(time.Duration(checkFraction*float64(lease)), minCheckInterval)
+	maxAge := time.Duration(renewAfterFraction * float64(lease))
 	for wait.For(ctx, interval) == nil {
-		go confirm(ctx)
+		go func() {
+			if confirm(ctx, maxAge) != nil {
+				onFailure()
+			}
+		}()
 	}
 }
