--- a/shards/manager_test.go
+++ b/shards/manager_test.go
@@ -210,16 +210,24 @@
 	return ""
 }
 
-// Guards against a planned stop that leaves a shard without an acting process for a while.
-func TestReleasedShardIsTakenAtOnce(t *testing.T) {
+// inSettledCluster calls fn in virtual time, when each shard of a new cluster has an owner that acts.
+func inSettledCluster(t *testing.T, fn func(ctx context.Context, t *testing.T, c *cluster)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer func() {
 			cancel()
-			time.Sleep(time.Minute)
+			time.Sleep(time.Minute) // lets cancelled goroutines end
 		}()
 		c := newCluster(ctx)
 		time.Sleep(10 * time.Second)
+		fn(ctx, t, c)
+	})
+}
+
+// Guards against a planned stop that leaves a shard without an acting process for a while.
+func TestReleasedShardIsTakenAtOnce(t *testing.T) {
+	inSettledCluster(t, func(ctx context.Context, t *testing.T, c *cluster) {
 		for _, h := range c.hosts[:2] {
 			h.Leave(ctx)
 			c.kill(h)
@@ -236,14 +244,7 @@
 // Guards against a restart of all processes after which none acts for several seconds,
 // although each of them owned its shards before.
 func TestRestartedProcessResumesItsShards(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(context.Background())
-		defer func() {
-			cancel()
-			time.Sleep(time.Minute)
-		}()
-		c := newCluster(ctx)
-		time.Sleep(10 * time.Second)
+	inSettledCluster(t, func(ctx context.Context, t *testing.T, c *cluster) {
 		for _, h := range c.hosts {
 			c.kill(h)
 		}
@@ -265,14 +266,8 @@
 func TestOwnersActThroughStoreOutage(t *testing.T) {
 	const outage = 3 * time.Second
 	for phase := time.Duration(0); phase < 2*time.Second; phase += 50 * time.Millisecond {
-		synctest.Test(t, func(t *testing.T) {
-			ctx, cancel := context.WithCancel(context.Background())
-			defer func() {
-				cancel()
-				time.Sleep(time.Minute)
-			}()
-			c := newCluster(ctx)
-			time.Sleep(10*time.Second + phase)
+		inSettledCluster(t, func(_ context.Context, t *testing.T, c *cluster) {
+			time.Sleep(phase)
 			for _, h := range c.hosts {
 				c.store.SetFault(h.name, sharedstore.NoResponse)
 			}
