--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -35,11 +35,15 @@
 		return
 	}
 	now := time.Now()
+	var kept []string
 	v.updateTargets(func() {
 		for _, u := range updates {
-			v.applyLocked(now, u)
+			if v.applyLocked(now, u) {
+				kept = append(kept, u.record.Key)
+			}
 		}
 	})
+	v.logKept(kept)
 }
 
 // registryUpdate is a decoded record of the registry.
@@ -78,11 +82,12 @@
 	return true
 }
 
-// applyLocked applies one update. The caller holds v.mu.
-func (v *View) applyLocked(now time.Time, u registryUpdate) {
+// applyLocked applies one update. It reports whether the target is kept although its
+// registration has ended. The caller holds v.mu.
+func (v *View) applyLocked(now time.Time, u registryUpdate) (kept bool) {
 	switch {
 	case u.ended:
-		v.set.Drop(now, u.record.Key)
+		kept = v.set.Drop(now, u.record.Key)
 		delete(v.rawTargets, u.record.Key)
 	case u.unreadable:
 		v.set.Supersede(u.record.Key)
@@ -90,6 +95,18 @@
 		v.set.Put(u.instance)
 		v.rawTargets[u.record.Key] = u.record
 	}
+	return kept
+}
+
+// logKept logs the targets that are kept although their registrations have ended.
+func (v *View) logKept(ids []string) {
+	if len(ids) > maxChangesLogged {
+		v.log.Info("many registrations ended around an outage; targets kept", logging.F("targets", len(ids)))
+		return
+	}
+	for _, id := range ids {
+		v.log.Info("registration ended around an outage; target kept", logging.F("instance", id))
+	}
 }
 
 func (v *View) decodeInstance(r store.Record) (targets.Instance, bool) {
@@ -113,11 +130,13 @@
 		}
 	}
 	now := time.Now()
+	var kept []string
 	v.updateTargets(func() {
-		v.set.Replace(now, all)
+		kept = v.set.Replace(now, all)
 		v.rawTargets = raw
 		v.registryKnown = true
 	})
+	v.logKept(kept)
 	v.mu.Lock()
 	v.closeReadyLocked()
 	v.mu.Unlock()
@@ -214,11 +233,12 @@
 }
 
 // RegistryUnavailable records that the registry does not respond.
-func (v *View) RegistryUnavailable(error) {
+func (v *View) RegistryUnavailable(err error) {
 	v.mu.Lock()
-	defer v.mu.Unlock()
 	v.set.RegistryDown()
+	v.mu.Unlock()
 	v.metrics.Count("registry_failures")
+	v.log.Warn("registry does not answer; ended registrations are kept", logging.F("error", err.Error()))
 }
 
 // RegistryRecovered records that the registry responds again after an outage.
--- a/targets/targets.go
+++ b/targets/targets.go
@@ -112,18 +112,20 @@
 
 // Drop records the end of a registration. Around a registry outage the instance is kept
 // until outageGrace after the outage, because registrations of live targets expire then and
-// return.
-func (s *Set) Drop(now time.Time, id string) {
+// return. It reports whether the instance is kept from now on.
+func (s *Set) Drop(now time.Time, id string) (kept bool) {
 	if s.byID[id] == nil {
-		return
+		return false
 	}
 	if !s.registryDown && (s.outageEnd.IsZero() || now.Sub(s.outageEnd) > outageGrace) {
 		s.remove(id)
-		return
+		return false
 	}
-	if _, kept := s.expired[id]; !kept {
-		s.expired[id] = now
+	if _, already := s.expired[id]; already {
+		return false
 	}
+	s.expired[id] = now
+	return true
 }
 
 func (s *Set) remove(id string) {
@@ -135,18 +137,20 @@
 }
 
 // Replace sets the whole contents of the registry, with the newest registrations last. It
-// drops the instances that are not in all.
-func (s *Set) Replace(now time.Time, all []Instance) {
+// drops the instances that are not in all, and returns the IDs of those that Drop keeps.
+func (s *Set) Replace(now time.Time, all []Instance) (kept []string) {
 	named := make(map[string]bool)
 	for _, in := range all {
 		named[in.ID] = true
 		s.Put(in)
 	}
 	for id := range s.byID {
-		if !named[id] {
-			s.Drop(now, id)
+		if !named[id] && s.Drop(now, id) {
+			kept = append(kept, id)
 		}
 	}
+	slices.Sort(kept)
+	return kept
 }
 
 // RegistryDown records that the registry does not respond.
