--- a/daemon/background.go
+++ b/daemon/background.go
@@ -6,17 +6,11 @@
 
 	"pumiceford/internal/wait"
 	"pumiceford/logging"
-	"pumiceford/store"
 )
 
 // followStore follows the configuration and the registry until ctx ends.
 func (n *entryNode) followStore(ctx context.Context) {
-	registry := store.NewFollower(n.store, n.deps.Registry, n.view.TargetSink(), store.FollowerConfig{
-		Wait: storeReadWait, Pause: registryPause,
-		OnFailure:  n.view.RegistryUnavailable,
-		OnRecovery: n.view.RegistryRecovered,
-	})
-	go registry.Run(ctx)
+	go n.view.FollowRegistry(ctx, n.store, n.deps.Registry, storeReadWait)
 	n.config.Run(ctx)
 }
 
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -85,10 +85,7 @@
 	// storeReadWait is how long a read of the configuration or the registry waits for
 	// records. A change has to be in force within 2 s even if the connection of a read
 	// stops delivering data.
-	storeReadWait = 2 * time.Second
-	// registryPause is the delay after a read of the registry that returned records. It
-	// batches heartbeats: with nine targets it reduces eight reads a second to three.
-	registryPause  = 250 * time.Millisecond
+	storeReadWait  = 2 * time.Second
 	expireInterval = 200 * time.Millisecond
 	ownersInterval = 4 * time.Second
 	// ownersRetryInterval is the interval after a failure. A process that knows no owners loads
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"slices"
 	"time"
 
@@ -10,6 +11,19 @@
 	"pumiceford/targets"
 )
 
+// registryPause is the delay after a read of the registry that returned records. It
+// batches heartbeats: with nine targets it reduces eight reads a second to three.
+const registryPause = 250 * time.Millisecond
+
+// FollowRegistry keeps the targets up to date with the registry until ctx ends. Each read
+// waits up to readWait for records.
+func (v *View) FollowRegistry(ctx context.Context, log store.Log, registry store.Partition, readWait time.Duration) {
+	store.NewFollower(log, registry, v.TargetSink(), store.FollowerConfig{
+		Wait: readWait, Pause: registryPause,
+		OnFailure: v.registryUnavailable, OnRecovery: v.registryRecovered,
+	}).Run(ctx)
+}
+
 // TargetSink returns the sink of the registry's topic.
 func (v *View) TargetSink() store.Sink {
 	return targetSink{v}
@@ -232,8 +246,8 @@
 	v.updateTargets(func() { v.set.Supersede(id) })
 }
 
-// RegistryUnavailable records that the registry does not respond.
-func (v *View) RegistryUnavailable(err error) {
+// registryUnavailable records that the registry does not respond.
+func (v *View) registryUnavailable(err error) {
 	v.mu.Lock()
 	v.set.RegistryDown()
 	v.mu.Unlock()
@@ -241,8 +255,8 @@
 	v.log.Warn("registry does not answer; ended registrations are kept", logging.F("error", err.Error()))
 }
 
-// RegistryRecovered records that the registry responds again after an outage.
-func (v *View) RegistryRecovered(outage time.Duration) {
+// registryRecovered records that the registry responds again after an outage.
+func (v *View) registryRecovered(outage time.Duration) {
 	v.mu.Lock()
 	v.set.RegistryUp(time.Now())
 	v.mu.Unlock()
