store: notice the end of an outage within half a second

Its registration ended 3.3 s after the store was back, but each entry dated the end of the outage to the return of its read of the registry, at that very moment: reads that hang take 2.7 s to fail, their repeats as long, and the first one that works waits 2 s for records. A registration that ends within two seconds of an outage is kept, as it may have expired in it; so the removal took effect 2.0 to 2.2 s late on all eight entries, for online requests, items and retries alike.

Class: a belief about the store that is confirmed or ended only by a read that waits. Reads after a failed one now do not wait for records, and those of the registry and the configuration start each 500 ms whether or not earlier ones have responded. An outage is believed in only once such a read has failed or is overdue, not when a waiting read hung, which may be its connection's fault alone. So an entry knows of the end 0.5 s after it, and two seconds plus the 0.2 s between two expiries end before the bounds hold again (3 s after an outage).

Ruled out: a shorter grace (live targets need up to two seconds to register), a record that came late (all entries had it 3 ms after its acknowledgement), an old choice (the request came at 16.387).

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -181,7 +181,7 @@
 	n.peerPool = peers.NewPool(set.Peers, linkCfg, set.Seeds)
 	n.store = store.NewFailover(deps.Store, n.peerPool.StorePeers)
 	n.config = store.NewFollower(n.store, deps.Catalog, n.view.CatalogSink(), store.FollowerConfig{
-		Wait: configReadWait(set), Clock: boottime.Now,
+		Wait: configReadWait(set), ProbeInterval: store.ProbeInterval, Clock: boottime.Now,
 		OnFailure:  func(err error) { n.storeFailed("configuration", err) },
 		OnRecovery: func(d time.Duration) { n.storeRecovered("configuration", d) },
 	})
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -19,7 +19,7 @@
 // waits up to readWait for records.
 func (v *View) FollowRegistry(ctx context.Context, log store.Log, registry store.Partition, readWait time.Duration) {
 	store.NewFollower(log, registry, v.TargetSink(), store.FollowerConfig{
-		Wait: readWait, Pause: registryPause,
+		Wait: readWait, Pause: registryPause, ProbeInterval: store.ProbeInterval,
 		OnFailure: v.registryUnavailable, OnRecovery: v.registryRecovered,
 	}).Run(ctx)
 }
--- a/store/follower.go
+++ b/store/follower.go
@@ -27,8 +27,13 @@
 	// Pause is the delay after a read that returns records. It bounds the rate of
 	// calls for a busy partition.
 	Pause time.Duration
-	// OnFailure is called on the first failed read of an outage, OnRecovery on the first
-	// read that succeeds after it, with the length of the outage.
+	// ProbeInterval is the interval between the reads that check whether an outage has ended.
+	// They start whether or not earlier ones have responded, so the end of an outage is
+	// noticed within this interval. If it is zero, the next read starts after the previous
+	// one has failed.
+	ProbeInterval time.Duration
+	// OnFailure is called when an outage is noticed, OnRecovery when a read succeeds after
+	// it, with the time since the first read that failed.
 	OnFailure  func(err error)
 	OnRecovery func(outage time.Duration)
 	// LoadLimit bounds the number of concurrent full reads of partitions; nil sets no bound.
@@ -66,6 +71,10 @@
 	// minRetryDelay and maxRetryDelay bound the exponential back-off after failed reads.
 	minRetryDelay = 50 * time.Millisecond
 	maxRetryDelay = 400 * time.Millisecond
+	// ProbeInterval is the probe interval of followers whose delay is bounded by the operators.
+	// A target that leaves just after an outage has to be told apart from one whose
+	// registration expired in it.
+	ProbeInterval = 500 * time.Millisecond
 	// LoadResponseTimeout is how long a read of the newest records may take to begin to arrive.
 	// It exceeds the time for which a busy store queues reads: reads that are given up in its
 	// queue and repeated would keep it busy for ever.
@@ -127,35 +136,92 @@
 	f.mu.Lock()
 	f.runCtx = ctx
 	f.mu.Unlock()
-	retryDelay := minRetryDelay
-	var failedSince time.Time
 	for ctx.Err() == nil {
-		received, err := f.readOnce(ctx)
-		if ctx.Err() != nil {
+		received, err := f.readOnce(ctx, f.cfg.Wait)
+		switch {
+		case ctx.Err() != nil:
 			return
+		case err != nil:
+			f.waitForResponse(ctx)
+		case received:
+			_ = wait.For(ctx, f.cfg.Pause)
 		}
-		if err != nil {
-			if failedSince.IsZero() {
-				failedSince = time.Now()
-				f.cfg.OnFailure(err)
-			}
-			_ = wait.For(ctx, retryDelay)
-			retryDelay = min(2*retryDelay, maxRetryDelay)
-			continue
+	}
+}
+
+// waitForResponse probes the partition after a failed read until a probe succeeds or ctx is
+// cancelled. Only a probe that fails, or is overdue, shows an outage: a read that waits for
+// records may have hung on its connection alone. Probes do not wait for records, so that a
+// success shows the end of the outage at once.
+func (f *Follower) waitForResponse(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	began, inOutage := time.Now(), false
+	noteFailure := func(err error) {
+		if !inOutage {
+			inOutage = true
+			f.cfg.OnFailure(err)
 		}
-		if !failedSince.IsZero() {
-			f.cfg.OnRecovery(time.Since(failedSince))
-			failedSince = time.Time{}
+	}
+	results, inFlight := make(chan error), 0
+	retryDelay := minRetryDelay
+	retry, overdue := time.NewTimer(retryDelay), newStoppedTimer()
+	defer retry.Stop()
+	defer overdue.Stop()
+	probe := func() {
+		inFlight++
+		go func() {
+			_, err := f.readOnce(ctx, 0)
+			select {
+			case results <- err:
+			case <-ctx.Done():
+			}
+		}()
+		if f.cfg.ProbeInterval > 0 {
+			overdue.Reset(f.cfg.ProbeInterval)
 		}
-		retryDelay = minRetryDelay
-		if received {
-			_ = wait.For(ctx, f.cfg.Pause)
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-retry.C:
+			probe()
+		case <-overdue.C:
+			if inFlight > 0 {
+				noteFailure(errProbeOverdue)
+				probe()
+			}
+		case err := <-results:
+			inFlight--
+			if err == nil {
+				if inOutage {
+					f.cfg.OnRecovery(time.Since(began))
+				}
+				return
+			}
+			noteFailure(err)
+			if inFlight == 0 {
+				retry.Reset(retryDelay)
+				retryDelay = min(2*retryDelay, maxRetryDelay)
+			}
 		}
 	}
 }
 
-// readOnce loads the partition or makes one read. It reports whether it received records.
-func (f *Follower) readOnce(ctx context.Context) (bool, error) {
+// newStoppedTimer returns a timer that does not fire until it is reset.
+func newStoppedTimer() *time.Timer {
+	t := time.NewTimer(time.Hour)
+	t.Stop()
+	return t
+}
+
+// errProbeOverdue reports that a probe did not respond before the next one was due.
+var errProbeOverdue = errors.Mark(errors.New("no response to a probe"), ErrUnavailable)
+
+// readOnce loads the partition or makes one read, which waits up to wait for records. It
+// reports whether it received records.
+func (f *Follower) readOnce(ctx context.Context, wait time.Duration) (bool, error) {
 	f.mu.Lock()
 	loaded, from := f.loaded, f.nextOffset
 	f.mu.Unlock()
@@ -164,7 +230,11 @@
 		defer cancel()
 		return true, f.load(ctx)
 	}
-	return f.read(ctx, from, f.cfg.Wait)
+	// Probes get as much time as reads that wait: a read that is given up in the queue of a
+	// busy store and repeated prolongs the queue.
+	ctx, cancel := context.WithTimeout(ctx, f.cfg.Wait+readTimeoutMargin)
+	defer cancel()
+	return f.read(ctx, from, wait)
 }
 
 // sharedLoad is a full load that several callers wait for.
@@ -250,8 +320,6 @@
 // read makes one read and applies its records, or loads the partition if records at from
 // are no longer retained. It reports whether the read returned records.
 func (f *Follower) read(ctx context.Context, from int64, wait time.Duration) (bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+readTimeoutMargin)
-	defer cancel()
 	start, startClock := time.Now(), f.cfg.Clock()
 	page, err := f.log.Read(ctx, f.partition, from, wait)
 	var trimmed *TrimmedError
@@ -380,13 +448,20 @@
 			}
 			continue // a shared load may have started before this call
 		}
-		received, err := f.read(ctx, from, 0)
+		received, err := f.readPage(ctx, from)
 		if err != nil || !received {
 			return err
 		}
 	}
 }
 
+// readPage makes one read that does not wait for records.
+func (f *Follower) readPage(ctx context.Context, from int64) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeoutMargin)
+	defer cancel()
+	return f.read(ctx, from, 0)
+}
+
 // View calls fn with the lock of the follower held, so that fn may read the state of the
 // sink. It passes the offset of the next record to apply and a channel that is closed at the
 // next change. It reports false, without calling fn, while nothing has been loaded.
--- a/store/follower_test.go
+++ b/store/follower_test.go
@@ -180,3 +180,75 @@
 		}
 	})
 }
+
+// Guards against a belief in an outage that outlives it by the length of a read that waits
+// for records, or of one that hangs.
+func TestEndOfOutageIsNoticedWithinProbeInterval(t *testing.T) {
+	for name, fault := range map[string]sharedstore.Fault{"refused": sharedstore.Refuse, "no response": sharedstore.NoResponse} {
+		for length := 100 * time.Millisecond; length <= 8*time.Second; length += 100 * time.Millisecond {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				s := sharedstore.New(1)
+				var failedAt, recoveredAt time.Time
+				f := store.NewFollower(s.ClientFor("a"), testPartition, &mirror{}, store.FollowerConfig{
+					Wait: 2 * time.Second, ProbeInterval: store.ProbeInterval,
+					OnFailure:  func(error) { failedAt = time.Now() },
+					OnRecovery: func(time.Duration) { recoveredAt = time.Now() },
+				})
+				go f.Run(ctx)
+				time.Sleep(time.Second)
+				s.SetFault("a", fault)
+				time.Sleep(length)
+				s.SetFault("a", sharedstore.NoFault)
+				end := time.Now()
+				time.Sleep(5 * time.Second)
+				synctest.Wait()
+				if failedAt.IsZero() != recoveredAt.IsZero() || recoveredAt.After(end.Add(store.ProbeInterval)) {
+					t.Errorf("%s for %v: failure noticed %v before the end, recovery %v after it", name, length, end.Sub(failedAt), recoveredAt.Sub(end))
+				}
+			})
+		}
+	}
+}
+
+// busyLog answers reads that do not wait for records after a delay.
+type busyLog struct {
+	store.Log
+	delay time.Duration
+}
+
+func (l busyLog) Read(ctx context.Context, p store.Partition, from int64, wait time.Duration) (store.Page, error) {
+	if wait == 0 {
+		select {
+		case <-time.After(l.delay):
+		case <-ctx.Done():
+			return store.Page{}, errors.Mark(ctx.Err(), store.ErrUnavailable)
+		}
+	}
+	return l.Log.Read(ctx, p, from, wait)
+}
+
+// Guards against a follower that never finds the end of an outage because it gives up each
+// probe while a busy store still queues it.
+func TestProbesWaitForBusyStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s := sharedstore.New(1)
+		m := &mirror{}
+		f := store.NewFollower(busyLog{s.ClientFor("a"), 2 * time.Second}, testPartition, m, store.FollowerConfig{
+			Wait: 2 * time.Second, ProbeInterval: store.ProbeInterval,
+		})
+		go f.Run(ctx)
+		time.Sleep(time.Second)
+		s.SetFault("a", sharedstore.Refuse)
+		time.Sleep(5 * time.Second)
+		s.Put(testPartition, "k", []byte("v"))
+		s.SetFault("a", sharedstore.NoFault)
+		time.Sleep(3 * time.Second)
+		if got := values(f, m)["k"]; got != "v" {
+			t.Fatalf("3 s after the outage: got %q, want v", got)
+		}
+	})
+}
