--- a/store/follower.go
+++ b/store/follower.go
@@ -68,13 +68,6 @@
 const (
 	// readTimeoutMargin is added to the wait time of a read to get its timeout.
 	readTimeoutMargin = 700 * time.Millisecond
-	// minRetryDelay and maxRetryDelay bound the exponential back-off after failed reads.
-	minRetryDelay = 50 * time.Millisecond
-	maxRetryDelay = 400 * time.Millisecond
-	// ProbeInterval is the probe interval of followers whose delay is bounded by the operators.
-	// A target that leaves just after an outage has to be told apart from one whose
-	// registration expired in it.
-	ProbeInterval = 500 * time.Millisecond
 	// LoadResponseTimeout is how long a read of the newest records may take to begin to arrive.
 	// It exceeds the time for which a busy store queues reads: reads that are given up in its
 	// queue and repeated would keep it busy for ever.
@@ -149,76 +142,6 @@
 	}
 }
 
-// waitForResponse probes the partition after a failed read until a probe succeeds or ctx is
-// cancelled. Only a probe that fails, or is overdue, shows an outage: a read that waits for
-// records may have hung on its connection alone. Probes do not wait for records, so that a
-// success shows the end of the outage at once.
-func (f *Follower) waitForResponse(ctx context.Context) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	began, inOutage := time.Now(), false
-	noteFailure := func(err error) {
-		if !inOutage {
-			inOutage = true
-			f.cfg.OnFailure(err)
-		}
-	}
-	results, inFlight := make(chan error), 0
-	retryDelay := minRetryDelay
-	retry, overdue := time.NewTimer(retryDelay), newStoppedTimer()
-	defer retry.Stop()
-	defer overdue.Stop()
-	probe := func() {
-		inFlight++
-		go func() {
-			_, err := f.readOnce(ctx, 0)
-			select {
-			case results <- err:
-			case <-ctx.Done():
-			}
-		}()
-		if f.cfg.ProbeInterval > 0 {
-			overdue.Reset(f.cfg.ProbeInterval)
-		}
-	}
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-retry.C:
-			probe()
-		case <-overdue.C:
-			if inFlight > 0 {
-				noteFailure(errProbeOverdue)
-				probe()
-			}
-		case err := <-results:
-			inFlight--
-			if err == nil {
-				if inOutage {
-					f.cfg.OnRecovery(time.Since(began))
-				}
-				return
-			}
-			noteFailure(err)
-			if inFlight == 0 {
-				retry.Reset(retryDelay)
-				retryDelay = min(2*retryDelay, maxRetryDelay)
-			}
-		}
-	}
-}
-
-// newStoppedTimer returns a timer that does not fire until it is reset.
-func newStoppedTimer() *time.Timer {
-	t := time.NewTimer(time.Hour)
-	t.Stop()
-	return t
-}
-
-// errProbeOverdue reports that a probe did not respond before the next one was due.
-var errProbeOverdue = errors.Mark(errors.New("no response to a probe"), ErrUnavailable)
-
 // readOnce loads the partition or makes one read, which waits up to wait for records. It
 // reports whether it received records.
 func (f *Follower) readOnce(ctx context.Context, wait time.Duration) (bool, error) {
@@ -448,15 +371,15 @@
 			}
 			continue // a shared load may have started before this call
 		}
-		received, err := f.readPage(ctx, from)
+		received, err := f.readNow(ctx, from)
 		if err != nil || !received {
 			return err
 		}
 	}
 }
 
-// readPage makes one read that does not wait for records.
-func (f *Follower) readPage(ctx context.Context, from int64) (bool, error) {
+// readNow makes one read that does not wait for records.
+func (f *Follower) readNow(ctx context.Context, from int64) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeoutMargin)
 	defer cancel()
 	return f.read(ctx, from, 0)
--- /dev/null
+++ b/store/probe.go
@@ -0,0 +1,107 @@
+package store
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ProbeInterval is the probe interval of the followers on which the operators' bounds depend: a
+// target that leaves just after an outage has to be told apart from one whose registration
+// expired in it.
+const ProbeInterval = 500 * time.Millisecond
+
+// minRetryDelay and maxRetryDelay bound the exponential back-off after failed probes.
+const (
+	minRetryDelay = 50 * time.Millisecond
+	maxRetryDelay = 400 * time.Millisecond
+)
+
+// errProbeOverdue reports that a probe has not responded when the next one is due.
+var errProbeOverdue = errors.Mark(errors.New("no response to a probe"), ErrUnavailable)
+
+// prober makes reads that do not wait for records, called probes, after a read has failed.
+type prober struct {
+	follower *Follower
+	results  chan error
+	inFlight int
+	retry    *time.Timer // fires when the next probe is due after failures
+	overdue  *time.Timer // fires when the latest probe should have responded
+	// retryDelay is the delay before the next probe if all that are in flight have failed.
+	retryDelay time.Duration
+}
+
+// waitForResponse probes the partition after a failed read until a probe succeeds or ctx is
+// cancelled. A read that waits for records may have failed because of its connection alone, so
+// only a probe that fails or is overdue shows an outage.
+func (f *Follower) waitForResponse(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	p := &prober{follower: f, results: make(chan error), retry: time.NewTimer(minRetryDelay), overdue: newStoppedTimer(), retryDelay: minRetryDelay}
+	defer p.retry.Stop()
+	defer p.overdue.Stop()
+	began, inOutage := time.Now(), false
+	for {
+		succeeded, err := p.next(ctx)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case succeeded:
+			if inOutage {
+				f.cfg.OnRecovery(time.Since(began))
+			}
+			return
+		case err != nil && !inOutage:
+			inOutage = true
+			f.cfg.OnFailure(err)
+		}
+	}
+}
+
+// next waits for the next event: a probe is due, is overdue or has ended. It reports whether a
+// probe has succeeded, and returns an error if one has failed or is overdue.
+func (p *prober) next(ctx context.Context) (succeeded bool, err error) {
+	select {
+	case <-ctx.Done():
+		return false, ctx.Err()
+	case <-p.retry.C:
+		p.start(ctx)
+		return false, nil
+	case <-p.overdue.C:
+		if p.inFlight == 0 {
+			return false, nil // it has failed; the retry follows
+		}
+		p.start(ctx)
+		return false, errProbeOverdue
+	case err := <-p.results:
+		p.inFlight--
+		if err != nil && p.inFlight == 0 {
+			p.retry.Reset(p.retryDelay)
+			p.retryDelay = min(2*p.retryDelay, maxRetryDelay)
+		}
+		return err == nil, err
+	}
+}
+
+// start starts a probe.
+func (p *prober) start(ctx context.Context) {
+	p.inFlight++
+	go func() {
+		_, err := p.follower.readOnce(ctx, 0)
+		select {
+		case p.results <- err:
+		case <-ctx.Done():
+		}
+	}()
+	if interval := p.follower.cfg.ProbeInterval; interval > 0 {
+		p.overdue.Reset(interval)
+	}
+}
+
+// newStoppedTimer returns a timer that does not fire until it is reset.
+func newStoppedTimer() *time.Timer {
+	t := time.NewTimer(time.Hour)
+	t.Stop()
+	return t
+}
