--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -11,8 +11,8 @@
 	"pumiceford/targets"
 )
 
-// registryPause is the delay after a read of the registry that returned records. It
-// batches heartbeats: with nine targets it reduces eight reads a second to three.
+// registryPause is the delay after a read of the registry that returned records, so that one
+// read returns several heartbeats.
 const registryPause = 250 * time.Millisecond
 
 // FollowRegistry keeps the targets up to date with the registry until ctx ends. Each read
