--- a/fleet/outage_test.go
+++ b/fleet/outage_test.go
@@ -45,7 +45,8 @@
 					fx := outageFixture{store: sharedstore.New(1), view: newView()}
 					fx.register("a")
 					fx.register("b")
-					go fx.view.FollowRegistry(ctx, fx.store.ClientFor("host"), registry, registryReadWait)
+					storeLog := store.NewFailover(fx.store.ClientFor("host"), fx.peers)
+					go fx.view.FollowRegistry(ctx, storeLog, registry, registryReadWait)
 					go func() {
 						for tick := time.NewTicker(expireInterval); ctx.Err() == nil; <-tick.C {
 							fx.view.ExpireTargets(time.Now())
@@ -68,6 +69,18 @@
 	}
 }
 
+// peers returns the hosts through which the host calls the store when it cannot reach it.
+func (fx outageFixture) peers() []store.Peer {
+	return []store.Peer{fx.store.ClientFor("peer 1"), fx.store.ClientFor("peer 2")}
+}
+
+// setFault sets the fault of the host's calls to the store, of those through peers, too.
+func (fx outageFixture) setFault(fault sharedstore.Fault) {
+	for _, host := range []string{"host", "peer 1", "peer 2"} {
+		fx.store.SetFault(host, fault)
+	}
+}
+
 func (fx outageFixture) register(id string) {
 	fx.store.Put(registry, id, []byte(id))
 }
@@ -86,9 +99,9 @@
 // the outage that is noticed late makes the removal look like an expired registration.
 func TestTargetThatLeavesAfterOutageGetsNothing(t *testing.T) {
 	atEachOutage(t, func(t *testing.T, fx outageFixture, fault sharedstore.Fault, length time.Duration) {
-		fx.store.SetFault("host", fault)
+		fx.setFault(fault)
 		time.Sleep(length)
-		fx.store.SetFault("host", sharedstore.NoFault)
+		fx.setFault(sharedstore.NoFault)
 		time.Sleep(contactTime)
 		fx.removeRegistration("a")
 		time.Sleep(drainTime)
@@ -102,11 +115,11 @@
 // registry: the host must not go on treating the removal as the result of an outage.
 func TestTargetThatLeavesWhileHostIsCutOffGetsNothing(t *testing.T) {
 	atEachOutage(t, func(t *testing.T, fx outageFixture, fault sharedstore.Fault, length time.Duration) {
-		fx.store.SetFault("host", fault)
+		fx.setFault(fault)
 		time.Sleep(length / 2)
 		fx.removeRegistration("a")
 		time.Sleep(length / 2)
-		fx.store.SetFault("host", sharedstore.NoFault)
+		fx.setFault(sharedstore.NoFault)
 		time.Sleep(contactTime)
 		if fx.eligible("a") || !fx.eligible("b") {
 			t.Errorf("a eligible %v, b eligible %v; want only b, 3 s after the cut", fx.eligible("a"), fx.eligible("b"))
@@ -122,11 +135,11 @@
 		if length <= registrationTTL {
 			return
 		}
-		fx.store.SetFault("host", fault)
+		fx.setFault(fault)
 		time.Sleep(length)
 		fx.removeRegistration("a")
 		fx.removeRegistration("b")
-		fx.store.SetFault("host", sharedstore.NoFault)
+		fx.setFault(sharedstore.NoFault)
 		for range 19 {
 			time.Sleep(100 * time.Millisecond)
 			if !fx.eligible("a") || !fx.eligible("b") {
