store: the back-off lasts while only probes succeed

An overloaded store may answer a probe and refuse the read that waits for records after it.

The back-off is kept by the loop now and begins anew after a waiting read that succeeds.

--- a/store/follower.go
+++ b/store/follower.go
@@ -129,14 +129,18 @@
 	f.mu.Lock()
 	f.runCtx = ctx
 	f.mu.Unlock()
+	retryDelay := minRetryDelay
 	for ctx.Err() == nil {
 		received, err := f.readOnce(ctx, f.cfg.Wait)
-		switch {
-		case ctx.Err() != nil:
+		if ctx.Err() != nil {
 			return
-		case err != nil:
-			f.waitForResponse(ctx)
-		case received:
+		}
+		if err != nil {
+			retryDelay = f.waitForResponse(ctx, retryDelay)
+			continue
+		}
+		retryDelay = minRetryDelay
+		if received {
 			_ = wait.For(ctx, f.cfg.Pause)
 		}
 	}
--- a/store/follower_test.go
+++ b/store/follower_test.go
@@ -252,3 +252,38 @@
 		}
 	})
 }
+
+// refusingLog refuses the reads that wait for records, and counts all reads.
+type refusingLog struct {
+	store.Log
+	reads *int
+}
+
+func (l refusingLog) Read(ctx context.Context, p store.Partition, from int64, wait time.Duration) (store.Page, error) {
+	*l.reads++
+	if wait > 0 {
+		return store.Page{}, store.ErrRefused
+	}
+	return l.Log.Read(ctx, p, from, wait)
+}
+
+// Guards against a follower that reads without back-off because an overloaded store answers
+// its probes and refuses the reads between them.
+func TestBackOffLastsWhileOnlyProbesSucceed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := sharedstore.New(1)
+		reads := 0
+		f := store.NewFollower(refusingLog{s.ClientFor("a"), &reads}, testPartition, &mirror{}, store.FollowerConfig{
+			Wait: 2 * time.Second, ProbeInterval: store.ProbeInterval,
+		})
+		go f.Run(ctx)
+		time.Sleep(10 * time.Second)
+		cancel()
+		synctest.Wait()
+		const maxReads = 60 // one read and one probe in each longest back-off, and the shorter ones before
+		if reads > maxReads {
+			t.Errorf("%d reads in 10 s, want at most %d", reads, maxReads)
+		}
+	})
+}
--- a/store/probe.go
+++ b/store/probe.go
@@ -18,6 +18,10 @@
 	maxRetryDelay = 400 * time.Millisecond
 )
 
+func nextRetryDelay(d time.Duration) time.Duration {
+	return min(2*d, maxRetryDelay)
+}
+
 // errProbeOverdue reports that a probe has not responded when the next one is due.
 var errProbeOverdue = errors.Mark(errors.New("no response to a probe"), ErrUnavailable)
 
@@ -35,10 +39,13 @@
 // waitForResponse probes the partition after a failed read until a probe succeeds or ctx is
 // cancelled. A read that waits for records may have failed because of its connection alone, so
 // only a probe that fails or is overdue shows an outage.
-func (f *Follower) waitForResponse(ctx context.Context) {
+//
+// The first probe starts after retryDelay. The delay for the next failure is returned: a store
+// that is overloaded may answer probes and refuse the reads between them.
+func (f *Follower) waitForResponse(ctx context.Context, retryDelay time.Duration) time.Duration {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	p := &prober{follower: f, results: make(chan error), retry: time.NewTimer(minRetryDelay), overdue: newStoppedTimer(), retryDelay: minRetryDelay}
+	p := &prober{follower: f, results: make(chan error), retry: time.NewTimer(retryDelay), overdue: newStoppedTimer(), retryDelay: nextRetryDelay(retryDelay)}
 	defer p.retry.Stop()
 	defer p.overdue.Stop()
 	began, inOutage := time.Now(), false
@@ -46,12 +53,12 @@
 		succeeded, err := p.next(ctx)
 		switch {
 		case ctx.Err() != nil:
-			return
+			return p.retryDelay
 		case succeeded:
 			if inOutage {
 				f.cfg.OnRecovery(time.Since(began))
 			}
-			return
+			return p.retryDelay
 		case err != nil && !inOutage:
 			inOutage = true
 			f.cfg.OnFailure(err)
@@ -78,7 +85,7 @@
 		p.inFlight--
 		if err != nil && p.inFlight == 0 {
 			p.retry.Reset(p.retryDelay)
-			p.retryDelay = min(2*p.retryDelay, maxRetryDelay)
+			p.retryDelay = nextRetryDelay(p.retryDelay)
 		}
 		return err == nil, err
 	}
