--- a/store/probe.go
+++ b/store/probe.go
@@ -30,8 +30,8 @@
 	follower *Follower
 	results  chan error
 	inFlight int
-	retry    *time.Timer // fires when the next probe is due after failures
-	overdue  *time.Timer // fires when the latest probe should have responded
+	retry    <-chan time.Time // receives when the next probe is due after failures
+	overdue  <-chan time.Time // receives when the latest probe should have responded; nil if that is not checked
 	// retryDelay is the delay before the next probe if all that are in flight have failed.
 	retryDelay time.Duration
 }
@@ -45,9 +45,7 @@
 func (f *Follower) waitForResponse(ctx context.Context, retryDelay time.Duration) time.Duration {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	p := &prober{follower: f, results: make(chan error), retry: time.NewTimer(retryDelay), overdue: newStoppedTimer(), retryDelay: nextRetryDelay(retryDelay)}
-	defer p.retry.Stop()
-	defer p.overdue.Stop()
+	p := &prober{follower: f, results: make(chan error), retry: time.After(retryDelay), retryDelay: nextRetryDelay(retryDelay)}
 	began, inOutage := time.Now(), false
 	for {
 		succeeded, err := p.next(ctx)
@@ -72,10 +70,10 @@
 	select {
 	case <-ctx.Done():
 		return false, ctx.Err()
-	case <-p.retry.C:
+	case <-p.retry:
 		p.start(ctx)
 		return false, nil
-	case <-p.overdue.C:
+	case <-p.overdue:
 		if p.inFlight == 0 {
 			return false, nil // it has failed; the retry follows
 		}
@@ -84,7 +82,7 @@
 	case err := <-p.results:
 		p.inFlight--
 		if err != nil && p.inFlight == 0 {
-			p.retry.Reset(p.retryDelay)
+			p.retry = time.After(p.retryDelay)
 			p.retryDelay = nextRetryDelay(p.retryDelay)
 		}
 		return err == nil, err
@@ -102,13 +100,6 @@
 		}
 	}()
 	if interval := p.follower.cfg.ProbeInterval; interval > 0 {
-		p.overdue.Reset(interval)
+		p.overdue = time.After(interval)
 	}
 }
-
-// newStoppedTimer returns a timer that does not fire until it is reset.
-func newStoppedTimer() *time.Timer {
-	t := time.NewTimer(time.Hour)
-	t.Stop()
-	return t
-}
