--- a/jobroute/jobroute_test.go
+++ b/jobroute/jobroute_test.go
@@ -581,7 +581,7 @@
 
 // Newest implements store.Log.
 func (l timeoutLog) Newest(ctx context.Context, p store.Partition, after string) (store.Snapshot, error) {
-	ctx, cancel := context.WithTimeout(ctx, store.LoadResponseTimeout)
+	ctx, cancel := context.WithTimeout(ctx, store.ReadResponseTimeout)
 	defer cancel()
 	return l.Log.Newest(ctx, p, after)
 }
--- a/store/follower.go
+++ b/store/follower.go
@@ -68,15 +68,15 @@
 const (
 	// readTimeoutMargin is added to the wait time of a read to get its timeout.
 	readTimeoutMargin = 700 * time.Millisecond
-	// LoadResponseTimeout is how long a read of the newest records may take to begin to arrive.
-	// It exceeds the time for which a busy store queues reads: reads that are given up in its
-	// queue and repeated would keep it busy for ever.
-	LoadResponseTimeout = 3200 * time.Millisecond
+	// ReadResponseTimeout is how long a read may take to begin to arrive, apart from the time
+	// for which it waits for records. It exceeds the time for which a busy store queues reads:
+	// reads that are given up in its queue and repeated would keep it busy for ever.
+	ReadResponseTimeout = 3200 * time.Millisecond
 	// loadTimeout bounds a full load, which may take several reads.
-	loadTimeout = 4 * LoadResponseTimeout
+	loadTimeout = 4 * ReadResponseTimeout
 	// hungLoadAge is the age from which a load counts as hung, so that the next caller starts
 	// another one.
-	hungLoadAge = LoadResponseTimeout
+	hungLoadAge = ReadResponseTimeout
 	// checkTimeout bounds reading up to the end of a partition.
 	checkTimeout = time.Second
 	// sharedCheckWait is how long a caller waits for a read to the end started by another
