Interfaces for sizes of work, pace of targets, shares and seat requests

estimate.Model takes the average hold time of balance.Table and the item estimator of schedule, so that one module answers how long work takes. Requests and items carry what their headers say of their size, requests their workspace and rank, a seat request the rank, workspace and remaining time of its item, and a load report has room for the pace and the memory of a target. Behind each interface stands today's behaviour: all of these are passed and none decides anything yet.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -18,6 +18,7 @@
 	"strings"
 	"time"
 
+	"pumiceford/estimate"
 	"pumiceford/targets"
 )
 
@@ -26,15 +27,20 @@
 type Table struct {
 	salt      uint64
 	views     map[string]*View
-	order     []*View                  // the values of views, sorted by instance ID
-	holdTimes map[string]time.Duration // average time that a request holds its slot, by service
+	order     []*View // the values of views, sorted by instance ID
+	estimates *estimate.Model
 }
 
 // NewTable returns an empty Table. The salt breaks ties between targets that are equally
 // good for batch work, so that processes with different salts and the same loads do not
 // all ask the same agent first.
 func NewTable(salt uint64) *Table {
-	return &Table{salt: salt, views: make(map[string]*View), holdTimes: make(map[string]time.Duration)}
+	return &Table{salt: salt, views: make(map[string]*View), estimates: estimate.NewModel()}
+}
+
+// Estimates returns the model of how long work holds its slots.
+func (t *Table) Estimates() *estimate.Model {
+	return t.estimates
 }
 
 // Replace sets the registered instances.
@@ -115,6 +121,7 @@
 	Waiting    int           // estimated online requests waiting for a slot there
 	Wait       time.Duration // estimated time until a slot becomes free there
 	LoadAge    time.Duration // age of the load report; -1 if there is no current one
+	Pace       float64       // see estimate.UsualPace
 	Candidates int           // number of targets that could have been chosen
 }
 
@@ -163,7 +170,7 @@
 		return Choice{}, false
 	}
 	v := drawWeighted(now, candidates, draw)
-	c := Choice{Instance: v.Instance, Load: v.load(now), Batch: v.batch(now), Waiting: v.Waiting(now), Wait: t.wait(now, v), LoadAge: -1, Candidates: len(candidates)}
+	c := Choice{Instance: v.Instance, Load: v.load(now), Batch: v.batch(now), Waiting: v.Waiting(now), Wait: t.wait(now, v), LoadAge: -1, Pace: v.pace(now), Candidates: len(candidates)}
 	if v.reported(now) {
 		c.LoadAge = now.Sub(v.reportedAt)
 	}
--- a/balance/view.go
+++ b/balance/view.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"pumiceford/estimate"
 	"pumiceford/targets"
 )
 
@@ -30,6 +31,12 @@
 	UrgentSeats int // further seats for items that are due soon
 	// Silent says that the target does not respond to its agent.
 	Unresponsive bool
+	// TokenTime is the time that the target takes now for a token of each of its runs, and
+	// UsualTokenTime the same averaged over a longer time; both are 0 if unknown.
+	TokenTime, UsualTokenTime time.Duration
+	// MemoryUsed and MemoryTotal are the target's memory in tokens that cannot be reclaimed,
+	// and all of it; both are 0 if unknown.
+	MemoryUsed, MemoryTotal int
 	// FailingEntries is the number of entries that recently reported failures to the agent.
 	FailingEntries int
 }
@@ -68,6 +75,11 @@
 	return !v.reportedAt.IsZero() && now.Sub(v.reportedAt) <= maxReportAge
 }
 
+// pace returns the pace of the target, see estimate.UsualPace.
+func (v *View) pace(_ time.Time) float64 {
+	return estimate.UsualPace
+}
+
 func (v *View) batch(now time.Time) int {
 	if !v.reported(now) {
 		return 0
--- a/balance/wait.go
+++ b/balance/wait.go
@@ -1,33 +1,19 @@
 package balance
 
-import "time"
+import (
+	"time"
 
-// Limits and weights for queueing and hold times.
+	"pumiceford/estimate"
+)
+
+// Limits for queueing.
 const (
 	// maxWaitingShare is the number of online requests that may wait at the chosen target
 	// before more are rejected, as a share of its slots. A longer queue only holds
 	// requests whose responses would come much too late.
 	maxWaitingShare = 0.5
-	// defaultHoldTime is the assumed time that a request holds its slot until one has
-	// been observed.
-	defaultHoldTime = 600 * time.Millisecond
-	// holdTimeSmoothing is the weight of a new observation in the moving average.
-	holdTimeSmoothing = 0.05
 )
 
-// ObserveHoldTime adds to a service's moving average the time that a request held its slot.
-func (t *Table) ObserveHoldTime(service string, took time.Duration) {
-	average := t.holdTime(service)
-	t.holdTimes[service] = average + time.Duration(holdTimeSmoothing*float64(took-average))
-}
-
-func (t *Table) holdTime(service string) time.Duration {
-	if d, ok := t.holdTimes[service]; ok {
-		return d
-	}
-	return defaultHoldTime
-}
-
 // wait estimates how long an online request waits for a slot at a target. Slots become free
 // one after the other, and requests that already wait go first. A slot held by batch work
 // becomes free almost at once.
@@ -35,7 +21,7 @@
 	if v.load(now)-v.batch(now) < v.slots() {
 		return 0
 	}
-	return time.Duration(v.Waiting(now)+1) * t.holdTime(v.Instance.Service) / time.Duration(v.slots())
+	return time.Duration(v.Waiting(now)+1) * t.estimates.HoldTime(v.Instance.Service, estimate.Work{}, v.pace(now)) / time.Duration(v.slots())
 }
 
 // reserveMaxFree is the largest number of free slots at which a slot is reserved before a
--- a/bench/load/batch.go
+++ b/bench/load/batch.go
@@ -47,7 +47,7 @@
 	}
 	for _, c := range candidates {
 		t := s.byID[c.Instance.ID]
-		seat, granted := t.arbiter.Acquire(s.now, due)
+		seat, granted := t.arbiter.Acquire(s.now, seats.Request{Due: due})
 		e.table.RecordSeatReply(t.id, granted)
 		if granted {
 			w.target, w.seat = t, seat
--- a/bench/load/simulation.go
+++ b/bench/load/simulation.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pumiceford/balance"
+	"pumiceford/estimate"
 	"pumiceford/routing"
 	"pumiceford/seats"
 	"pumiceford/targets"
@@ -335,7 +336,7 @@
 	t.active--
 	s.slotTime += s.now.Sub(w.started)
 	if !w.batch {
-		w.entry.table.ObserveHoldTime("s", s.now.Sub(w.started))
+		w.entry.table.Estimates().ObserveRequest("s", estimate.Work{}, estimate.UsualPace, s.now.Sub(w.started))
 	}
 	s.release(w, true)
 	if w.batch {
--- a/catalog/workspace.go
+++ b/catalog/workspace.go
@@ -23,6 +23,18 @@
 	Burst float64
 }
 
+// Rank returns the rank of work on a route for a workspace: 0 is the most urgent. Both may be
+// nil if they are unknown.
+func Rank(r *Route, w *Workspace) int {
+	switch {
+	case w != nil && w.Priority != nil:
+		return *w.Priority
+	case r != nil:
+		return r.Priority
+	}
+	return 0
+}
+
 // RateLimited reports whether the workspace has a rate limit.
 func (w *Workspace) RateLimited() bool {
 	return w.Rate > 0
--- a/daemon/agentlinks.go
+++ b/daemon/agentlinks.go
@@ -89,14 +89,14 @@
 }
 
 // Acquire implements runner.Seats.
-func (a *agentLinks) Acquire(ctx context.Context, in targets.Instance, due time.Time) (*seats.Seat, error) {
+func (a *agentLinks) Acquire(ctx context.Context, in targets.Instance, req seats.Request) (*seats.Seat, error) {
 	a.mu.Lock()
 	l := a.links[in.ID]
 	a.mu.Unlock()
 	if l == nil {
 		return nil, nil
 	}
-	seat, load, err := seats.Acquire(ctx, l.peer, in, due)
+	seat, load, err := seats.Acquire(ctx, l.peer, in, req)
 	if load != nil {
 		a.view.WithTable(func(t *balance.Table) { t.UpdateLoad(time.Now(), in.ID, loadReport(load)) })
 	}
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -16,6 +16,7 @@
 
 	"pumiceford/access"
 	"pumiceford/catalog"
+	"pumiceford/estimate"
 	"pumiceford/exchange"
 	"pumiceford/fleet"
 	"pumiceford/gateway"
@@ -62,6 +63,8 @@
 	Sender          TargetSender
 	// ItemHeader converts the headers of a batch item to the headers of its call.
 	ItemHeader func(item map[string]string) map[string][]string
+	// ItemWork returns what the headers of a batch item say of its size.
+	ItemWork func(item map[string]string) estimate.Work
 	// FrontHandler returns the handler of the callers' listener.
 	FrontHandler func(f FrontConfig) http.Handler
 	// ReadyHandler returns the handler of the readiness probe, which calls ready.
@@ -203,7 +206,7 @@
 	n.runner = runner.New(runner.Config{
 		Member: set.Peers, Group: jobGroup, Store: n.jobs, Groups: n.store, View: n.view, Sender: deps.Sender,
 		Seats: n.agentLinks, Quarantine: n.quarantine, Log: base.WithPrefix("batch"), Metrics: n.metrics,
-		Headers: deps.ItemHeader, MaxRunning: maxRunningItems,
+		Headers: deps.ItemHeader, Work: deps.ItemWork, MaxRunning: maxRunningItems,
 	})
 	n.agentLinks.onFreeSlot = n.runner.Wake
 	n.setUpRateLimits(linkCfg, base.WithPrefix("limits"))
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"pumiceford/estimate"
 	"pumiceford/targets"
 )
 
@@ -23,8 +24,8 @@
 	Body         []byte
 	Deadline     time.Time // the target stops work at this time; zero for none
 	ResumeAfter  uint64    // ID of the event after which a stream resumes; 0 for its start
-	Tokens       int       // prompt tokens plus the maximum of output tokens; 0 when unknown
-	ReservedSlot string    // name of the slot reserved at the target; "" for none
+	Work         estimate.Work
+	ReservedSlot string // name of the slot reserved at the target; "" for none
 	// Workspace is the workspace that the call belongs to, "" for none. It is sent to the
 	// target.
 	Workspace string
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -10,6 +10,7 @@
 
 	"pumiceford/balance"
 	"pumiceford/catalog"
+	"pumiceford/estimate"
 	"pumiceford/internal/wait"
 	"pumiceford/logging"
 	"pumiceford/metrics"
@@ -162,6 +163,11 @@
 	fn(v.table)
 }
 
+// Estimates returns the model of how long work holds its slots. It has a lock of its own.
+func (v *View) Estimates() *estimate.Model {
+	return v.table.Estimates()
+}
+
 // Instances returns the known instances, sorted by ID.
 func (v *View) Instances() []targets.Instance {
 	v.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"pumiceford/balance"
 	"pumiceford/catalog"
 	"pumiceford/exchange"
+	"pumiceford/fairshare"
 	"pumiceford/fleet"
 	"pumiceford/logging"
 	"pumiceford/metrics"
@@ -102,6 +103,7 @@
 	exchange.Call
 	Arrived time.Time      // before the body was read
 	Key     quarantine.Key // the same for each attempt of the caller
+	Holder  fairshare.Holder
 }
 
 // FailureNotifier notifies other processes of target failures.
@@ -193,6 +195,7 @@
 	defer cancel()
 	s := &requestState{g: g, ctx: ctx, route: route, req: req, responder: responder, tried: make(map[string]bool), hasDeadline: hasDeadline, isRetry: isRetry}
 	s.service = route.Service(req.ID)
+	req.Work.Class = route.Name
 	s.run()
 	s.report()
 }
--- a/gateway/overload.go
+++ b/gateway/overload.go
@@ -58,7 +58,7 @@
 	if s.outcome != outcomeServed || s.sends != 1 || s.choice.Wait > 0 {
 		return
 	}
-	s.g.view.WithTable(func(t *balance.Table) { t.ObserveHoldTime(s.service, now.Sub(s.sentAt)) })
+	s.g.view.Estimates().ObserveRequest(s.service, s.req.Work, s.choice.Pace, now.Sub(s.sentAt))
 }
 
 // timeoutTracker tracks the longest timeout that callers of each route send. It tells first
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -42,7 +42,7 @@
 		}
 		s.g.view.WithTable(func(t *balance.Table) { t.OnlineStarted(time.Now(), c.Instance.ID) })
 		ctx, cancel := context.WithTimeout(s.ctx, reserveTimeout)
-		name, err := s.g.reserver.Reserve(ctx, c.Instance, s.req.Tokens, reservationTTL)
+		name, err := s.g.reserver.Reserve(ctx, c.Instance, s.req.Work.Tokens(), reservationTTL)
 		cancel()
 		if err == nil {
 			s.req.ReservedSlot = name
@@ -71,5 +71,5 @@
 // known, and its service must support reservations of reservationTTL.
 func (s *requestState) canReserve() bool {
 	cat := s.g.view.Catalog()
-	return cat != nil && s.req.Tokens > 0 && cat.Services[s.service].ReservationTTL >= reservationTTL
+	return cat != nil && s.req.Work.Tokens() > 0 && cat.Services[s.service].ReservationTTL >= reservationTTL
 }
--- a/runner/run.go
+++ b/runner/run.go
@@ -11,9 +11,11 @@
 
 	"pumiceford/balance"
 	"pumiceford/catalog"
+	"pumiceford/estimate"
 	"pumiceford/events"
 	"pumiceford/exchange"
 	"pumiceford/jobs"
+	"pumiceford/jobstore"
 	"pumiceford/logging"
 	"pumiceford/quarantine"
 	"pumiceford/seats"
@@ -51,6 +53,26 @@
 	return route.Service(c.open.Item.GetId()), true
 }
 
+// work returns the size of an item, as far as it is known.
+func (r *Runner) work(open jobstore.OpenItem) estimate.Work {
+	w := r.cfg.Work(open.Item.GetHeaders())
+	if cat := r.cfg.View.Catalog(); cat != nil {
+		if route := cat.Match(open.Spec.GetHost(), open.Item.GetPath()); route != nil {
+			w.Class = route.Name
+		}
+	}
+	return w
+}
+
+// seatRequest returns the request for an item's seat.
+func (r *Runner) seatRequest(now time.Time, c candidate) seats.Request {
+	req := seats.Request{Due: c.YieldDue(now), Workspace: c.open.Spec.GetWorkspace(), Remaining: c.Remaining}
+	if cat := r.cfg.View.Catalog(); cat != nil {
+		req.Rank = catalog.Rank(cat.Match(c.open.Spec.GetHost(), c.open.Item.GetPath()), cat.Workspace(req.Workspace))
+	}
+	return req
+}
+
 // excludeFailed returns the targets at which an item may be retried. A target that fails
 // every item immediately always has free seats, so without this rule a valid item uses up
 // its attempts at the same few targets and is given up. An item that has failed is
@@ -85,17 +107,17 @@
 // acquireSeat requests a seat from the agents, the best candidate first. It reads the state
 // of the targets again before each request and once more after it: a target may start
 // draining in the meantime, and must then get no item. It returns nil if there is no seat.
-func (r *Runner) acquireSeat(ctx context.Context, service string, avoid []string, due time.Time) (*seats.Seat, targets.Instance) {
+func (r *Runner) acquireSeat(ctx context.Context, service string, avoid []string, req seats.Request) (*seats.Seat, targets.Instance) {
 	ctx, cancel := context.WithTimeout(ctx, seatTimeout)
 	defer cancel()
 	tried := make(map[string]bool)
 	for ctx.Err() == nil {
-		in, ok := r.nextTarget(service, avoid, due, tried)
+		in, ok := r.nextTarget(service, avoid, req.Due, tried)
 		if !ok {
 			break
 		}
 		tried[in.ID] = true
-		seat, err := r.cfg.Seats.Acquire(ctx, in, due)
+		seat, err := r.cfg.Seats.Acquire(ctx, in, req)
 		granted, eligible := seat != nil && err == nil, false
 		r.cfg.View.WithTable(func(t *balance.Table) {
 			t.RecordSeatReply(in.ID, granted)
@@ -214,9 +236,9 @@
 	}
 	if o != nil {
 		st.backoff = 0
-		r.pace.ObserveItem(st.lastEvent)
+		r.estimates.ObserveItem(r.work(c.open), st.lastEvent)
 	}
-	r.pace.ObserveRun(st.lastEvent-from, time.Since(began))
+	r.estimates.ObserveRun(r.work(c.open), estimate.UsualPace, st.lastEvent-from, time.Since(began))
 	last, failed, ended := st.lastEvent, st.failures, st.ended
 	r.mu.Unlock()
 	switch {
@@ -260,7 +282,7 @@
 	r.mu.Unlock()
 	resp, err := r.cfg.Sender.Send(ctx, in, &exchange.Call{
 		ID: item.GetId(), Method: http.MethodPost, Host: c.open.Spec.GetHost(), URI: item.GetPath(),
-		Header: r.cfg.Headers(item.GetHeaders()), Body: item.GetBody(), ResumeAfter: after, Workspace: c.open.Spec.GetWorkspace(),
+		Header: r.cfg.Headers(item.GetHeaders()), Body: item.GetBody(), Work: r.work(c.open), ResumeAfter: after, Workspace: c.open.Spec.GetWorkspace(),
 	})
 	if err != nil {
 		r.recordSendError(ctx, in, err)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -16,6 +16,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"pumiceford/estimate"
 	"pumiceford/exchange"
 	"pumiceford/fleet"
 	"pumiceford/internal/wait"
@@ -33,7 +34,7 @@
 // Seats grants seats at targets.
 type Seats interface {
 	// Acquire returns a seat at a target, or nil if none is free there.
-	Acquire(ctx context.Context, in targets.Instance, due time.Time) (*seats.Seat, error)
+	Acquire(ctx context.Context, in targets.Instance, req seats.Request) (*seats.Seat, error)
 }
 
 // Config holds the settings and dependencies of a Runner.
@@ -51,6 +52,8 @@
 	Metrics    *metrics.Set
 	// Headers returns the header to send with an item, given its own headers.
 	Headers func(item map[string]string) map[string][]string
+	// Work returns what an item's headers say of its size, without its class.
+	Work func(item map[string]string) estimate.Work
 	// MaxRunning limits how many items run at a time, which bounds memory.
 	MaxRunning int
 }
@@ -100,7 +103,7 @@
 	assigned      map[int]bool // assigned partitions; true once their progress has been loaded
 	items         map[jobstore.ItemKey]*itemState
 	running       int
-	pace          *schedule.Estimator
+	estimates     *estimate.Model        // taken after mu
 	refreshFailed map[int]time.Time      // time of the last failed refresh, by partition
 	finished      map[int][]jobs.Outcome // outcomes to be listed, by home partition
 	unlistedBytes int                    // size of the results that are not listed yet
@@ -141,7 +144,7 @@
 func New(cfg Config) *Runner {
 	return &Runner{
 		cfg: cfg, assigned: make(map[int]bool), items: make(map[jobstore.ItemKey]*itemState),
-		finished: make(map[int][]jobs.Outcome), pace: schedule.NewEstimator(),
+		finished: make(map[int][]jobs.Outcome), estimates: cfg.View.Estimates(),
 		refreshFailed: make(map[int]time.Time),
 		wake:          make(chan struct{}, 1), wakeLister: make(chan struct{}, 1),
 	}
@@ -247,7 +250,7 @@
 		st := r.items[c.open.Key()]
 		c.Item = schedule.Item{
 			Due:       time.UnixMilli(c.open.Spec.GetDueUnixMs()),
-			Remaining: r.pace.Remaining(st.lastEvent),
+			Remaining: r.estimates.Remaining(r.work(c.open), estimate.UsualPace, st.lastEvent),
 			Started:   st.lastEvent > 0,
 		}
 	}
@@ -331,7 +334,7 @@
 	if !r.jobStateUsable(ctx, c) {
 		return
 	}
-	seat, in := r.acquireSeat(ctx, service, r.targetsToAvoid(st), c.YieldDue(time.Now()))
+	seat, in := r.acquireSeat(ctx, service, r.targetsToAvoid(st), r.seatRequest(time.Now(), c))
 	if seat == nil {
 		// An item that failed before avoids some targets; others may still find a seat.
 		full[service] = full[service] || len(r.targetsToAvoid(st)) == 0
--- a/seats/agent.go
+++ b/seats/agent.go
@@ -254,7 +254,7 @@
 }
 
 func (a *Agent) serveSeat(ctx context.Context, req *wire.SeatRequest, st *link.Stream) {
-	id, yield, load := a.acquire(time.UnixMilli(req.GetDueUnixMs()))
+	id, yield, load := a.acquire(decodeRequest(req))
 	if st.Send(&wire.SeatReply{Granted: id != 0, Load: load}) != nil || id == 0 {
 		a.release(id)
 		return
@@ -280,16 +280,24 @@
 	}
 }
 
+// decodeRequest returns the request of an entry.
+func decodeRequest(r *wire.SeatRequest) Request {
+	return Request{
+		Due: time.UnixMilli(r.GetDueUnixMs()), Workspace: r.GetWorkspace(), Rank: int(r.GetRank()),
+		Remaining: time.Duration(r.GetRemainingMs()) * time.Millisecond,
+	}
+}
+
 // acquire returns the ID of a granted seat, a channel that is closed to ask for it back and
 // the load. The ID is 0 if no seat is granted.
-func (a *Agent) acquire(due time.Time) (uint64, chan struct{}, *wire.Load) {
+func (a *Agent) acquire(req Request) (uint64, chan struct{}, *wire.Load) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
 	if a.draining || now.Sub(a.lastResponse) > unresponsiveAfter {
 		return 0, nil, a.loadLocked()
 	}
-	id, ok := a.arbiter.Acquire(now, due)
+	id, ok := a.arbiter.Acquire(now, req)
 	if !ok {
 		a.cfg.Metrics.Count("seat_refused")
 		return 0, nil, a.loadLocked()
--- a/seats/arbiter.go
+++ b/seats/arbiter.go
@@ -104,18 +104,17 @@
 	return left > 0 && left < urgentWithin
 }
 
-// Acquire grants a seat to work with the given due time if a slot is free. It returns the
-// seat's ID, which is never 0.
-func (a *Arbiter) Acquire(now, due time.Time) (id uint64, ok bool) {
+// Acquire grants a seat to an item if a slot is free. It returns the seat's ID, which is never 0.
+func (a *Arbiter) Acquire(now time.Time, req Request) (id uint64, ok bool) {
 	free := a.FreeSeats(now)
-	if Urgent(now, due) {
+	if Urgent(now, req.Due) {
 		free += a.UrgentSeats(now)
 	}
 	if free <= 0 {
 		return 0, false
 	}
 	a.lastID++
-	a.held[a.lastID] = &heldSeat{due: due, granted: now}
+	a.held[a.lastID] = &heldSeat{due: req.Due, granted: now}
 	return a.lastID, true
 }
 
--- a/seats/client.go
+++ b/seats/client.go
@@ -33,12 +33,22 @@
 	s.release()
 }
 
-// Acquire asks the agent at peer for a seat for work with the given due time. It returns a
-// nil Seat if none is free. The returned load is the one that the agent decided by.
-func Acquire(ctx context.Context, peer *link.Peer, in targets.Instance, due time.Time) (*Seat, *wire.Load, error) {
+// Request is what an agent needs to know of an item that asks for a seat.
+type Request struct {
+	Due       time.Time // the seat of the item that is due last is asked back first
+	Workspace string
+	Rank      int           // 0 is the most urgent
+	Remaining time.Duration // estimated time that the item still has to run
+}
+
+// Acquire asks the agent at peer for a seat. It returns a nil Seat if none is free. The returned load is the one that the agent decided by.
+func Acquire(ctx context.Context, peer *link.Peer, in targets.Instance, req Request) (*Seat, *wire.Load, error) {
 	openCtx, cancel := context.WithTimeout(ctx, acquireTimeout)
 	defer cancel()
-	call := &wire.Call{Kind: &wire.Call_Seat{Seat: &wire.SeatRequest{Instance: in.ID, Slots: uint32(in.Slots), DueUnixMs: due.UnixMilli()}}}
+	call := &wire.Call{Kind: &wire.Call_Seat{Seat: &wire.SeatRequest{
+		Instance: in.ID, Slots: uint32(in.Slots), DueUnixMs: req.Due.UnixMilli(),
+		Workspace: req.Workspace, Rank: int32(req.Rank), RemainingMs: req.Remaining.Milliseconds(),
+	}}}
 	st, err := peer.Open(openCtx, link.Batch, call)
 	if err != nil {
 		return nil, nil, err
