Agents hold reservations of items and grant the most pressing one first

An agent granted a seat to whichever entry asked first, so an item with time to spare took the seat that one due soon waited for at another entry. A seat request may now wait at the agent: it holds up to 600 reservations, each for at most 2 s, and grants a seat that becomes free by rank, then the standing of the workspace, then as schedule orders items. A free seat is still granted at once. One in 16 grants goes to the item that has waited longest if it has for 20 s, so no rank waits without end.

Bounds: a reservation ends with its stream, its session, its limit or the agent's drain, and a grant that nobody takes ends with its stream or session. An older agent ignores the wait and refuses at once.

--- a/daemon/agentlinks.go
+++ b/daemon/agentlinks.go
@@ -103,6 +103,17 @@
 	return seat, err
 }
 
+// Reserve implements runner.Seats.
+func (a *agentLinks) Reserve(ctx context.Context, in targets.Instance, req seats.Request, limit time.Duration) (*seats.Seat, error) {
+	a.mu.Lock()
+	l := a.links[in.ID]
+	a.mu.Unlock()
+	if l == nil {
+		return nil, nil
+	}
+	return seats.Reserve(ctx, l.peer, in, req, limit)
+}
+
 // faultReportInterval is the shortest time between two failure reports of one entry to one
 // agent. More reports add nothing: the agent counts entries, not failures.
 const faultReportInterval = 500 * time.Millisecond
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -4,11 +4,17 @@
 // starts just before it is due, and the first peak of online work that takes its seat
 // makes it miss its due time. Items that can still finish in time therefore go first,
 // the earliest due first, and late items get the seats that are left.
+//
+// Entries and agents order items by the same rules: by rank, then by the standing of their
+// workspaces, then as above.
 package schedule
 
 import (
 	"cmp"
+	"math"
 	"time"
+
+	"pumiceford/fairshare"
 )
 
 // Item is the state of an open item that its order depends on.
@@ -28,11 +34,27 @@
 
 // Feasible reports whether an item can still finish in time.
 func (i Item) Feasible(now time.Time) bool {
-	need := i.Remaining
-	if !i.Started {
-		need += notStartedMargin
+	return !now.Add(i.need()).After(i.Due)
+}
+
+// need returns the time that an item needs to finish.
+func (i Item) need() time.Duration {
+	if i.Started {
+		return i.Remaining
 	}
-	return !now.Add(need).After(i.Due)
+	return i.Remaining + notStartedMargin
+}
+
+// seatWait is the time that an item is taken to wait for a seat at another target.
+const seatWait = time.Second
+
+// Accepts reports whether an item takes a seat at a target where it still has to run for here,
+// given that it would still have to run for best at the fastest target. An item that would be
+// late here leaves the seat to others as long as it can be in time elsewhere.
+func (i Item) Accepts(now time.Time, here, best time.Duration) bool {
+	atBest := i
+	i.Remaining, atBest.Remaining = here, best
+	return i.Feasible(now) || !atBest.Feasible(now.Add(seatWait))
 }
 
 // YieldDue returns the due time that an agent uses to decide whose seat it asks back. The
@@ -46,16 +68,108 @@
 
 // Compare orders items. It returns a negative number if a goes first.
 func Compare(now time.Time, a, b Item) int {
-	fa, fb := a.Feasible(now), b.Feasible(now)
-	if fa != fb {
-		if fa {
+	return CompareClaims(now, Claim{Item: a}, Claim{Item: b})
+}
+
+// Claim is an item with the standing of its workspace.
+type Claim struct {
+	fairshare.Standing
+	Item
+}
+
+// excessStep is the difference between two excesses that counts. The excess of a workspace
+// changes with each item that starts or ends; smaller differences would let these changes
+// decide instead of the due times.
+const excessStep = 0.25
+
+// excessLevel returns the number of whole steps by which a workspace is beyond its share.
+func excessLevel(s fairshare.Standing) float64 {
+	return math.Floor(max(s.Excess, 0) / excessStep)
+}
+
+// CompareClaims orders items of all workspaces by rank, then standing, then as Compare. It
+// returns a negative number if a goes first.
+func CompareClaims(now time.Time, a, b Claim) int {
+	return a.Key().Compare(now.UnixNano(), b.Key())
+}
+
+// Key is a Claim prepared for many comparisons. Times are in nanoseconds since 1970.
+type Key struct {
+	rank        int
+	excess      float64 // level
+	due         int64
+	latestStart int64 // the last time at which the item is feasible
+	remaining   time.Duration
+}
+
+// Key returns the claim's key. A zero due time stands for an item that is late.
+func (c Claim) Key() Key {
+	k := Key{rank: c.Rank, excess: excessLevel(c.Standing), remaining: c.Remaining, due: math.MinInt64, latestStart: math.MinInt64}
+	if !c.Due.IsZero() {
+		k.due = c.Due.UnixNano()
+		k.latestStart = c.Due.Add(-c.need()).UnixNano()
+	}
+	return k
+}
+
+// Compare orders as CompareClaims.
+func (k Key) Compare(now int64, other Key) int {
+	if k.rank != other.rank {
+		return cmp.Compare(k.rank, other.rank)
+	}
+	if k.excess != other.excess {
+		return cmp.Compare(k.excess, other.excess)
+	}
+	feasible := now <= k.latestStart
+	switch {
+	case feasible != (now <= other.latestStart):
+		if feasible {
 			return -1
 		}
 		return 1
+	case feasible:
+		return cmp.Compare(k.due, other.due)
 	}
-	if !fa {
-		// Neither can finish in time: the one with the least time left frees its seat first.
-		return cmp.Compare(a.Remaining, b.Remaining)
+	// Neither can finish in time: the one with the least time left frees its seat first.
+	return cmp.Compare(k.remaining, other.remaining)
+}
+
+// Speed is the observed speed of a run. Did and Left are in time at the usual pace.
+type Speed struct {
+	Took time.Duration // time since the run began
+	Did  time.Duration // work that it did
+	Left time.Duration // work that it still has to do
+}
+
+// Here estimates how long the run still takes at its present speed.
+func (s Speed) Here() time.Duration {
+	if s.Did <= 0 {
+		return s.Left
+	}
+	return time.Duration(float64(s.Left) * float64(s.Took) / float64(s.Did))
+}
+
+// Late reports whether the run will end late at its present speed.
+func (s Speed) Late(now, due time.Time) bool {
+	return now.Add(s.Here()).After(due)
+}
+
+// Costs and gains of a move.
+const (
+	// moveCost is the time for a new connection and for reading the item again.
+	moveCost = 500 * time.Millisecond
+	// maxMovedShare is the largest part of the time left that a move may leave of an item
+	// that stays late. Smaller gains do not repay reading it again.
+	maxMovedShare = 0.6
+)
+
+// Moves reports whether a late run moves to a target where it would still have to run for
+// there: if it is in time only there, or gains much. The margin of an item that is in time
+// there is its move cost, so that an error of the estimates does not move it back.
+func (s Speed) Moves(now, due time.Time, there time.Duration) bool {
+	there += moveCost
+	if there >= s.Here() {
+		return false
 	}
-	return a.Due.Compare(b.Due)
+	return !now.Add(there).After(due) || float64(there) <= maxMovedShare*float64(s.Here())
 }
--- a/seats/agent.go
+++ b/seats/agent.go
@@ -40,6 +40,9 @@
 	unresponsiveAfter = 300 * time.Millisecond
 	// failureReportTTL is how long an entry's failure report counts.
 	failureReportTTL = 2 * time.Second
+	// maxReservationTime bounds how long a reservation waits, so that the agent forgets those
+	// of an entry whose session broke, and orders items by recent estimates.
+	maxReservationTime = 2 * time.Second
 )
 
 // AgentConfig configures an Agent.
@@ -58,11 +61,12 @@
 	mu             sync.Mutex
 	arbiter        *Arbiter
 	yieldRequests  map[uint64]chan struct{} // by seat ID; closed to ask for the seat back
+	reservations   map[uint64]*waiter       // by the ID that the seat will have
 	lastResponse   time.Time                // time of the target's last response
 	lastNoResponse time.Time                // time of the last unanswered poll
 	unresponsive   bool                     // polls have been unanswered for unresponsiveAfter
 	freeSeats      int                      // seats that could be granted at lastResponse
-	users          int                      // open watches and seats
+	users          int                      // open watches, seats and reservations
 	changed        chan struct{}            // closed and replaced when the load changes
 	pollNow        chan struct{}            // receives a value when users becomes 1
 	// failureReports is the time of the last failure report, by entry.
@@ -70,6 +74,12 @@
 	draining       bool
 }
 
+// waiter is a reservation whose stream waits for an answer.
+type waiter struct {
+	answered chan struct{} // closed when the seat is granted or refused
+	yield    chan struct{} // set before answered is closed if the seat is granted
+}
+
 // reservingShare is the share of the agents that keep a slot free of batch work.
 const reservingShare = 0.6
 
@@ -89,6 +99,7 @@
 	return &Agent{
 		cfg: cfg, arbiter: NewArbiter(0, ReservedSlots(cfg.Name)),
 		yieldRequests: make(map[uint64]chan struct{}),
+		reservations:  make(map[uint64]*waiter),
 		changed:       make(chan struct{}),
 		pollNow:       make(chan struct{}, 1),
 
@@ -168,9 +179,11 @@
 		delete(a.yieldRequests, id)
 		a.cfg.Metrics.Count("seat_asked_back")
 	}
+	a.grantReservationsLocked()
 	a.cfg.Metrics.SetGauge("target_active", float64(load.Active))
 	a.cfg.Metrics.SetGauge("target_queued", float64(load.Queued))
 	a.cfg.Metrics.SetGauge("seats_held", float64(a.arbiter.Held()))
+	a.cfg.Metrics.SetGauge("seat_reservations", float64(a.arbiter.Waiting()))
 	a.freeSeats = max(a.arbiter.FreeSeats(a.lastResponse), 0)
 	if !same || (a.freeSeats > 0) != (before > 0) {
 		a.notifyLocked()
@@ -218,11 +231,16 @@
 	a.changed = make(chan struct{})
 }
 
-// Drain stops granting seats and asks all granted seats back.
+// Drain stops granting seats, refuses all reservations and asks all granted seats back.
 func (a *Agent) Drain() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.draining = true
+	for id, w := range a.reservations {
+		a.arbiter.Cancel(id)
+		close(w.answered)
+		delete(a.reservations, id)
+	}
 	for id, ch := range a.yieldRequests {
 		close(ch)
 		delete(a.yieldRequests, id)
@@ -253,19 +271,24 @@
 	}
 }
 
-func (a *Agent) serveSeat(ctx context.Context, req *wire.SeatRequest, st *link.Stream) {
-	id, yield, load := a.acquire(decodeRequest(req))
+// serveSeat answers a request for a seat, after a wait if the entry allows one, and holds a
+// granted seat until the stream ends.
+func (a *Agent) serveSeat(ctx context.Context, call *wire.SeatRequest, st *link.Stream) {
+	req := decodeRequest(call)
+	id, yield, load := a.acquire(req)
+	var ended <-chan struct{}
+	if limit := time.Duration(call.GetWaitMs()) * time.Millisecond; id == 0 && limit > 0 {
+		ended = streamEnd(st)
+		id, yield, load = a.waitForSeat(ctx, req, min(limit, maxReservationTime), ended)
+	}
 	if st.Send(&wire.SeatReply{Granted: id != 0, Load: load}) != nil || id == 0 {
 		a.release(id)
 		return
 	}
 	defer a.release(id)
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		// The holder sends nothing more, so Recv returns at the end of the stream.
-		_ = st.Recv(&wire.SeatReply{})
-	}()
+	if ended == nil {
+		ended = streamEnd(st)
+	}
 	select {
 	case <-ctx.Done():
 	case <-ended:
@@ -280,24 +303,118 @@
 	}
 }
 
+// streamEnd returns a channel that is closed at the end of a stream on which the entry sends
+// nothing more.
+func streamEnd(st *link.Stream) <-chan struct{} {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = st.Recv(&wire.SeatReply{})
+	}()
+	return ended
+}
+
 // decodeRequest returns the request of an entry.
 func decodeRequest(r *wire.SeatRequest) Request {
 	return Request{
 		Due: time.UnixMilli(r.GetDueUnixMs()), Workspace: r.GetWorkspace(), Rank: int(r.GetRank()),
 		Remaining: time.Duration(r.GetRemainingMs()) * time.Millisecond,
+		Excess:    r.GetExcess(), Started: r.GetStarted(), Late: r.GetLate(),
+		Waited: time.Duration(r.GetWaitedMs()) * time.Millisecond,
+	}
+}
+
+// mayGrantLocked reports whether the agent grants seats at all now. a.mu is held.
+func (a *Agent) mayGrantLocked(now time.Time) bool {
+	return !a.draining && now.Sub(a.lastResponse) <= unresponsiveAfter
+}
+
+// waitForSeat leaves a reservation and waits for up to limit, or until the stream or ctx
+// ends. It returns the same as acquire.
+func (a *Agent) waitForSeat(ctx context.Context, req Request, limit time.Duration, ended <-chan struct{}) (uint64, chan struct{}, *wire.Load) {
+	id, w, load := a.reserve(req)
+	if id == 0 {
+		return 0, nil, load
+	}
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-w.answered:
+	case <-ended:
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	return a.endReservation(id, w)
+}
+
+// reserve leaves a reservation. The ID is 0 if the agent takes none.
+func (a *Agent) reserve(req Request) (uint64, *waiter, *wire.Load) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	if !a.mayGrantLocked(now) {
+		return 0, nil, a.loadLocked()
+	}
+	id, ok := a.arbiter.Reserve(now, req)
+	if !ok {
+		a.cfg.Metrics.Count("seat_reservation_refused")
+		return 0, nil, a.loadLocked()
+	}
+	a.cfg.Metrics.Count("seat_reserved")
+	w := &waiter{answered: make(chan struct{})}
+	a.reservations[id] = w
+	a.addUserLocked()
+	a.grantReservationsLocked()
+	return id, w, nil
+}
+
+// grantReservationsLocked grants the seats that can be granted now to reservations, the most
+// pressing first. a.mu is held.
+func (a *Agent) grantReservationsLocked() {
+	now := time.Now()
+	if len(a.reservations) == 0 || !a.mayGrantLocked(now) {
+		return
+	}
+	for id, ok := a.arbiter.GrantNext(now); ok; id, ok = a.arbiter.GrantNext(now) {
+		w := a.reservations[id]
+		delete(a.reservations, id)
+		w.yield = make(chan struct{})
+		a.yieldRequests[id] = w.yield
+		close(w.answered)
+		a.cfg.Metrics.Count("seat_granted_reserved")
 	}
 }
 
+// endReservation ends the wait of a reservation. It returns the granted seat, if there is one.
+func (a *Agent) endReservation(id uint64, w *waiter) (uint64, chan struct{}, *wire.Load) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if w.yield != nil {
+		return id, w.yield, a.loadLocked()
+	}
+	if a.reservations[id] != nil {
+		a.arbiter.Cancel(id)
+		delete(a.reservations, id)
+	}
+	a.cfg.Metrics.Count("seat_reservation_ended")
+	a.users--
+	return 0, nil, a.loadLocked()
+}
+
 // acquire returns the ID of a granted seat, a channel that is closed to ask for it back and
 // the load. The ID is 0 if no seat is granted.
 func (a *Agent) acquire(req Request) (uint64, chan struct{}, *wire.Load) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
-	if a.draining || now.Sub(a.lastResponse) > unresponsiveAfter {
+	if !a.mayGrantLocked(now) {
 		return 0, nil, a.loadLocked()
 	}
 	id, ok := a.arbiter.Acquire(now, req)
+	if !ok && a.arbiter.Waiting() > 0 {
+		a.grantReservationsLocked() // a seat may have been refused for one of them
+		id, ok = a.arbiter.Acquire(now, req)
+	}
 	if !ok {
 		a.cfg.Metrics.Count("seat_refused")
 		return 0, nil, a.loadLocked()
@@ -318,6 +435,7 @@
 	a.arbiter.Release(id)
 	delete(a.yieldRequests, id)
 	a.users--
+	a.grantReservationsLocked()
 	a.notifyLocked()
 }
 
@@ -328,7 +446,7 @@
 		Queued: uint32(load.Queued),
 		Batch:  uint32(a.arbiter.Held()),
 		Slots:  uint32(max(a.arbiter.Slots(), 0)),
-		Room:   uint32(max(a.arbiter.FreeSeats(time.Now()), 0)),
+		Room:   uint32(max(a.arbiter.FreeSeats(time.Now())-a.arbiter.Waiting(), 0)),
 
 		Spare:  uint32(max(a.arbiter.UrgentSeats(time.Now()), 0)),
 		Silent: a.unresponsive, Witnesses: uint32(a.failingEntriesLocked()),
--- a/seats/arbiter.go
+++ b/seats/arbiter.go
@@ -10,6 +10,9 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"pumiceford/fairshare"
+	"pumiceford/schedule"
 )
 
 // Load is the load that a target reports.
@@ -35,6 +38,26 @@
 	yieldAsked bool // the holder was asked to give the seat back
 }
 
+// reservation is an item that waits for a seat at this target.
+type reservation struct {
+	id    uint64
+	due   time.Time // as in Request
+	key   schedule.Key
+	since time.Time // since when the item has waited, at any target
+}
+
+// Limits of reservations.
+const (
+	// maxReservations bounds the reservations at one target. An entry leaves few, and a
+	// target is watched by some twenty entries.
+	maxReservations = 600
+	// agedAfter and agedShare bound how long an item waits behind more pressing ones: one in
+	// agedShare grants goes to the item that has waited longest, if it has waited for
+	// agedAfter. Without a bound, work of a low rank waits as long as others keep coming.
+	agedAfter = 20 * time.Second
+	agedShare = 16
+)
+
 // Arbiter decides which seats of one target are granted and asked back. It does no I/O,
 // reads no clock and is not safe for concurrent use.
 type Arbiter struct {
@@ -43,6 +66,8 @@
 	load    Load
 	held    map[uint64]*heldSeat
 	lastID  uint64
+	waiting []reservation
+	grants  int // grants to reservations
 	// freeSince is the time since which a slot beyond the reserve has been free; zero if
 	// none is.
 	freeSince time.Time
@@ -104,20 +129,120 @@
 	return left > 0 && left < urgentWithin
 }
 
-// Acquire grants a seat to an item if a slot is free. It returns the seat's ID, which is never 0.
+// claim returns the request as a claim. An item that is late when it asks stays late.
+func (r Request) claim() schedule.Claim {
+	due := r.Due
+	if r.Late {
+		due = time.Time{}
+	}
+	return schedule.Claim{
+		Standing: fairshare.Standing{Rank: r.Rank, Excess: r.Excess},
+		Item:     schedule.Item{Due: due, Remaining: r.Remaining, Started: r.Started},
+	}
+}
+
+// Acquire grants a seat to an item if a slot is free and no more pressing reservation waits
+// for it. It returns the seat's ID, which is never 0.
 func (a *Arbiter) Acquire(now time.Time, req Request) (id uint64, ok bool) {
-	free := a.FreeSeats(now)
+	free, urgent := a.FreeSeats(now), a.UrgentSeats(now)
+	mine := free
 	if Urgent(now, req.Due) {
-		free += a.UrgentSeats(now)
+		mine += urgent
 	}
-	if free <= 0 {
+	if mine <= 0 {
 		return 0, false
 	}
+	if len(a.waiting) > 0 {
+		first := a.mostPressing(now, free, urgent)
+		if first >= 0 && a.waiting[first].key.Compare(now.UnixNano(), req.claim().Key()) <= 0 {
+			return 0, false
+		}
+	}
 	a.lastID++
 	a.held[a.lastID] = &heldSeat{due: req.Due, granted: now}
 	return a.lastID, true
 }
 
+// Reserve records an item that waits for a seat. It returns the ID that the seat will have, or
+// false if too many items wait already.
+func (a *Arbiter) Reserve(now time.Time, req Request) (id uint64, ok bool) {
+	if len(a.waiting) >= maxReservations {
+		return 0, false
+	}
+	a.lastID++
+	a.waiting = append(a.waiting, reservation{id: a.lastID, due: req.Due, key: req.claim().Key(), since: now.Add(-req.Waited)})
+	return a.lastID, true
+}
+
+// Cancel removes a reservation. It ignores IDs of seats that were granted.
+func (a *Arbiter) Cancel(id uint64) {
+	for i := range a.waiting {
+		if a.waiting[i].id == id {
+			a.removeReservation(i)
+			return
+		}
+	}
+}
+
+func (a *Arbiter) removeReservation(i int) {
+	last := len(a.waiting) - 1
+	a.waiting[i] = a.waiting[last]
+	a.waiting = a.waiting[:last]
+}
+
+// Waiting returns the number of reservations.
+func (a *Arbiter) Waiting() int {
+	return len(a.waiting)
+}
+
+// GrantNext grants a seat to the most pressing reservation that may use one now. It returns
+// the reservation's ID, which is that of the seat, or false if none is granted.
+func (a *Arbiter) GrantNext(now time.Time) (id uint64, ok bool) {
+	if len(a.waiting) == 0 {
+		return 0, false
+	}
+	i := a.mostPressing(now, a.FreeSeats(now), a.UrgentSeats(now))
+	if i < 0 {
+		return 0, false
+	}
+	r := a.waiting[i]
+	a.removeReservation(i)
+	a.grants++
+	a.held[r.id] = &heldSeat{due: r.due, granted: now}
+	return r.id, true
+}
+
+// mostPressing returns the index of the reservation that gets the next seat, or -1 if no seat
+// can be granted to any. Among equals, it is the oldest reservation.
+func (a *Arbiter) mostPressing(now time.Time, free, urgent int) int {
+	if free <= 0 && free+urgent <= 0 {
+		return -1
+	}
+	at := now.UnixNano()
+	best, oldest := -1, -1
+	for i := range a.waiting {
+		r := &a.waiting[i]
+		if free <= 0 && !Urgent(now, r.due) {
+			continue
+		}
+		if best < 0 {
+			best, oldest = i, i
+			continue
+		}
+		b := &a.waiting[best]
+		if c := r.key.Compare(at, b.key); c < 0 || c == 0 && r.id < b.id {
+			best = i
+		}
+		if r.since.Before(a.waiting[oldest].since) {
+			oldest = i
+		}
+	}
+	if best >= 0 && (a.grants+1)%agedShare == 0 && now.Sub(a.waiting[oldest].since) >= agedAfter {
+		return oldest
+	}
+	return best
+}
+
 // FreeSeats returns the number of seats that can be granted now. It may be negative.
 func (a *Arbiter) FreeSeats(now time.Time) int {
 	a.updateFreeSince(now)
--- a/seats/client.go
+++ b/seats/client.go
@@ -35,32 +35,52 @@
 
 // Request is what an agent needs to know of an item that asks for a seat.
 type Request struct {
-	Due       time.Time // the seat of the item that is due last is asked back first
+	Due       time.Time // as schedule.Item.YieldDue returns it
 	Workspace string
 	Rank      int           // 0 is the most urgent
+	Excess    float64       // see fairshare.Standing
 	Remaining time.Duration // estimated time that the item still has to run
+	Started   bool          // the item has made progress
+	Late      bool          // the item can no longer be done in time
+	Waited    time.Duration // time that the item has waited for a seat
 }
 
 // Acquire asks the agent at peer for a seat. It returns a nil Seat if none is free. The returned load is the one that the agent decided by.
 func Acquire(ctx context.Context, peer *link.Peer, in targets.Instance, req Request) (*Seat, *wire.Load, error) {
+	return ask(ctx, peer, in, req, 0)
+}
+
+// Reserve asks the agent at peer for a seat and waits there for up to limit until one is free
+// and no more pressing item waits for it. It returns a nil Seat if the agent grants none. When
+// ctx ends, the reservation is cancelled.
+func Reserve(ctx context.Context, peer *link.Peer, in targets.Instance, req Request, limit time.Duration) (*Seat, error) {
+	seat, _, err := ask(ctx, peer, in, req, limit)
+	return seat, err
+}
+
+// ask sends a request for a seat and waits for its answer, which the agent may delay by limit.
+func ask(ctx context.Context, peer *link.Peer, in targets.Instance, req Request, limit time.Duration) (*Seat, *wire.Load, error) {
 	openCtx, cancel := context.WithTimeout(ctx, acquireTimeout)
 	defer cancel()
 	call := &wire.Call{Kind: &wire.Call_Seat{Seat: &wire.SeatRequest{
 		Instance: in.ID, Slots: uint32(in.Slots), DueUnixMs: req.Due.UnixMilli(),
 		Workspace: req.Workspace, Rank: int32(req.Rank), RemainingMs: req.Remaining.Milliseconds(),
+		Excess: req.Excess, Started: req.Started, Late: req.Late, WaitedMs: req.Waited.Milliseconds(), WaitMs: limit.Milliseconds(),
 	}}}
 	st, err := peer.Open(openCtx, link.Batch, call)
 	if err != nil {
 		return nil, nil, err
 	}
-	st.SetDeadline(time.Now().Add(acquireTimeout))
+	st.SetDeadline(time.Now().Add(limit + acquireTimeout))
+	keep := context.AfterFunc(ctx, st.Close)
+	defer keep()
 	reply := &wire.SeatReply{}
 	if err := st.Recv(reply); err != nil {
 		st.Close()
 		return nil, nil, err
 	}
-	if !reply.GetGranted() {
-		st.Close()
+	if !reply.GetGranted() || !keep() {
+		st.Close() // a grant that arrives after ctx has ended is given back
 		return nil, reply.GetLoad(), nil
 	}
 	st.SetDeadline(time.Time{})
