load: replays of items of several workspaces, in one order over all entries

Scenarios learn jobs of many items at one entry, workspaces with ranks and targets of several speeds; policies learn reservations at agents, standings, paces and moves. Decisions are the product's: seats.Arbiter, schedule.CompareClaims, Accepts and Speed, balance.ReservationTargets.

--- a/balance/batchtargets.go
+++ b/balance/batchtargets.go
@@ -1,9 +1,11 @@
 package balance
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
+	"pumiceford/estimate"
 	"pumiceford/routing"
 	"pumiceford/targets"
 )
@@ -11,9 +13,10 @@
 // BatchTarget is a target that can take batch work.
 type BatchTarget struct {
 	Instance targets.Instance
-	Free     int  // estimated number of free slots that batch work may use
-	Suspect  bool // the target may not respond as expected
-	idleConn bool // this process has an idle connection to it
+	Free     int     // estimated number of free slots that batch work may use
+	Suspect  bool    // the target may not respond as expected
+	Pace     float64 // see estimate.UsualPace
+	idleConn bool    // this process has an idle connection to it
 }
 
 // BatchTargets returns the targets of a service whose agents have free seats for batch work.
@@ -41,7 +44,7 @@
 			seats += v.report.UrgentSeats
 		}
 		if free := min(v.Free(now), seats) - v.seatsTaken; free > 0 {
-			out = append(out, BatchTarget{Instance: v.Instance, Free: free, Suspect: v.suspect(now), idleConn: v.conns.idle(now)})
+			out = append(out, BatchTarget{Instance: v.Instance, Free: free, Suspect: v.suspect(now), Pace: v.pace(now), idleConn: v.conns.idle(now)})
 		}
 	}
 	slices.SortFunc(out, func(a, b BatchTarget) int {
@@ -68,6 +71,39 @@
 	return out
 }
 
+// ReservationTargets returns the targets of a service at which an item may wait for a seat:
+// those with a current report that respond and are not suspect. Their order depends on draw
+// only, so that items that wait at the same time spread over the agents.
+func (t *Table) ReservationTargets(now time.Time, service string, draw uint64) []BatchTarget {
+	var out []BatchTarget
+	for _, v := range t.order {
+		if v.eligible(now, service, nil, false) && v.reported(now) && !v.report.Unresponsive && !v.suspect(now) {
+			out = append(out, BatchTarget{Instance: v.Instance, Free: v.Free(now), Pace: v.pace(now)})
+		}
+	}
+	slices.SortFunc(out, func(a, b BatchTarget) int {
+		return cmp.Compare(routing.Score(b.Instance.ID, draw), routing.Score(a.Instance.ID, draw))
+	})
+	return out
+}
+
+// BestPace returns the lowest pace of the targets at which an item of a service may wait for a
+// seat, or estimate.UsualPace if there is none.
+func (t *Table) BestPace(now time.Time, service string) float64 {
+	best := 0.0
+	for _, v := range t.order {
+		if v.eligible(now, service, nil, false) && v.reported(now) && !v.report.Unresponsive && !v.suspect(now) {
+			if p := v.pace(now); best == 0 || p < best {
+				best = p
+			}
+		}
+	}
+	if best == 0 {
+		return estimate.UsualPace
+	}
+	return best
+}
+
 // Eligible reports whether a target belongs to a service and may get work now.
 func (t *Table) Eligible(now time.Time, service, id string) bool {
 	v := t.views[id]
--- a/bench/load/load.go
+++ b/bench/load/load.go
@@ -18,10 +18,23 @@
 	TroughRate, PeakRate float64
 	HoldTime             time.Duration // time that a request occupies a slot
 	MixedSpeeds          bool          // one target in three takes 1.3 times as long
-	ItemRate             float64       // batch items a second
-	RunTime              time.Duration
-	DueWithin            time.Duration
-	Duration             time.Duration
+	// Speeds are the times that targets take, in tenths of the usual one, given to the targets
+	// in turn. They replace MixedSpeeds.
+	Speeds   []int
+	ItemRate float64 // batch items a second
+	// Sources are the workspaces that submit the items; nil stands for one that submits each
+	// item by itself.
+	Sources   []Source
+	RunTime   time.Duration
+	DueWithin time.Duration
+	Duration  time.Duration
+}
+
+// Source is a workspace that submits batch jobs.
+type Source struct {
+	Share    float64 // of all items
+	JobItems int     // items of one job, which belong to one entry
+	Rank     int
 }
 
 // Models of four deployments, with rounded sizes.
@@ -58,6 +71,18 @@
 	// MinRetryAfter and MaxRetryAfter bound the time after which a refused caller retries
 	// once; with a MaxRetryAfter of 0 it does not retry.
 	MinRetryAfter, MaxRetryAfter time.Duration
+	// WakeOnFreeSeat starts waiting items as soon as an agent reports a free seat.
+	WakeOnFreeSeat bool
+	// ReservedItems is the number of items of an entry that wait for reserved seats at a time,
+	// each at ReservedTargets agents; 0 leaves no reservations.
+	ReservedItems, ReservedTargets int
+	// Standings orders items by the rank and the share of their workspaces.
+	Standings bool
+	// KnowsPace lets entries know the speeds of the targets and keeps items from targets where
+	// they would be late.
+	KnowsPace bool
+	// MoveLate takes items that will be late to faster targets.
+	MoveLate bool
 	// IgnoreIdleConns hides idle connections from the balancer, as if none were kept
 	// open.
 	IgnoreIdleConns bool
@@ -70,9 +95,31 @@
 	RefuseLate     = Policy{Name: "late ones come back", MaxWatched: 16, MinReportInterval: 50 * time.Millisecond, ReserveSlots: true, MaxWait: 120 * time.Millisecond, MinRetryAfter: 800 * time.Millisecond, MaxRetryAfter: 1600 * time.Millisecond}
 	PartialReports = Policy{Name: "part is told", MaxWatched: 16, MinReportInterval: 50 * time.Millisecond, ReserveSlots: true}
 	NoReports      = Policy{Name: "entries alone", NoLoadReports: true}
+	// OwnOrder orders the items of each entry for itself, and FleetOrder those of all.
+	OwnOrder   = Policy{Name: "own order", MaxWatched: 16, MinReportInterval: 50 * time.Millisecond, ReserveSlots: true, MaxWait: 120 * time.Millisecond, MinRetryAfter: 800 * time.Millisecond, MaxRetryAfter: 1600 * time.Millisecond, WakeOnFreeSeat: true}
+	FleetOrder = OwnOrder.with("fleet order", func(p *Policy) { p.ReservedItems, p.ReservedTargets, p.Standings = 4, 3, true })
+
 	NaiveForwarder = Policy{Name: "naive forwarder", NaiveForwarding: true}
 )
 
+// with returns a changed copy of a policy.
+func (p Policy) with(name string, change func(*Policy)) Policy {
+	p.Name = name
+	change(&p)
+	return p
+}
+
+// SourceOutcome is the result of the items of one Source.
+type SourceOutcome struct {
+	Items  int `json:"items"`
+	InTime int `json:"in_time"`
+}
+
+// Share returns the share of the items that were in time.
+func (o SourceOutcome) Share() float64 {
+	return float64(o.InTime) / float64(max(o.Items, 1))
+}
+
 // Outcome is the result of one simulation. Times to the first event count from the
 // arrival of the attempt.
 type Outcome struct {
@@ -95,6 +142,10 @@
 	InTime         int           `json:"in_time"`  // of those, items completed by their due time
 	SeatsYielded   int           `json:"cut_off"`  // item runs ended early to give the seat back
 	SlotUse        float64       `json:"capacity"` // fraction of the total slot time in use
+
+	Reservations int             `json:"reservations,omitempty"` // left by items at agents
+	ItemsMoved   int             `json:"items_moved,omitempty"`  // to faster targets
+	Sources      []SourceOutcome `json:"sources,omitempty"`
 	// FirstEventTimes are sorted in ascending order.
 	FirstEventTimes []time.Duration `json:"-"`
 }
--- a/bench/load/simulation.go
+++ b/bench/load/simulation.go
@@ -23,6 +23,9 @@
 	firstMoveCheck       = 100 * time.Millisecond
 	moveCheckInterval    = 30 * time.Millisecond
 	dispatchInterval     = 100 * time.Millisecond
+	minDispatchGap       = 20 * time.Millisecond
+	reservationTime      = time.Second // after which reservations are renewed
+	minReservationGap    = 250 * time.Millisecond
 	reportRepeatInterval = 250 * time.Millisecond // between reports of an unchanged load
 	reserveTime          = 4 * time.Millisecond   // round trip of a reservation
 	connIdleTimeout      = 8 * time.Second
@@ -44,17 +47,19 @@
 	itemRand    *rand.Rand // of item arrivals, independent of placement
 	out         Outcome
 	slotTime    time.Duration // sum of the times that slots were in use
+	usage       []usage       // by source
 }
 
 // target is a simulated target. It admits work in arrival order.
 type target struct {
 	id            string
-	slow          bool
+	tenths        int // time that it takes, in tenths of the usual one
 	active        int
 	queue         []*work
 	reservedSlots int // slots reserved for requests that have not arrived
 	arbiter       *seats.Arbiter
 	workBySeat    map[uint64]*work
+	reservations  map[uint64]waitingItem
 	listeners     []*listener
 }
 
@@ -65,23 +70,31 @@
 	sentAt     time.Time
 }
 
-// A slow target takes slowNumerator/slowDenominator times as long as the others.
-const slowNumerator, slowDenominator = 13, 10
+// Times that targets take, in tenths of the usual one.
+const (
+	usualTenths = 10
+	slowTenths  = 13 // of a slow target of MixedSpeeds
+)
+
+// tenthsOf returns the time that a target takes, in tenths of the usual one.
+func (sc Scenario) tenthsOf(i int) int {
+	switch {
+	case len(sc.Speeds) > 0:
+		return sc.Speeds[i%len(sc.Speeds)]
+	case sc.MixedSpeeds && i%3 == 0:
+		return slowTenths
+	}
+	return usualTenths
+}
 
 // slowed converts a duration at normal speed to the duration at this target.
 func (t *target) slowed(d time.Duration) time.Duration {
-	if t.slow {
-		return d * slowNumerator / slowDenominator
-	}
-	return d
+	return d * time.Duration(t.tenths) / usualTenths
 }
 
 // unslowed converts a duration at this target to the duration at normal speed.
 func (t *target) unslowed(d time.Duration) time.Duration {
-	if t.slow {
-		return d * slowDenominator / slowNumerator
-	}
-	return d
+	return d * usualTenths / time.Duration(t.tenths)
 }
 
 // releaseSeat releases the seat of an item, if it has one.
@@ -99,6 +112,9 @@
 	table       *balance.Table
 	conns       map[string]*connCount // connections of this entry by target
 	batch       []*work               // items waiting for a seat
+	inSeats     []*work               // items in seats
+	reserving   int                   // items that wait for reserved seats
+	dispatched  time.Time             // time of the last dispatch
 	ownRequests map[string]int        // work of this entry in progress by target
 }
 
@@ -125,6 +141,13 @@
 	retried   bool // the request was refused and this is its second attempt
 	placement int  // incremented whenever the work leaves a target, to ignore outdated events
 	seat      uint64
+
+	source           int
+	waitingSince     time.Time
+	reserving        bool
+	reservation      int // incremented when reservations end, to ignore outdated grants
+	reserveNotBefore time.Time
+	moves            int
 }
 
 // Run simulates a scenario under a policy. The same seed gives the same arrivals under
@@ -135,6 +158,8 @@
 		choiceRand: rand.New(rand.NewPCG(seed, 1)), arrivalRand: rand.New(rand.NewPCG(seed, 2)), itemRand: rand.New(rand.NewPCG(seed, 3)),
 		out: Outcome{Scenario: scenario.Name, Policy: policy.Name, Batch: scenario.ItemRate > 0},
 	}
+	s.out.Sources = make([]SourceOutcome, len(scenario.Sources))
+	s.usage = make([]usage, max(len(scenario.Sources), 1))
 	s.start = time.Unix(1000, 0)
 	s.now = s.start
 	s.setUp()
@@ -151,7 +176,7 @@
 	var all []targets.Instance
 	for i := range s.scenario.Targets {
 		t := &target{
-			id: fmt.Sprint("i", i), slow: s.scenario.MixedSpeeds && i%3 == 0,
+			id: fmt.Sprint("i", i), tenths: s.scenario.tenthsOf(i), reservations: make(map[uint64]waitingItem),
 			arbiter: seats.NewArbiter(s.scenario.Slots, seats.ReservedSlots(fmt.Sprint("host", i))), workBySeat: make(map[uint64]*work),
 		}
 		s.targets = append(s.targets, t)
@@ -195,9 +220,10 @@
 		w := t.workBySeat[id]
 		s.after(networkDelay, func() { s.yield(w, id) })
 	}
+	s.grantReserved(t)
 	rep := balance.Report{
 		Active: load.Active, Queued: load.Queued, Batch: t.arbiter.Held(), Slots: s.scenario.Slots,
-		FreeSeats: max(t.arbiter.FreeSeats(s.now), 0), UrgentSeats: max(t.arbiter.UrgentSeats(s.now), 0),
+		FreeSeats: max(t.arbiter.FreeSeats(s.now)-t.arbiter.Waiting(), 0), UrgentSeats: max(t.arbiter.UrgentSeats(s.now), 0),
 	}
 	for _, l := range t.listeners {
 		s.sendReport(t, l, rep)
@@ -214,7 +240,12 @@
 	}
 	l.lastReport, l.sentAt = rep, s.now
 	s.out.LoadReports++
-	s.after(networkDelay+time.Duration(s.choiceRand.IntN(8))*time.Millisecond, func() { l.entry.table.UpdateLoad(s.now, t.id, rep) })
+	s.after(networkDelay+time.Duration(s.choiceRand.IntN(8))*time.Millisecond, func() {
+		l.entry.table.UpdateLoad(s.now, t.id, rep)
+		if s.policy.WakeOnFreeSeat && rep.FreeSeats+rep.UrgentSeats > 0 && s.now.Sub(l.entry.dispatched) >= minDispatchGap {
+			s.dispatchOnce(l.entry)
+		}
+	})
 }
 
 func (s *simulation) arriveRequest() {
@@ -229,23 +260,51 @@
 	s.after(next, s.arriveRequest)
 }
 
+// arriveItem adds the items of one job to an entry.
 func (s *simulation) arriveItem() {
-	w := &work{
-		entry: s.entries[s.itemRand.IntN(len(s.entries))], batch: true, arrived: s.now,
-		due: s.now.Add(s.scenario.DueWithin), remaining: s.scenario.RunTime,
+	source, items := 0, 1
+	if len(s.scenario.Sources) > 0 {
+		source = s.drawSource()
+		items = s.scenario.Sources[source].JobItems
 	}
-	next := time.Duration(s.itemRand.ExpFloat64() / s.scenario.ItemRate * float64(time.Second))
-	if w.due.Before(s.start.Add(s.scenario.Duration)) {
-		s.out.Items++
-	}
-	if s.policy.NaiveForwarding {
-		s.send(w)
-	} else {
-		w.entry.batch = append(w.entry.batch, w)
+	e := s.entries[s.itemRand.IntN(len(s.entries))]
+	next := time.Duration(s.itemRand.ExpFloat64() / s.scenario.ItemRate * float64(items) * float64(time.Second))
+	for range items {
+		w := &work{
+			entry: e, batch: true, arrived: s.now, waitingSince: s.now,
+			due: s.now.Add(s.scenario.DueWithin), remaining: s.scenario.RunTime, source: source,
+		}
+		if w.due.Before(s.start.Add(s.scenario.Duration)) {
+			s.out.Items++
+			if len(s.out.Sources) > 0 {
+				s.out.Sources[source].Items++
+			}
+		}
+		if s.policy.NaiveForwarding {
+			s.send(w)
+		} else {
+			e.batch = append(e.batch, w)
+			s.usage[source].waiting++
+		}
 	}
 	s.after(next, s.arriveItem)
 }
 
+// drawSource draws the source of the next job, so that each source has its share of the items.
+func (s *simulation) drawSource() int {
+	sum := 0.0
+	for _, src := range s.scenario.Sources {
+		sum += src.Share / float64(src.JobItems)
+	}
+	left := s.itemRand.Float64() * sum
+	for i, src := range s.scenario.Sources {
+		if left -= src.Share / float64(src.JobItems); left < 0 {
+			return i
+		}
+	}
+	return len(s.scenario.Sources) - 1
+}
+
 // submit sends work to its target's queue over a connection. Work with a reservation
 // goes to the front.
 func (s *simulation) submit(w *work) {
@@ -340,9 +399,12 @@
 	}
 	s.release(w, true)
 	if w.batch {
-		t.releaseSeat(w)
+		s.leaveSeat(w)
 		if !s.now.After(w.due) && w.due.Before(s.start.Add(s.scenario.Duration)) {
 			s.out.InTime++
+			if len(s.out.Sources) > 0 {
+				s.out.Sources[w.source].InTime++
+			}
 		}
 	}
 	w.placement++
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -1,10 +1,12 @@
 package schedule_test
 
 import (
+	"cmp"
 	"slices"
 	"testing"
 	"time"
 
+	"pumiceford/fairshare"
 	"pumiceford/schedule"
 )
 
@@ -102,3 +104,74 @@
 		t.Fatal("the late item is ordered before the one in time")
 	}
 }
+
+// claim returns an item that needs three seconds, in a workspace that is beyond its share by
+// excess.
+func claim(rank int, excess float64, due time.Duration) schedule.Claim {
+	return schedule.Claim{
+		Standing: fairshare.Standing{Rank: rank, Excess: excess},
+		Item:     schedule.Item{Due: start.Add(due), Remaining: 3 * time.Second, Started: true},
+	}
+}
+
+// Guards against ranks and shares that decide nothing, and against an order that changes with
+// each item of a workspace that ends: small differences of excess do not count.
+func TestClaimsAreOrderedByRankShareAndDueTime(t *testing.T) {
+	ordered := []schedule.Claim{
+		claim(0, 0, 9*time.Second),
+		claim(0, 0.2, 10*time.Second),
+		claim(0, 0, time.Second), // late
+		claim(0, 1, 4*time.Second),
+		claim(1, 0, 4*time.Second),
+	}
+	for i := range ordered {
+		for j := range ordered {
+			if got, want := schedule.CompareClaims(start, ordered[i], ordered[j]), cmp.Compare(i, j); got != want {
+				t.Errorf("CompareClaims of %d and %d = %d, want %d", i, j, got, want)
+			}
+		}
+	}
+}
+
+// Guards against items that take a seat where they will be late, and against items that wait
+// for ever for a faster target.
+func TestItemLeavesOutTargetOnlyIfItCanBeInTimeElsewhere(t *testing.T) {
+	it := schedule.Item{Due: start.Add(10 * time.Second), Started: true}
+	for _, c := range []struct {
+		here, best time.Duration
+		want       bool
+	}{
+		{9 * time.Second, 3 * time.Second, true},
+		{11 * time.Second, 3 * time.Second, false},
+		{11 * time.Second, 9500 * time.Millisecond, true}, // it would wait a second there
+		{30 * time.Second, 20 * time.Second, true},
+	} {
+		if got := it.Accepts(start, c.here, c.best); got != c.want {
+			t.Errorf("Accepts(%s here, %s at best) = %v", c.here, c.best, got)
+		}
+	}
+}
+
+// Guards against moves that gain nothing: an item that is in time where it runs, or whose gain
+// is smaller than the cost of a new connection and of reading it again.
+func TestItemMovesOnlyForAGain(t *testing.T) {
+	// It has done 2 s of work in 4 s, and 4 s are left: 8 s here.
+	speed := schedule.Speed{Took: 4 * time.Second, Did: 2 * time.Second, Left: 4 * time.Second}
+	if speed.Here() != 8*time.Second || speed.Late(start, start.Add(8*time.Second)) || !speed.Late(start, start.Add(7*time.Second)) {
+		t.Errorf("the item ends in %s, want 8 s", speed.Here())
+	}
+	for _, c := range []struct {
+		due, there time.Duration
+		want       bool
+	}{
+		{7 * time.Second, 6 * time.Second, true},
+		{7 * time.Second, 6600 * time.Millisecond, false}, // late with the cost of the move
+		{time.Second, 6 * time.Second, false},
+		{time.Second, 4 * time.Second, true},
+		{time.Second, 9 * time.Second, false},
+	} {
+		if got := speed.Moves(start, start.Add(c.due), c.there); got != c.want {
+			t.Errorf("due in %s, %s there: Moves = %v", c.due, c.there, got)
+		}
+	}
+}
--- a/seats/client.go
+++ b/seats/client.go
@@ -25,7 +25,12 @@
 
 // NewLocalSeat returns a seat without an agent.
 func NewLocalSeat(yield <-chan struct{}) *Seat {
-	return &Seat{release: func() {}, Yield: yield}
+	return NewSeat(yield, func() {})
+}
+
+// NewSeat returns a seat that Close gives back by calling release.
+func NewSeat(yield <-chan struct{}, release func()) *Seat {
+	return &Seat{release: release, Yield: yield}
 }
 
 // Close gives the seat back.
@@ -93,7 +98,7 @@
 			close(yield)
 		}
 	}()
-	return &Seat{release: st.Close, Yield: yield}, reply.GetLoad(), nil
+	return NewSeat(yield, st.Close), reply.GetLoad(), nil
 }
 
 // Watch calls onLoad with each load that the agent at peer sends, until ctx ends. It
