runner: items without a free seat wait at three agents; late items move to faster targets

An item that found no free seat asked again when a load report showed one, and the seat went to whichever entry was faster. The four most pressing items of a process now each leave a reservation at three of the watched agents for a second; the first grant is taken, the others are cancelled or given back. A free seat is still asked for first. Before an item is sent, the state of its job, the quarantine and the target are checked again, as before.

Items are ordered by rank, the standing of their workspace (fairshare, if Config.Shares is set) and then as before. An item leaves out a free seat where it would be late while it can be in time at the fastest target; at most 32 items of a scan do, which bounds the scan.

An item that will be late at the speed of its events moves, at most twice, to the fastest target that has granted it a seat, if it is in time there or its time left shrinks to 60 %. It resumes from its last event.

Changes to existing tests: the fakes grew Reserve, and the engine a slow target; no check changed.

--- a/runner/member.go
+++ b/runner/member.go
@@ -162,6 +162,7 @@
 	defer r.mu.Unlock()
 	for k, st := range r.items {
 		if slices.Contains(lost, st.part) && !st.running && !st.done {
+			st.stopWaiting()
 			delete(r.items, k)
 		}
 	}
@@ -196,6 +197,9 @@
 	for p := range r.assigned {
 		parts = append(parts, p)
 	}
+	for _, st := range r.items {
+		st.stopWaiting()
+	}
 	r.mu.Unlock()
 	stopCtx, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
--- a/runner/run.go
+++ b/runner/run.go
@@ -14,6 +14,7 @@
 	"pumiceford/estimate"
 	"pumiceford/events"
 	"pumiceford/exchange"
+	"pumiceford/fairshare"
 	"pumiceford/jobs"
 	"pumiceford/jobstore"
 	"pumiceford/logging"
@@ -64,15 +65,55 @@
 	return w
 }
 
+// standing returns the standing of an item's workspace. It keeps those that it has looked up
+// in known.
+func (r *Runner) standing(now time.Time, open jobstore.OpenItem, known map[fairshare.Holder]fairshare.Standing) fairshare.Standing {
+	h := r.holder(open)
+	s, ok := known[h]
+	if !ok {
+		s = fairshare.Standing{Rank: h.Rank}
+		if r.cfg.Shares != nil {
+			s.Excess = r.cfg.Shares.Standing(now, h).Excess
+		}
+		known[h] = s
+	}
+	return s
+}
+
+// holder returns the workspace of an item as the catalog in force describes it.
+func (r *Runner) holder(open jobstore.OpenItem) fairshare.Holder {
+	h := fairshare.Holder{Workspace: open.Spec.GetWorkspace()}
+	if cat := r.cfg.View.Catalog(); cat != nil {
+		h.Rank = catalog.Rank(cat.Match(open.Spec.GetHost(), open.Item.GetPath()), cat.Workspace(h.Workspace))
+	}
+	return h
+}
+
 // seatRequest returns the request for an item's seat.
 func (r *Runner) seatRequest(now time.Time, c candidate) seats.Request {
-	req := seats.Request{Due: c.YieldDue(now), Workspace: c.open.Spec.GetWorkspace(), Remaining: c.Remaining}
-	if cat := r.cfg.View.Catalog(); cat != nil {
-		req.Rank = catalog.Rank(cat.Match(c.open.Spec.GetHost(), c.open.Item.GetPath()), cat.Workspace(req.Workspace))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	req := seats.Request{
+		Due: c.YieldDue(now), Workspace: c.open.Spec.GetWorkspace(), Rank: c.Rank, Excess: c.Excess,
+		Remaining: c.Remaining, Started: c.Started, Late: !c.Feasible(now),
+	}
+	if st := r.items[c.open.Key()]; st != nil && !st.waitingSince.IsZero() {
+		req.Waited = now.Sub(st.waitingSince)
 	}
 	return req
 }
 
+// remainingAt estimates how long an item still has to run at a target with the given pace.
+func (r *Runner) remainingAt(c candidate, pace float64) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var done uint64
+	if st := r.items[c.open.Key()]; st != nil {
+		done = st.lastEvent
+	}
+	return r.estimates.Remaining(r.work(c.open), pace, done)
+}
+
 // excludeFailed returns the targets at which an item may be retried. A target that fails
 // every item immediately always has free seats, so without this rule a valid item uses up
 // its attempts at the same few targets and is given up. An item that has failed is
@@ -106,58 +147,86 @@
 
 // acquireSeat requests a seat from the agents, the best candidate first. It reads the state
 // of the targets again before each request and once more after it: a target may start
-// draining in the meantime, and must then get no item. It returns nil if there is no seat.
-func (r *Runner) acquireSeat(ctx context.Context, service string, avoid []string, req seats.Request) (*seats.Seat, targets.Instance) {
+// draining in the meantime, and must then get no item. It returns no seat if none is free, and
+// whether the item left out a target that is too slow for it.
+func (r *Runner) acquireSeat(ctx context.Context, service string, avoid []string, c candidate) (g grant, tooSlow bool) {
 	ctx, cancel := context.WithTimeout(ctx, seatTimeout)
 	defer cancel()
+	req := r.seatRequest(time.Now(), c)
 	tried := make(map[string]bool)
 	for ctx.Err() == nil {
-		in, ok := r.nextTarget(service, avoid, req.Due, tried)
+		t, slow, ok := r.nextTarget(service, avoid, c, req.Due, tried)
+		in := t.Instance
+		tooSlow = tooSlow || slow
 		if !ok {
 			break
 		}
 		tried[in.ID] = true
-		seat, err := r.cfg.Seats.Acquire(ctx, in, req)
-		granted, eligible := seat != nil && err == nil, false
-		r.cfg.View.WithTable(func(t *balance.Table) {
-			t.RecordSeatReply(in.ID, granted)
-			eligible = t.Eligible(time.Now(), service, in.ID)
-		})
-		if granted && eligible {
-			return seat, in
+		seat, err := r.cfg.Seats.Acquire(ctx, in, r.at(c, req, t.Pace))
+		granted := seat != nil && err == nil
+		if r.recordSeatReply(service, in, granted) {
+			return grant{in: in, seat: seat}, false
 		}
 		if granted {
 			r.cfg.Metrics.Count("seat_not_used")
 			seat.Close()
 		}
 	}
-	return nil, targets.Instance{}
+	return grant{}, tooSlow
+}
+
+// recordSeatReply records an agent's answer and reports whether the seat may be used.
+func (r *Runner) recordSeatReply(service string, in targets.Instance, granted bool) bool {
+	eligible := false
+	r.cfg.View.WithTable(func(t *balance.Table) {
+		t.RecordSeatReply(in.ID, granted)
+		eligible = t.Eligible(time.Now(), service, in.ID)
+	})
+	return granted && eligible
+}
+
+// at returns the request for a seat at a target of the given pace.
+func (r *Runner) at(c candidate, req seats.Request, pace float64) seats.Request {
+	req.Remaining = r.remainingAt(c, pace)
+	return req
 }
 
 // nextTarget returns the best target for an item that has not been tried yet. It reports
-// false if there is none. If the item has failed at every target of the service, it excludes
-// none.
-func (r *Runner) nextTarget(service string, avoid []string, due time.Time, tried map[string]bool) (targets.Instance, bool) {
+// false if there is none, and whether it left one out that is too slow. If the item has failed
+// at every target of the service, it excludes none.
+func (r *Runner) nextTarget(service string, avoid []string, c candidate, due time.Time, tried map[string]bool) (target balance.BatchTarget, tooSlow, ok bool) {
 	var ranked []balance.BatchTarget
-	failedAtAll := false
+	failedAtAll, best := false, estimate.UsualPace
 	r.cfg.View.WithTable(func(t *balance.Table) {
 		ranked = seatCandidates(t, time.Now(), service, due)
 		failedAtAll = t.CountInService(service) <= len(avoid)
+		best = t.BestPace(time.Now(), service)
 	})
 	if !failedAtAll {
 		ranked = excludeFailed(ranked, avoid)
 	}
-	for _, c := range ranked {
-		if !tried[c.Instance.ID] {
-			return c.Instance, true
+	for _, t := range ranked {
+		switch {
+		case tried[t.Instance.ID]:
+		case !r.accepts(c, t.Pace, best):
+			tooSlow = true
+		default:
+			return t, tooSlow, true
 		}
 	}
-	return targets.Instance{}, false
+	return balance.BatchTarget{}, tooSlow, false
+}
+
+// accepts reports whether an item takes a seat at a target with the given pace, see
+// schedule.Item.Accepts.
+func (r *Runner) accepts(c candidate, pace, best float64) bool {
+	return pace <= best || c.Accepts(time.Now(), r.remainingAt(c, pace), r.remainingAt(c, best))
 }
 
-// run makes one attempt at an item and records its result.
-func (r *Runner) run(ctx context.Context, cancel context.CancelCauseFunc, c candidate, st *itemState, in targets.Instance, seat *seats.Seat) {
-	began := time.Now()
+// run makes one attempt at an item and records its result. It returns the seat that the item
+// moves to, or nil.
+func (r *Runner) run(ctx context.Context, cancel context.CancelCauseFunc, c candidate, st *itemState, g grant, waited time.Duration) *grant {
+	began, in, seat := time.Now(), g.in, g.seat
 	r.mu.Lock()
 	from := st.lastEvent
 	r.mu.Unlock()
@@ -178,10 +247,13 @@
 	if err != nil {
 		why = reason(ctx, err)
 	}
-	to, failed := r.endRun(ctx, c, st, in, outcome, err, from, began)
+	to, failed, next := r.endRun(ctx, c, st, in, outcome, err, from, began)
 	r.cfg.Log.Info("item run ended", logging.F("job", c.open.Job), logging.F("item", c.open.Item.GetId()),
 		logging.F("index", c.open.Index), logging.F("instance", in.ID), logging.F("why", why), logging.F("from_event", from), logging.F("to_event", to),
-		logging.F("took_ms", time.Since(began).Milliseconds()), logging.F("failed", failed))
+		logging.F("took_ms", time.Since(began).Milliseconds()), logging.F("failed", failed),
+		logging.F("waited_ms", waited.Milliseconds()), logging.F("rank", c.Rank), logging.F("excess", c.Excess),
+		logging.F("due_in_ms", time.Until(c.Due).Milliseconds()))
+	return next
 }
 
 // errYield is the cancellation cause of a run whose seat the agent revoked.
@@ -190,7 +262,7 @@
 // stoppedLocally reports whether this process cancelled the run itself.
 func stoppedLocally(ctx context.Context) bool {
 	cause := context.Cause(ctx)
-	return errors.Is(cause, errYield) || errors.Is(cause, errHandOver) || errors.Is(cause, errItemClosed)
+	return errors.Is(cause, errYield) || errors.Is(cause, errHandOver) || errors.Is(cause, errItemClosed) || errors.Is(cause, errMoved)
 }
 
 // reason returns why a run ended without an outcome, for the log.
@@ -222,13 +294,15 @@
 	})
 }
 
-// endRun records the result of an attempt. It returns the item's last event and its number
-// of failed attempts.
-func (r *Runner) endRun(ctx context.Context, c candidate, st *itemState, in targets.Instance, o *jobs.Outcome, err error, from uint64, began time.Time) (uint64, int) {
+// endRun records the result of an attempt. It returns the item's last event, its number of
+// failed attempts and the seat that it moves to.
+func (r *Runner) endRun(ctx context.Context, c candidate, st *itemState, in targets.Instance, o *jobs.Outcome, err error, from uint64, began time.Time) (uint64, int, *grant) {
 	r.mu.Lock()
 	// Set done under the same lock as the end of the run. Otherwise the item looks open
 	// in between and is started again.
 	st.running, st.cancel, st.done = false, nil, o != nil
+	next := st.current.next
+	st.current = nil
 	r.running--
 	if err != nil && !stoppedLocally(ctx) {
 		st.backoff = min(max(2*st.backoff, minBackoff), maxBackoff)
@@ -254,7 +328,7 @@
 	}
 	close(ended)
 	signal(r.wake)
-	return last, failed
+	return last, failed, next
 }
 
 // recordHealth records a verdict on the health of a target.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -18,6 +18,7 @@
 
 	"pumiceford/estimate"
 	"pumiceford/exchange"
+	"pumiceford/fairshare"
 	"pumiceford/fleet"
 	"pumiceford/internal/wait"
 	"pumiceford/jobs"
@@ -35,6 +36,8 @@
 type Seats interface {
 	// Acquire returns a seat at a target, or nil if none is free there.
 	Acquire(ctx context.Context, in targets.Instance, req seats.Request) (*seats.Seat, error)
+	// Reserve waits for up to limit for a seat at a target. It returns nil if none was granted.
+	Reserve(ctx context.Context, in targets.Instance, req seats.Request, limit time.Duration) (*seats.Seat, error)
 }
 
 // Config holds the settings and dependencies of a Runner.
@@ -56,6 +59,7 @@
 	Work func(item map[string]string) estimate.Work
 	// MaxRunning limits how many items run at a time, which bounds memory.
 	MaxRunning int
+	Shares     *fairshare.Ledger // account of the slots held; nil if all are within their shares
 }
 
 // Intervals, timeouts and limits of dispatch.
@@ -103,6 +107,7 @@
 	assigned      map[int]bool // assigned partitions; true once their progress has been loaded
 	items         map[jobstore.ItemKey]*itemState
 	running       int
+	reserving     int                    // items that wait for reserved seats
 	estimates     *estimate.Model        // taken after mu
 	refreshFailed map[int]time.Time      // time of the last failed refresh, by partition
 	finished      map[int][]jobs.Outcome // outcomes to be listed, by home partition
@@ -132,6 +137,28 @@
 	backoff       time.Duration
 	notBefore     time.Time
 	noRouteSince  time.Time // when the route was first missing; zero while there is one
+	waitingSince  time.Time // when it began to wait for a seat; zero while it runs
+	// cancelReservations ends the wait for reserved seats; nil while there is none.
+	cancelReservations context.CancelFunc
+	reserveNotBefore   time.Time
+	current            *runState // nil while it does not run
+	moves              int       // times that it was taken to a faster target
+}
+
+// runState is what the decision to move a running item depends on.
+type runState struct {
+	candidate candidate
+	service   string
+	in        targets.Instance
+	began     time.Time
+	from      uint64
+	next      *grant // the seat that the item moves to; nil while it stays
+}
+
+// grant is a granted seat with its target.
+type grant struct {
+	in   targets.Instance
+	seat *seats.Seat
 }
 
 // progress is the output of an item so far.
@@ -180,7 +207,7 @@
 type candidate struct {
 	open jobstore.OpenItem
 	part int
-	schedule.Item
+	schedule.Claim
 }
 
 // dispatchLoop starts open items in the order that package schedule defines: those that
@@ -195,13 +222,14 @@
 		case <-tick.C:
 		case <-r.wake:
 		}
-		full := make(map[string]bool) // services without a free seat
+		sc := scan{full: make(map[string]bool), tooSlow: make(map[string]int)}
 		for _, c := range r.candidates(time.Now()) {
 			if ctx.Err() != nil {
 				return
 			}
-			r.start(ctx, c, full)
+			r.start(ctx, c, sc)
 		}
+		r.moveLateItems(ctx)
 		_ = wait.For(ctx, minDispatchGap)
 	}
 }
@@ -245,9 +273,11 @@
 func (r *Runner) sorted(now time.Time, cs []candidate) []candidate {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	standings := make(map[fairshare.Holder]fairshare.Standing)
 	for i := range cs {
 		c := &cs[i]
 		st := r.items[c.open.Key()]
+		c.Standing = r.standing(now, c.open, standings)
 		c.Item = schedule.Item{
 			Due:       time.UnixMilli(c.open.Spec.GetDueUnixMs()),
 			Remaining: r.estimates.Remaining(r.work(c.open), estimate.UsualPace, st.lastEvent),
@@ -255,7 +285,7 @@
 		}
 	}
 	slices.SortStableFunc(cs, func(a, b candidate) int {
-		if c := schedule.Compare(now, a.Item, b.Item); c != 0 {
+		if c := schedule.CompareClaims(now, a.Claim, b.Claim); c != 0 {
 			return c
 		}
 		return cmp.Compare(a.open.Index, b.open.Index)
@@ -274,6 +304,17 @@
 	}
 	st.failures = max(st.failures, it.FailedAttempts)
 	st.impossible = st.impossible || it.Impossible
+	if !st.readyAt(now) {
+		return false
+	}
+	if st.waitingSince.IsZero() {
+		st.waitingSince = now
+	}
+	return true
+}
+
+// readyAt reports whether an item may start. The caller holds Runner.mu.
+func (st *itemState) readyAt(now time.Time) bool {
 	return !st.running && !st.done && !now.Before(st.notBefore)
 }
 
@@ -307,13 +348,24 @@
 		case st.running:
 			st.cancel(errItemClosed)
 		default:
+			st.stopWaiting()
 			delete(r.items, k)
 		}
 	}
 }
 
-// start runs one item if a seat is free. It adds services without a free seat to full.
-func (r *Runner) start(ctx context.Context, c candidate, full map[string]bool) {
+// scan is what one scan of the open items has found so far, by service.
+type scan struct {
+	full    map[string]bool // there is no free seat
+	tooSlow map[string]int  // items that left out a free seat at a slow target
+}
+
+// maxTooSlow is the number of items in one scan that may leave out a slow target. It bounds the
+// time that a scan of a long backlog takes.
+const maxTooSlow = 32
+
+// start runs one item if a seat is free, and else leaves reservations for it.
+func (r *Runner) start(ctx context.Context, c candidate, sc scan) {
 	r.mu.Lock()
 	st := r.items[c.open.Key()]
 	busy := r.running >= r.cfg.MaxRunning || st == nil
@@ -328,36 +380,64 @@
 		return
 	}
 	service, ok := r.service(c)
-	if !ok || full[service] {
+	if !ok || sc.full[service] && !r.mayReserve(time.Now(), st) {
 		return
 	}
 	if !r.jobStateUsable(ctx, c) {
 		return
 	}
-	seat, in := r.acquireSeat(ctx, service, r.targetsToAvoid(st), r.seatRequest(time.Now(), c))
-	if seat == nil {
-		// An item that failed before avoids some targets; others may still find a seat.
-		full[service] = full[service] || len(r.targetsToAvoid(st)) == 0
-		return
+	avoid := r.targetsToAvoid(st)
+	if !sc.full[service] {
+		g, tooSlow := r.acquireSeat(ctx, service, avoid, c)
+		if g.seat != nil {
+			r.launch(ctx, c, st, service, g)
+			return
+		}
+		// An item that failed before avoids some targets, and one that would be late at a
+		// slow target leaves it to others; others may still find a seat.
+		if tooSlow {
+			sc.tooSlow[service]++
+		}
+		sc.full[service] = len(avoid) == 0 && !tooSlow || sc.tooSlow[service] >= maxTooSlow
 	}
+	r.reserve(ctx, c, st, service, avoid)
+}
+
+// launch runs an item in a granted seat. It gives the seat back and returns false if the item
+// must not start any more.
+func (r *Runner) launch(ctx context.Context, c candidate, st *itemState, service string, g grant) bool {
+	now := time.Now()
 	runCtx, cancel := context.WithCancelCause(ctx)
 	r.mu.Lock()
-	allowed := !r.leaving && r.assigned[c.part]
+	allowed := !r.leaving && r.assigned[c.part] && r.items[c.open.Key()] == st && st.readyAt(now) && r.running < r.cfg.MaxRunning
+	var waited time.Duration
 	if allowed {
 		st.running, st.cancel, st.ended = true, cancel, make(chan struct{})
+		st.current = &runState{candidate: c, service: service, in: g.in, began: now, from: st.lastEvent}
+		if !st.waitingSince.IsZero() {
+			waited = now.Sub(st.waitingSince)
+		}
+		st.waitingSince = time.Time{}
+		st.stopWaiting()
 		r.running++
 	}
 	r.mu.Unlock()
 	if !allowed {
 		cancel(nil)
-		seat.Close()
-		return
+		r.cfg.Metrics.Count("seat_not_used")
+		g.seat.Close()
+		return false
 	}
+	r.cfg.Metrics.Observe("seat_wait", c.open.Spec.GetWorkspace(), waited)
 	go func() {
 		defer cancel(nil)
-		defer seat.Close()
-		r.run(runCtx, cancel, c, st, in, seat)
+		next := r.run(runCtx, cancel, c, st, g, waited)
+		g.seat.Close()
+		if next != nil {
+			r.launch(ctx, c, st, service, *next)
+		}
 	}()
+	return true
 }
 
 // targetsToAvoid returns the targets at which an item failed, until avoidFailedFor has
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -62,8 +62,12 @@
 	starts  map[string][]uint64 // by item, the events after which its runs started
 	targets map[string][]string // by item, the targets that it was sent to
 	status  func(id string, n int) int
+	slow    func(target string) bool // whether events at a target take slowInterval
 }
 
+// slowInterval is the time between two events at a slow target.
+const slowInterval = 10 * eventInterval
+
 func (e *engine) Send(ctx context.Context, in targets.Instance, call *exchange.Call) (*exchange.Response, error) {
 	e.mu.Lock()
 	n := len(e.starts[call.ID])
@@ -81,6 +85,10 @@
 		}
 		return &exchange.Response{Outcome: outcome, Status: status, Body: io.NopCloser(strings.NewReader(""))}, nil
 	}
+	interval := eventInterval
+	if e.slow != nil && e.slow(in.ID) {
+		interval = slowInterval
+	}
 	rd, wr := io.Pipe()
 	go func() {
 		for i := call.ResumeAfter + 1; i <= events; i++ {
@@ -88,7 +96,7 @@
 			case <-ctx.Done():
 				_ = wr.CloseWithError(ctx.Err())
 				return
-			case <-time.After(eventInterval):
+			case <-time.After(interval):
 			}
 			if _, err := fmt.Fprintf(wr, "id: %d\ndata: %s\n\n", i, eventData(call.ID, i)); err != nil {
 				return
@@ -139,6 +147,14 @@
 	return seats.NewLocalSeat(ch), nil
 }
 
+// Reserve implements runner.Seats. It grants nothing.
+func (p *seatPool) Reserve(ctx context.Context, _ targets.Instance, _ seats.Request, limit time.Duration) (*seats.Seat, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	<-ctx.Done()
+	return nil, nil
+}
+
 // setRefusing sets whether requests are refused, and revokes all granted seats.
 func (p *seatPool) setRefusing(refuse bool) {
 	p.mu.Lock()
--- a/runner/seat_test.go
+++ b/runner/seat_test.go
@@ -16,6 +16,16 @@
 type hookedSeats struct {
 	seatPool
 	beforeGrant func(in targets.Instance)
+	// reserve answers reservations; nil grants none.
+	reserve func(ctx context.Context, in targets.Instance) *seats.Seat
+}
+
+// Reserve implements runner.Seats.
+func (s *hookedSeats) Reserve(ctx context.Context, in targets.Instance, req seats.Request, limit time.Duration) (*seats.Seat, error) {
+	if s.reserve == nil {
+		return s.seatPool.Reserve(ctx, in, req, limit)
+	}
+	return s.reserve(ctx, in), nil
 }
 
 // Acquire implements runner.Seats.
