--- a/fairshare/fairshare.go
+++ b/fairshare/fairshare.go
@@ -1,10 +1,10 @@
 // Package fairshare accounts which workspaces hold the slots of the fleet, and decides whose
-// work goes first when there are fewer slots than work. It does no I/O and reads no clock.
+// work goes first when there are fewer slots than work. The decisions (Ledger, Sums) do no I/O
+// and read no clock; Follow and Relay carry the account between entries and agents.
 package fairshare
 
 import (
 	"cmp"
-	"sync"
 	"time"
 )
 
@@ -19,10 +19,18 @@
 // Usage is the number of slots that a workspace holds or waits for.
 type Usage struct {
 	Holder
-	Held    float64 // slots in use, averaged over some seconds
-	Waiting float64 // requests and items that wait for a slot
+	Held    float64 // slots in use, averaged over averagingTime
+	Waiting float64 // slots that requests and items wait for or were refused, averaged likewise
+	// Others marks the sum of all workspaces of the rank that have no row of their own. The
+	// workspace is then empty.
+	Others bool
 }
 
+// MaxStarvation bounds how long rank and share may keep work waiting for a slot: work that has
+// waited longer goes in order of arrival. It is shorter than the time budgets of callers, so
+// that a request of a low rank can still be served within its own.
+const MaxStarvation = 4 * time.Second
+
 // Standing is the position of a holder among all that compete for slots. The zero Standing is
 // that of a holder within its share.
 type Standing struct {
@@ -32,6 +40,16 @@
 	Excess float64
 }
 
+// Aged returns the standing of work that has waited for a slot. After MaxStarvation it is
+// the first of all standings. Work of equal standing goes in order of arrival, so work that
+// arrives later never goes before work that has waited that long.
+func (s Standing) Aged(waited time.Duration) Standing {
+	if waited >= MaxStarvation {
+		return Standing{}
+	}
+	return s
+}
+
 // Compare orders standings. It returns a negative number if a goes first.
 func Compare(a, b Standing) int {
 	if c := cmp.Compare(a.Rank, b.Rank); c != 0 {
@@ -39,31 +57,3 @@
 	}
 	return cmp.Compare(a.Excess, b.Excess)
 }
-
-// Ledger is the account of one process: the slots that its own requests and items hold, and
-// what it was told of other processes. It is safe for concurrent use; its lock is taken last.
-type Ledger struct {
-	mu sync.Mutex
-}
-
-// NewLedger returns an empty Ledger.
-func NewLedger() *Ledger {
-	return &Ledger{}
-}
-
-// Begin records that work of a holder was sent to a target.
-func (l *Ledger) Begin(_ time.Time, _ Holder) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-}
-
-// End records the end of work that Begin recorded.
-func (l *Ledger) End(_ time.Time, _ Holder) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-}
-
-// Standing returns the standing of a holder.
-func (l *Ledger) Standing(_ time.Time, _ Holder) Standing {
-	return Standing{}
-}
