catalog: weight of a workspace, as it was sold

The fair shares need to know how many slots a workspace is due beside others. The configuration says so only by the rate that a workspace was sold; those without one, and callers without a workspace, count as the mean of all rates, so that they are neither ahead nor behind. Without rates all count alike.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -102,6 +102,7 @@
 	byKey       map[KeyDigest]*Workspace // nil if requests need no key
 	workspaces  map[string]*Workspace    // by name
 	rateLimited bool                     // a workspace has a rate limit
+	meanRate    float64                  // mean rate of the workspaces with a limit; 0 if there are none
 }
 
 // New returns a Catalog without workspaces.
--- a/catalog/workspace.go
+++ b/catalog/workspace.go
@@ -35,6 +35,19 @@
 	return 0
 }
 
+// Weight returns the share of the slots that a workspace is due relative to others: its rate,
+// which is what it was sold. Workspaces without a rate, and callers without a workspace (nil),
+// have the mean of all rates, 1 if there are none. It may be called on a nil Catalog.
+func (c *Catalog) Weight(w *Workspace) float64 {
+	switch {
+	case w != nil && w.RateLimited():
+		return w.Rate
+	case c != nil && c.meanRate > 0:
+		return c.meanRate
+	}
+	return 1
+}
+
 // RateLimited reports whether the workspace has a rate limit.
 func (w *Workspace) RateLimited() bool {
 	return w.Rate > 0
@@ -45,13 +58,19 @@
 func (c *Catalog) WithWorkspaces(all []Workspace) *Catalog {
 	c.byKey = make(map[KeyDigest]*Workspace)
 	c.workspaces = make(map[string]*Workspace, len(all))
+	limited, sum := 0, 0.0
 	for i := range all {
-		c.rateLimited = c.rateLimited || all[i].RateLimited()
+		if all[i].RateLimited() {
+			limited++
+			sum += all[i].Rate
+		}
 		c.workspaces[all[i].Name] = &all[i]
 		for _, k := range all[i].Keys {
 			c.byKey[k] = &all[i]
 		}
 	}
+	c.rateLimited = limited > 0
+	c.meanRate = sum / max(float64(limited), 1)
 	return c
 }
 
