gateway, runner: feed the account of slots held

Nobody knew whose work holds the slots. Each send of a request and each run of an item now counts as a slot held by its workspace and rank, a request in the queue of its target as one that waits until the response begins, a refusal for lack of slots as work that waited for its estimated hold time, and items without a seat as a backlog, counted at most each 250 ms. Nothing reads the account yet, so nothing is decided differently.

Counting a queued request as held was ruled out: under overload the surging workspace's queue would count as use, and nothing would seem to wait.

startNode of the runner's tests gets a Ledger; no check changed.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -280,6 +280,9 @@
 		s.abortResponse(string(reason))
 		return
 	}
+	if reason == Overload {
+		s.recordOverload()
+	}
 	s.outcome = string(reason)
 	s.responder.Refuse(Refusal{Reason: reason, NotRun: s.possibleRuns == 0, RetryAfter: retry})
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -119,6 +119,7 @@
 	Reserver        exchange.Reserver
 	FailureNotifier FailureNotifier
 	Quarantine      *quarantine.Tracker
+	Shares          *fairshare.Ledger // account of the slots held; nil for one of its own
 	Log             logging.Logger
 	Metrics         *metrics.Set
 }
@@ -130,6 +131,7 @@
 	reserver   exchange.Reserver
 	notifier   FailureNotifier
 	quarantine *quarantine.Tracker
+	shares     *fairshare.Ledger
 	log        logging.Logger
 	metrics    *metrics.Set
 	started    time.Time
@@ -138,9 +140,12 @@
 
 // New returns a Gateway.
 func New(cfg Config) *Gateway {
+	if cfg.Shares == nil {
+		cfg.Shares = fairshare.NewLedger()
+	}
 	return &Gateway{
 		view: cfg.View, sender: cfg.Sender, reserver: cfg.Reserver, notifier: cfg.FailureNotifier, quarantine: cfg.Quarantine,
-		log: cfg.Log, metrics: cfg.Metrics, started: time.Now(), timeouts: newTimeoutTracker(),
+		shares: cfg.Shares, log: cfg.Log, metrics: cfg.Metrics, started: time.Now(), timeouts: newTimeoutTracker(),
 	}
 }
 
@@ -316,6 +321,8 @@
 		reusable := s.outcome == outcomeServed
 		s.g.view.WithTable(func(t *balance.Table) { t.OnlineEnded(time.Now(), c.Instance.ID, reusable) })
 	}()
+	use := s.beginSlotUse(c)
+	defer use.end()
 	s.sends++
 	s.sentAt, s.attemptEvents = time.Now(), 0
 	s.possibleRuns++ // until the target reports that it did not run the request
@@ -331,6 +338,7 @@
 		return s.handleSendError(c.Instance, err)
 	}
 	defer func() { _ = resp.Body.Close() }() // nothing more is read from it
+	use.responded()
 	switch resp.Outcome {
 	case exchange.NotRun, exchange.OtherInstance:
 		return s.handleNotRun(c.Instance, resp)
--- a/runner/run.go
+++ b/runner/run.go
@@ -14,6 +14,7 @@
 	"pumiceford/estimate"
 	"pumiceford/events"
 	"pumiceford/exchange"
+	"pumiceford/fairshare"
 	"pumiceford/jobs"
 	"pumiceford/jobstore"
 	"pumiceford/logging"
@@ -66,11 +67,36 @@
 
 // seatRequest returns the request for an item's seat.
 func (r *Runner) seatRequest(now time.Time, c candidate) seats.Request {
-	req := seats.Request{Due: c.YieldDue(now), Workspace: c.open.Spec.GetWorkspace(), Remaining: c.Remaining}
+	h := r.holder(c.open)
+	return seats.Request{Due: c.YieldDue(now), Workspace: h.Workspace, Rank: h.Rank, Remaining: c.Remaining}
+}
+
+// holder returns the workspace that an item is accounted to, as the catalog in force describes
+// it.
+func (r *Runner) holder(open jobstore.OpenItem) fairshare.Holder {
+	h := fairshare.Holder{Workspace: open.Spec.GetWorkspace()}
 	if cat := r.cfg.View.Catalog(); cat != nil {
-		req.Rank = catalog.Rank(cat.Match(c.open.Spec.GetHost(), c.open.Item.GetPath()), cat.Workspace(req.Workspace))
+		w := cat.Workspace(h.Workspace)
+		h.Rank, h.Weight = catalog.Rank(cat.Match(open.Spec.GetHost(), open.Item.GetPath()), w), cat.Weight(w)
+	}
+	return h
+}
+
+// recordBacklog accounts the items of a scan that got no slot.
+func (r *Runner) recordBacklog(now time.Time, scanned []candidate) {
+	var waiting []jobstore.OpenItem
+	r.mu.Lock()
+	for _, c := range scanned {
+		if st := r.items[c.open.Key()]; st != nil && !st.running && !st.done {
+			waiting = append(waiting, c.open)
+		}
+	}
+	r.mu.Unlock()
+	backlog := make(map[fairshare.Holder]int)
+	for _, open := range waiting {
+		backlog[r.holder(open)]++
 	}
-	return req
+	r.cfg.Shares.SetBacklog(now, backlog)
 }
 
 // excludeFailed returns the targets at which an item may be retried. A target that fails
@@ -169,6 +195,9 @@
 		}
 	}()
 	r.cfg.View.WithTable(func(t *balance.Table) { t.BatchStarted(began, in.ID) })
+	holder := r.holder(c.open)
+	r.cfg.Shares.Begin(began, holder)
+	defer func() { r.cfg.Shares.End(time.Now(), holder) }()
 	outcome, err := r.attempt(ctx, c, st, in)
 	if err != nil && connectionLost(ctx, err) {
 		r.reportLostConnection(ctx, c, st, in, from, began)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -18,6 +18,7 @@
 
 	"pumiceford/estimate"
 	"pumiceford/exchange"
+	"pumiceford/fairshare"
 	"pumiceford/fleet"
 	"pumiceford/internal/wait"
 	"pumiceford/jobs"
@@ -48,6 +49,7 @@
 	Seats  Seats
 	// Quarantine records runs whose connection broke.
 	Quarantine *quarantine.Tracker
+	Shares     *fairshare.Ledger // account of the slots held; nil for one of its own
 	Log        logging.Logger
 	Metrics    *metrics.Set
 	// Headers returns the header to send with an item, given its own headers.
@@ -93,6 +95,9 @@
 	// Two clocks that are each off by two seconds in opposite directions differ by
 	// four; another two seconds are a reserve.
 	clockSkewMargin = 6 * time.Second
+	// backlogInterval is the shortest time between two counts of the items that wait for a
+	// slot. It is short beside the seconds over which the account averages.
+	backlogInterval = 250 * time.Millisecond
 )
 
 // Runner runs the items of the partitions that are assigned to this process.
@@ -142,6 +147,9 @@
 
 // New returns a Runner.
 func New(cfg Config) *Runner {
+	if cfg.Shares == nil {
+		cfg.Shares = fairshare.NewLedger()
+	}
 	return &Runner{
 		cfg: cfg, assigned: make(map[int]bool), items: make(map[jobstore.ItemKey]*itemState),
 		finished: make(map[int][]jobs.Outcome), estimates: cfg.View.Estimates(),
@@ -188,6 +196,7 @@
 func (r *Runner) dispatchLoop(ctx context.Context) {
 	tick := time.NewTicker(dispatchInterval)
 	defer tick.Stop()
+	var counted time.Time // when the backlog was last counted
 	for {
 		select {
 		case <-ctx.Done():
@@ -196,12 +205,17 @@
 		case <-r.wake:
 		}
 		full := make(map[string]bool) // services without a free seat
-		for _, c := range r.candidates(time.Now()) {
+		candidates := r.candidates(time.Now())
+		for _, c := range candidates {
 			if ctx.Err() != nil {
 				return
 			}
 			r.start(ctx, c, full)
 		}
+		if now := time.Now(); now.Sub(counted) >= backlogInterval {
+			counted = now
+			r.recordBacklog(now, candidates)
+		}
 		_ = wait.For(ctx, minDispatchGap)
 	}
 }
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -17,6 +17,7 @@
 	"pumiceford/catalog"
 	"pumiceford/estimate"
 	"pumiceford/exchange"
+	"pumiceford/fairshare"
 	"pumiceford/fleet"
 	"pumiceford/jobs"
 	"pumiceford/jobstore"
@@ -157,6 +158,7 @@
 	runner     *runner.Runner
 	seats      *hookedSeats
 	quarantine *quarantine.Tracker
+	shares     *fairshare.Ledger
 	stop       context.CancelFunc
 }
 
@@ -173,13 +175,13 @@
 	view.TargetSink().Reset([]store.Record{{Key: "i0", Value: []byte("1")}})
 	go reportLoads(ctx, view)
 	client := s.ClientFor(name)
-	n := &node{view: view, stop: cancel, seats: &hookedSeats{beforeGrant: func(targets.Instance) {}}}
+	n := &node{view: view, stop: cancel, shares: fairshare.NewLedger(), seats: &hookedSeats{beforeGrant: func(targets.Instance) {}}}
 	n.quarantine = quarantine.NewTracker(quarantine.Config{Prober: crashedProber{}, Metrics: ms})
 	n.jobs = openJobs(ctx, client)
 	n.runner = runner.New(runner.Config{
 		Member: name, Group: "g", Store: n.jobs, Groups: client, View: view, Sender: e, Seats: n.seats,
-		Quarantine: n.quarantine,
-		Metrics:    ms, Headers: func(map[string]string) map[string][]string { return nil }, MaxRunning: 64,
+		Quarantine: n.quarantine, Shares: n.shares,
+		Metrics: ms, Headers: func(map[string]string) map[string][]string { return nil }, MaxRunning: 64,
 		Work: func(map[string]string) estimate.Work { return estimate.Work{} },
 	})
 	go n.runner.Run(ctx)
