fairshare: fleet-wide account over the agents' sessions, with gauges and log lines

Each entry now tells the agents that it follows its 16 heaviest workspaces and the sum of the others by rank, once a second (each 2 s while nothing waits); the agent replies with the sum over its other entries. Nothing is sent where callers belong to no workspace. Figures count 3 s after they arrived, 6 s at most over both hops.

The agent leaves out the asker: with its own figures in each of 16 sums an entry would count them 37 times too often at 340 entries and 600 agents. The weight of the own figures follows from the fraction of agents followed (TestFleetUseIsEstimatedByEveryEntry). An owner for each workspace and records on the store were ruled out by calculation (docs/design/fair-shares.md).

--- a/daemon/agentlinks.go
+++ b/daemon/agentlinks.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pumiceford/balance"
+	"pumiceford/fairshare"
 	"pumiceford/fleet"
 	"pumiceford/link"
 	"pumiceford/quarantine"
@@ -27,6 +28,7 @@
 	addr    func(target string) string
 	view    *fleet.View
 	tracker *quarantine.Tracker
+	shares  *fairshare.Ledger
 	// onFreeSlot is called when an agent reports that its target has a free slot for batch.
 	onFreeSlot func()
 
@@ -41,8 +43,8 @@
 	lastReport time.Time // when a failure of the target was last reported; guarded by agentLinks.mu
 }
 
-func newAgentLinks(cfg link.Config, addr func(string) string, view *fleet.View, tracker *quarantine.Tracker) *agentLinks {
-	return &agentLinks{cfg: cfg, addr: addr, view: view, tracker: tracker, onFreeSlot: func() {}, links: make(map[string]*agentLink)}
+func newAgentLinks(cfg link.Config, addr func(string) string, view *fleet.View, tracker *quarantine.Tracker, shares *fairshare.Ledger) *agentLinks {
+	return &agentLinks{cfg: cfg, addr: addr, view: view, tracker: tracker, shares: shares, onFreeSlot: func() {}, links: make(map[string]*agentLink)}
 }
 
 // update opens and closes links so that the agents of the given targets are followed. When
@@ -59,6 +61,7 @@
 	for _, id := range routing.Top(ids, routing.Score(a.cfg.Node, 1), maxWatchedTargets) {
 		keep[id] = true
 	}
+	a.shares.SetFollowed(len(keep), len(byID))
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for id, l := range a.links {
@@ -79,6 +82,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	l := &agentLink{target: in.Addr, peer: link.NewPeer(a.cfg, a.addr(in.Addr)), stop: cancel}
 	go quarantine.Follow(ctx, l.peer, a.tracker)
+	go fairshare.Follow(ctx, l.peer, a.cfg.Node, in.ID, a.shares)
 	go seats.Watch(ctx, l.peer, in, func(load *wire.Load) {
 		a.view.WithTable(func(t *balance.Table) { t.UpdateLoad(time.Now(), in.ID, loadReport(load)) })
 		if load.GetRoom()+load.GetSpare() > 0 {
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -18,6 +18,7 @@
 	"pumiceford/catalog"
 	"pumiceford/estimate"
 	"pumiceford/exchange"
+	"pumiceford/fairshare"
 	"pumiceford/fleet"
 	"pumiceford/gateway"
 	"pumiceford/internal/boottime"
@@ -145,6 +146,7 @@
 	granter    *ratelimit.Granter
 	limiter    *ratelimit.Limiter
 	quarantine *quarantine.Tracker
+	shares     *fairshare.Ledger
 	archive    *quarantine.Archive
 	copies     *fleet.Copies
 	tlsConf    *tls.Config
@@ -202,17 +204,19 @@
 	})
 	n.quarantine = quarantine.NewTracker(quarantine.Config{Prober: deps.Sender, Log: base.WithPrefix("quarantine"), Metrics: n.metrics})
 	n.archive = quarantine.NewArchive(n.quarantine, n.store, deps.QuarantineTopic, set.Store.Partitions, base.WithPrefix("quarantine"))
-	n.agentLinks = newAgentLinks(linkCfg, set.AgentAddr, n.view, n.quarantine)
+	n.shares = fairshare.NewLedger()
+	n.agentLinks = newAgentLinks(linkCfg, set.AgentAddr, n.view, n.quarantine, n.shares)
 	n.runner = runner.New(runner.Config{
 		Member: set.Peers, Group: jobGroup, Store: n.jobs, Groups: n.store, View: n.view, Sender: deps.Sender,
-		Seats: n.agentLinks, Quarantine: n.quarantine, Log: base.WithPrefix("batch"), Metrics: n.metrics,
+		Seats: n.agentLinks, Quarantine: n.quarantine, Shares: n.shares, Log: base.WithPrefix("batch"), Metrics: n.metrics,
 		Headers: deps.ItemHeader, Work: deps.ItemWork, MaxRunning: maxRunningItems,
 	})
 	n.agentLinks.onFreeSlot = n.runner.Wake
 	n.setUpRateLimits(linkCfg, base.WithPrefix("limits"))
 	n.gateway = gateway.New(gateway.Config{
 		View: n.view, Sender: deps.Sender, Reserver: deps.Sender, FailureNotifier: n.agentLinks, Quarantine: n.quarantine,
-		Log: base.WithPrefix("online"), Metrics: n.metrics,
+		Shares: n.shares,
+		Log:    base.WithPrefix("online"), Metrics: n.metrics,
 	})
 	n.view.OnTargetChange(func(all []targets.Instance) {
 		deps.Sender.Retain(all)
@@ -250,7 +254,7 @@
 	ops := opsHandler(n.metrics, n.quarantine)
 	ops.HandleFunc("GET /limits", n.limitsHandler)
 	g.Go(func() error { return serve(ctx, n.httpServer(ops), listeners[3]) })
-	for _, loop := range []func(context.Context){n.followStore, n.watchPeers, n.maintainCopies, n.expireTargets, n.keepKeyLease, n.shards.Run, n.runner.Run, n.quarantine.Run, n.archive.Run} {
+	for _, loop := range []func(context.Context){n.followStore, n.watchPeers, n.maintainCopies, n.expireTargets, n.keepKeyLease, n.shards.Run, n.runner.Run, n.quarantine.Run, n.archive.Run, fairshare.NewMonitor(n.shares, n.log.WithPrefix("shares"), n.metrics).Run} {
 		g.Go(func() error { loop(ctx); return nil })
 	}
 	g.Go(func() error { onReload(ctx, reloads, n.log, func() error { return n.reload(file) }); return nil })
--- a/daemon/seatagent.go
+++ b/daemon/seatagent.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"pumiceford/fairshare"
 	"pumiceford/internal/wait"
 	"pumiceford/link"
 	"pumiceford/logging"
@@ -37,12 +38,16 @@
 	ms := metrics.New(set.Name)
 	a := seats.NewAgent(seats.AgentConfig{Name: set.Name, LoadSource: source, Log: log, Metrics: ms})
 	tracker := quarantine.NewTracker(quarantine.Config{Log: log.WithPrefix("quarantine"), Metrics: ms})
+	sums := fairshare.NewSums()
 	handle := func(ctx context.Context, class link.Class, call *wire.Call, st *link.Stream) {
-		if call.GetMarks() != nil {
+		switch {
+		case call.GetMarks() != nil:
 			tracker.Exchange(ctx, st)
-			return
+		case call.GetShares() != nil:
+			fairshare.Relay(ctx, call.GetShares(), st, sums)
+		default:
+			a.Handle(ctx, class, call, st)
 		}
-		a.Handle(ctx, class, call, st)
 	}
 	g.Go(func() error { a.Run(ctx); return nil })
 	g.Go(func() error { tracker.Run(ctx); return nil })
--- a/fairshare/ledger.go
+++ b/fairshare/ledger.go
@@ -49,6 +49,8 @@
 	levels   [maxRanks]float64
 	claims   [maxRanks][]claim // of a plan
 	loads    []float64         // of a sweep
+	report   []Usage
+	reported time.Time // time of report
 }
 
 // rowKey identifies a row. Work of one workspace that has different ranks competes at each of
--- a/fairshare/sums.go
+++ b/fairshare/sums.go
@@ -11,13 +11,24 @@
 // number.
 const maxTold = 16
 
+// reportInterval is how long a report is used: it goes to several agents.
+const reportInterval = 200 * time.Millisecond
+
 // Report returns what this process tells the agents: its heaviest workspaces, and the sum of
 // the others by rank. It returns nil if no workspace holds or waits for anything. Work of
 // callers that need no key counts only beside that of workspaces, because shares decide
-// nothing where there are none.
+// nothing where there are none. The caller must not change the result.
 func (l *Ledger) Report(now time.Time) []Usage {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if d := now.Sub(l.reported); d < 0 || d >= reportInterval {
+		l.reported, l.report = now, l.reportLocked(now)
+	}
+	return l.report
+}
+
+// reportLocked returns a new report. l.mu is held.
+func (l *Ledger) reportLocked(now time.Time) []Usage {
 	var all []Usage
 	anyWorkspace := false
 	add := func(r *row, others bool) {
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -18,10 +18,11 @@
 
 // Set holds the metrics of one process. It is safe for concurrent use.
 type Set struct {
-	Registry  *prometheus.Registry
-	durations *prometheus.HistogramVec
-	events    *prometheus.CounterVec
-	gauges    *prometheus.GaugeVec
+	Registry    *prometheus.Registry
+	durations   *prometheus.HistogramVec
+	events      *prometheus.CounterVec
+	gauges      *prometheus.GaugeVec
+	byWorkspace *prometheus.GaugeVec
 
 	mu       sync.Mutex
 	labelled map[string]struct{}
@@ -47,7 +48,12 @@
 		Help:        "Sizes of state by kind.",
 		ConstLabels: labels,
 	}, []string{"kind"})
-	s.Registry.MustRegister(s.durations, s.events, s.gauges)
+	s.byWorkspace = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name:        "pumice_workspace_state",
+		Help:        "Sizes of state by kind and workspace.",
+		ConstLabels: labels,
+	}, []string{"kind", "workspace"})
+	s.Registry.MustRegister(s.durations, s.events, s.gauges, s.byWorkspace)
 	return s
 }
 
@@ -66,6 +72,19 @@
 	s.gauges.WithLabelValues(kind).Set(value)
 }
 
+// SetWorkspaceGauges replaces the gauges of a kind of state by workspace. Those of workspaces
+// without a series of their own are added up.
+func (s *Set) SetWorkspaceGauges(kind string, values map[string]float64) {
+	byLabel := make(map[string]float64, len(values))
+	for workspace, v := range values {
+		byLabel[s.workspaceLabel(workspace)] += v
+	}
+	s.byWorkspace.DeletePartialMatch(prometheus.Labels{"kind": kind})
+	for label, v := range byLabel {
+		s.byWorkspace.WithLabelValues(kind, label).Set(v)
+	}
+}
+
 // workspaceLabel returns the workspace itself for the first MaxWorkspaces workspaces seen and
 // OtherWorkspaces for all later ones.
 func (s *Set) workspaceLabel(workspace string) string {
