fairshare: one start-time fair queue, used by admission

The queue of admission moves to fairshare as an exported, generic Queue, so that another part that orders callers within one process need not write a second one. The order is unchanged: tags, ties and the place of preempted work are as before.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -12,6 +12,8 @@
 import (
 	"math"
 	"time"
+
+	"pumiceford/fairshare"
 )
 
 // Class is the priority class of an entry.
@@ -36,7 +38,7 @@
 	// Ref identifies the entry to the caller. Admission does not read it.
 	Ref any
 
-	queueItem *fairItem
+	queueItem *fairshare.Queued[*Entry] // nil unless it is queued
 	started   time.Time
 	progress  uint32 // tokens generated so far
 }
@@ -90,8 +92,8 @@
 // them run. It is not safe for concurrent use.
 type Admission struct {
 	settings       Settings
-	online         *fairQueue
-	batch          *fairQueue
+	online         *fairshare.Queue[*Entry]
+	batch          *fairshare.Queue[*Entry]
 	running        map[string]*Entry
 	onlineRunning  int
 	batchRunning   int
@@ -114,8 +116,8 @@
 	}
 	return &Admission{
 		settings: settings,
-		online:   newFairQueue(),
-		batch:    newFairQueue(),
+		online:   fairshare.NewQueue[*Entry](),
+		batch:    fairshare.NewQueue[*Entry](),
 		running:  make(map[string]*Entry),
 	}
 }
@@ -126,20 +128,36 @@
 // always accepts a batch entry.
 func (a *Admission) Offer(now time.Time, e *Entry) bool {
 	if e.Class == Batch {
-		a.batch.push(e)
+		push(a.batch, e)
 		return true
 	}
 	a.arrivals.observe(now)
-	if a.online.len() >= a.settings.MaxQueue {
+	if a.online.Len() >= a.settings.MaxQueue {
 		return false
 	}
 	if !e.Deadline.IsZero() && now.Add(a.expectedWait()).After(e.Deadline) {
 		return false
 	}
-	a.online.push(e)
+	push(a.online, e)
 	return true
 }
 
+// push queues an entry.
+func push(q *fairshare.Queue[*Entry], e *Entry) {
+	e.queueItem = q.Push(e.Workspace, e.Cost, e.Weight, e)
+}
+
+// pop removes the first entry of a queue.
+func pop(q *fairshare.Queue[*Entry]) {
+	q.Pop().Value.queueItem = nil
+}
+
+// remove removes an entry from its queue, if it is queued.
+func remove(q *fairshare.Queue[*Entry], e *Entry) {
+	q.Remove(e.queueItem)
+	e.queueItem = nil
+}
+
 // HoldBatch prevents batch entries from starting before until.
 func (a *Admission) HoldBatch(until time.Time) {
 	a.batchHeldUntil = until
@@ -152,7 +170,7 @@
 
 // expectedWait estimates how long a new online entry waits for a seat.
 func (a *Admission) expectedWait() time.Duration {
-	ahead := a.online.len() + a.onlineRunning - a.settings.Seats + 1
+	ahead := a.online.Len() + a.onlineRunning - a.settings.Seats + 1
 	if ahead <= 0 {
 		return 0
 	}
@@ -176,10 +194,10 @@
 }
 
 func (a *Admission) startOnline(now time.Time, actions []Action) []Action {
-	for a.online.len() > 0 {
-		e := a.online.peek()
+	for a.online.Len() > 0 {
+		e := a.online.Peek().Value
 		if !e.Deadline.IsZero() && now.After(e.Deadline) {
-			a.online.pop()
+			pop(a.online)
 			actions = append(actions, Action{Kind: Reject, Entry: e})
 			continue
 		}
@@ -190,7 +208,7 @@
 		if actions, ok = a.makeRoom(e, actions); !ok {
 			return actions
 		}
-		a.online.pop()
+		pop(a.online)
 		a.addRunning(now, e)
 		actions = append(actions, Action{Kind: Start, Entry: e})
 	}
@@ -234,7 +252,7 @@
 
 func (a *Admission) preempt(e *Entry, actions []Action) []Action {
 	a.removeRunning(e)
-	a.batch.pushFront(e)
+	e.queueItem = a.batch.PushFront(e.Workspace, e)
 	return append(actions, Action{Kind: Preempt, Entry: e})
 }
 
@@ -275,12 +293,12 @@
 		return actions
 	}
 	limit := a.startLimit(now)
-	for a.batch.len() > 0 && a.batchRunning < limit && a.exclusive == nil && a.online.len() == 0 {
-		e := a.batch.peek()
+	for a.batch.Len() > 0 && a.batchRunning < limit && a.exclusive == nil && a.online.Len() == 0 {
+		e := a.batch.Peek().Value
 		if !a.fits(e) || (e.Exclusive && a.batchRunning > 0) {
 			return actions
 		}
-		a.batch.pop()
+		pop(a.batch)
 		a.addRunning(now, e)
 		actions = append(actions, Action{Kind: Start, Entry: e})
 	}
@@ -327,10 +345,10 @@
 		return
 	}
 	if e.Class == Online {
-		a.online.remove(e)
+		remove(a.online, e)
 		return
 	}
-	a.batch.remove(e)
+	remove(a.batch, e)
 }
 
 func (a *Admission) observeServiceTime(seconds float64) {
@@ -354,7 +372,7 @@
 
 // Counts returns the numbers of running and queued entries.
 func (a *Admission) Counts() (onlineRunning, onlineQueued, batchRunning, batchQueued int) {
-	return a.onlineRunning, a.online.len(), a.batchRunning, a.batch.len()
+	return a.onlineRunning, a.online.Len(), a.batchRunning, a.batch.Len()
 }
 
 // Running returns how many entries run.
