fairshare: Queue forgets idle workspaces

Finish tags of idle workspaces were dropped only behind the virtual time. With more than 1,024 tags, and more than twice as many as workspaces that have work queued, those of idle workspaces go.

Moving the virtual time to the highest tag when the queue is empty was ruled out: it would forgive every workspace its advance at each lull, also where few use the queue.

--- a/fairshare/queue.go
+++ b/fairshare/queue.go
@@ -121,18 +121,19 @@
 	}
 }
 
-// maxFinishTags is the number of finish tags above which those of idle workspaces
-// are dropped.
+// maxFinishTags is the number of finish tags above which those of idle workspaces are dropped.
 const maxFinishTags = 1024
 
-// dropIdleTags drops the finish tags that no longer affect the order, so that memory
-// grows with the busy workspaces and not with all 32,000.
+// dropIdleTags drops the finish tags of idle workspaces when there are many, so that memory
+// grows with the busy workspaces and not with all 32,000. A workspace whose tag lies ahead of
+// the virtual time is thereby forgiven what it had in advance of the others. At least half of
+// the tags are dropped, so the cost of a scan is spread over as many calls.
 func (q *Queue[T]) dropIdleTags() {
-	if len(q.finishTags) <= maxFinishTags {
+	if len(q.finishTags) <= max(maxFinishTags, 2*len(q.queued)) {
 		return
 	}
-	for ws, tag := range q.finishTags {
-		if q.queued[ws] == 0 && tag <= q.virtualTime {
+	for ws := range q.finishTags {
+		if q.queued[ws] == 0 {
 			delete(q.finishTags, ws)
 		}
 	}
--- a/fairshare/queue_test.go
+++ b/fairshare/queue_test.go
@@ -80,3 +80,16 @@
 		}
 	})
 }
+
+// Guards against a queue whose memory, and time for each piece of work, grow with all the
+// workspaces that ever used it. A queue that is never long does not move the virtual time.
+func TestQueueForgetsIdleWorkspaces(t *testing.T) {
+	q := NewQueue[int]()
+	for i := range 32_000 {
+		q.Push(fmt.Sprint("w", i), 1, 1, i)
+		q.Pop()
+		if len(q.finishTags) > maxFinishTags {
+			t.Fatalf("%d tags are kept after %d workspaces", len(q.finishTags), i+1)
+		}
+	}
+}
