--- a/fairshare/ledger.go
+++ b/fairshare/ledger.go
@@ -396,13 +396,15 @@
 	r.waiting = waiting + (r.waiting-waiting)*f
 }
 
-// Row is one workspace at one rank in the account, for operators. All figures are slots.
+// Row is one workspace at one rank in the account, for operators. Figures are slots unless
+// they are said to be fractions.
 type Row struct {
 	Holder
 	Others        bool          // all workspaces of the rank that have no row of their own
 	Held, Waiting float64       // of this process
 	FleetHeld     float64       // of all processes, an estimate
 	FleetWaiting  float64       // of all processes, an estimate
+	Share         float64       // FleetHeld as a fraction of all slots held at all ranks
 	FairShare     float64       // of all processes; +Inf without contention
 	Excess        float64       // see Standing
 	Age           time.Duration // of the oldest figures of other processes that are used
@@ -441,6 +443,15 @@
 	for i := range l.others {
 		add(&l.others[i], true)
 	}
+	total := 0.0
+	for _, o := range out {
+		total += o.FleetHeld
+	}
+	if total > 0 {
+		for i := range out {
+			out[i].Share = out[i].FleetHeld / total
+		}
+	}
 	slices.SortFunc(out, func(a, b Row) int {
 		return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(b.FleetHeld+b.FleetWaiting, a.FleetHeld+a.FleetWaiting), cmp.Compare(a.Workspace, b.Workspace))
 	})
