--- a/runner/run.go
+++ b/runner/run.go
@@ -71,24 +71,12 @@
 	h := r.holder(open)
 	s, ok := known[h]
 	if !ok {
-		s = fairshare.Standing{Rank: h.Rank}
-		if r.cfg.Shares != nil {
-			s.Excess = r.cfg.Shares.Standing(now, h).Excess
-		}
+		s = r.cfg.Shares.Standing(now, h)
 		known[h] = s
 	}
 	return s
 }
 
-// holder returns the workspace of an item as the catalog in force describes it.
-func (r *Runner) holder(open jobstore.OpenItem) fairshare.Holder {
-	h := fairshare.Holder{Workspace: open.Spec.GetWorkspace()}
-	if cat := r.cfg.View.Catalog(); cat != nil {
-		h.Rank = catalog.Rank(cat.Match(open.Spec.GetHost(), open.Item.GetPath()), cat.Workspace(h.Workspace))
-	}
-	return h
-}
-
 // seatRequest returns the request for an item's seat.
 func (r *Runner) seatRequest(now time.Time, c candidate) seats.Request {
 	r.mu.Lock()
@@ -103,6 +91,34 @@
 	return req
 }
 
+// holder returns the workspace that an item is accounted to, as the catalog in force describes
+// it.
+func (r *Runner) holder(open jobstore.OpenItem) fairshare.Holder {
+	h := fairshare.Holder{Workspace: open.Spec.GetWorkspace()}
+	if cat := r.cfg.View.Catalog(); cat != nil {
+		w := cat.Workspace(h.Workspace)
+		h.Rank, h.Weight = catalog.Rank(cat.Match(open.Spec.GetHost(), open.Item.GetPath()), w), cat.Weight(w)
+	}
+	return h
+}
+
+// recordBacklog accounts the items of a scan that got no slot.
+func (r *Runner) recordBacklog(now time.Time, scanned []candidate) {
+	var waiting []jobstore.OpenItem
+	r.mu.Lock()
+	for _, c := range scanned {
+		if st := r.items[c.open.Key()]; st != nil && !st.running && !st.done {
+			waiting = append(waiting, c.open)
+		}
+	}
+	r.mu.Unlock()
+	backlog := make(map[fairshare.Holder]int)
+	for _, open := range waiting {
+		backlog[r.holder(open)]++
+	}
+	r.cfg.Shares.SetBacklog(now, backlog)
+}
+
 // remainingAt estimates how long an item still has to run at a target with the given pace.
 func (r *Runner) remainingAt(c candidate, pace float64) time.Duration {
 	r.mu.Lock()
@@ -238,6 +254,9 @@
 		}
 	}()
 	r.cfg.View.WithTable(func(t *balance.Table) { t.BatchStarted(began, in.ID) })
+	holder := r.holder(c.open)
+	r.cfg.Shares.Begin(began, holder)
+	defer func() { r.cfg.Shares.End(time.Now(), holder) }()
 	outcome, err := r.attempt(ctx, c, st, in)
 	if err != nil && connectionLost(ctx, err) {
 		r.reportLostConnection(ctx, c, st, in, from, began)
