--- a/balance/balance.go
+++ b/balance/balance.go
@@ -29,13 +29,18 @@
 	views     map[string]*View
 	order     []*View // the values of views, sorted by instance ID
 	estimates *estimate.Model
+
+	scales      map[string]paceScale // by service
+	paceChanges []PaceChange
+	// figures and otherFigures are reused by paceScale.
+	figures, otherFigures []float64
 }
 
 // NewTable returns an empty Table. The salt breaks ties between targets that are equally
 // good for batch work, so that processes with different salts and the same loads do not
 // all ask the same agent first.
 func NewTable(salt uint64) *Table {
-	return &Table{salt: salt, views: make(map[string]*View), estimates: estimate.NewModel()}
+	return &Table{salt: salt, views: make(map[string]*View), estimates: estimate.NewModel(), scales: make(map[string]paceScale)}
 }
 
 // Estimates returns the model of how long work holds its slots.
@@ -51,11 +56,15 @@
 		// The load and the failures of an earlier incarnation do not apply to a
 		// target that has restarted.
 		if v := t.views[in.ID]; v != nil && v.Instance.StartedUnixMs == in.StartedUnixMs {
+			if v.Instance.Draining && !in.Draining {
+				v.speed = targetPace{} // it may resume at another speed
+			}
 			v.Instance = in
 			continue
 		}
 		t.views[in.ID] = &View{Instance: in}
 	}
+	clear(t.scales)
 	for id := range t.views {
 		if !named[id] {
 			delete(t.views, id)
@@ -72,6 +81,11 @@
 		return
 	}
 	v.report, v.reportedAt, v.onlineAtReport, v.seatsTaken, v.reserveFailed = r, now, v.onlineInFlight, 0, false
+	if r.Unresponsive {
+		v.speed = targetPace{} // it may respond again after a restart
+		return
+	}
+	t.observeTokenTimes(now, v, r)
 }
 
 // OnlineStarted records that an online request was sent to a target.
--- a/balance/view.go
+++ b/balance/view.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"pumiceford/estimate"
 	"pumiceford/targets"
 )
 
@@ -52,6 +51,7 @@
 	seatsTaken     int  // free seats used up for batch work since the last report
 	reserveFailed  bool // the target had no slot to reserve since the last report
 	conns          conns
+	speed          targetPace
 
 	suspectUntil time.Time
 	failures     int
@@ -75,11 +75,6 @@
 	return !v.reportedAt.IsZero() && now.Sub(v.reportedAt) <= maxReportAge
 }
 
-// pace returns the pace of the target, see estimate.UsualPace.
-func (v *View) pace(_ time.Time) float64 {
-	return estimate.UsualPace
-}
-
 func (v *View) batch(now time.Time) int {
 	if !v.reported(now) {
 		return 0
