Agents measure how fast their targets are; responses say how slow work is there

An entry knew of a target only how many requests run there. The agent now takes from two polls of its target how many tokens each run made in between, and averages the time for a token over 150 ms and over 5 s. Few tokens give no figure, a target that stopped making any counts as slow, and a target that was unresponsive is measured anew.

The runs and the memory are optional in a report: another form leaves them unknown and the load valid. The fourth figure of the load header of a response is decoded as a ratio; a header that is not understood leaves it unknown.

go test ./seats ./platform -run 'Token|Stalled|LoadReport|ServerLoad|FuzzDecode': pass. The fuzz target ran its seeds only (8 s of fuzzing did not get past the baseline on the busy machine).

--- a/daemon/agentlinks.go
+++ b/daemon/agentlinks.go
@@ -8,6 +8,7 @@
 	"pumiceford/balance"
 	"pumiceford/fleet"
 	"pumiceford/link"
+	"pumiceford/logging"
 	"pumiceford/quarantine"
 	"pumiceford/routing"
 	"pumiceford/seats"
@@ -27,6 +28,7 @@
 	addr    func(target string) string
 	view    *fleet.View
 	tracker *quarantine.Tracker
+	log     logging.Logger
 	// onFreeSlot is called when an agent reports that its target has a free slot for batch.
 	onFreeSlot func()
 
@@ -41,8 +43,8 @@
 	lastReport time.Time // when a failure of the target was last reported; guarded by agentLinks.mu
 }
 
-func newAgentLinks(cfg link.Config, addr func(string) string, view *fleet.View, tracker *quarantine.Tracker) *agentLinks {
-	return &agentLinks{cfg: cfg, addr: addr, view: view, tracker: tracker, onFreeSlot: func() {}, links: make(map[string]*agentLink)}
+func newAgentLinks(cfg link.Config, addr func(string) string, view *fleet.View, tracker *quarantine.Tracker, log logging.Logger) *agentLinks {
+	return &agentLinks{cfg: cfg, addr: addr, view: view, tracker: tracker, log: log, onFreeSlot: func() {}, links: make(map[string]*agentLink)}
 }
 
 // update opens and closes links so that the agents of the given targets are followed. When
@@ -80,7 +82,14 @@
 	l := &agentLink{target: in.Addr, peer: link.NewPeer(a.cfg, a.addr(in.Addr)), stop: cancel}
 	go quarantine.Follow(ctx, l.peer, a.tracker)
 	go seats.Watch(ctx, l.peer, in, func(load *wire.Load) {
-		a.view.WithTable(func(t *balance.Table) { t.UpdateLoad(time.Now(), in.ID, loadReport(load)) })
+		var changes []balance.PaceChange
+		a.view.WithTable(func(t *balance.Table) {
+			t.UpdateLoad(time.Now(), in.ID, loadReport(load))
+			changes = t.TakePaceChanges()
+		})
+		for _, c := range changes {
+			a.log.Info("target's usual pace changed", logging.F("instance", c.Instance), logging.F("was", c.Was), logging.F("pace", c.Pace))
+		}
 		if load.GetRoom()+load.GetSpare() > 0 {
 			a.onFreeSlot()
 		}
@@ -125,5 +134,7 @@
 // loadReport converts an agent's load message to a balance.Report.
 func loadReport(l *wire.Load) balance.Report {
 	return balance.Report{Active: int(l.GetActive()), Queued: int(l.GetQueued()), Batch: int(l.GetBatch()), Slots: int(l.GetSlots()),
-		FreeSeats: int(l.GetRoom()), UrgentSeats: int(l.GetSpare()), Unresponsive: l.GetSilent(), FailingEntries: int(l.GetWitnesses())}
+		FreeSeats: int(l.GetRoom()), UrgentSeats: int(l.GetSpare()), Unresponsive: l.GetSilent(), FailingEntries: int(l.GetWitnesses()),
+		TokenTime: time.Duration(l.GetTokenUs()) * time.Microsecond, UsualTokenTime: time.Duration(l.GetUsualTokenUs()) * time.Microsecond,
+		MemoryUsed: int(l.GetMemoryUsed()), MemoryTotal: int(l.GetMemoryTotal())}
 }
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -202,7 +202,7 @@
 	})
 	n.quarantine = quarantine.NewTracker(quarantine.Config{Prober: deps.Sender, Log: base.WithPrefix("quarantine"), Metrics: n.metrics})
 	n.archive = quarantine.NewArchive(n.quarantine, n.store, deps.QuarantineTopic, set.Store.Partitions, base.WithPrefix("quarantine"))
-	n.agentLinks = newAgentLinks(linkCfg, set.AgentAddr, n.view, n.quarantine)
+	n.agentLinks = newAgentLinks(linkCfg, set.AgentAddr, n.view, n.quarantine, base.WithPrefix("targets"))
 	n.runner = runner.New(runner.Config{
 		Member: set.Peers, Group: jobGroup, Store: n.jobs, Groups: n.store, View: n.view, Sender: deps.Sender,
 		Seats: n.agentLinks, Quarantine: n.quarantine, Log: base.WithPrefix("batch"), Metrics: n.metrics,
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -54,6 +54,9 @@
 	Body          io.ReadCloser
 	ContentLength int64 // of the body in bytes, -1 when unknown
 	EventStream   bool  // whether the body is an event stream
+	// Slowness is how long work takes at the target at this moment, relative to usual work of
+	// its kind; 0 if the target does not state it.
+	Slowness float64
 }
 
 // Sender sends calls to targets.
--- a/seats/agent.go
+++ b/seats/agent.go
@@ -57,6 +57,7 @@
 
 	mu             sync.Mutex
 	arbiter        *Arbiter
+	pace           *Pace
 	yieldRequests  map[uint64]chan struct{} // by seat ID; closed to ask for the seat back
 	lastResponse   time.Time                // time of the target's last response
 	lastNoResponse time.Time                // time of the last unanswered poll
@@ -87,7 +88,7 @@
 // NewAgent returns an Agent.
 func NewAgent(cfg AgentConfig) *Agent {
 	return &Agent{
-		cfg: cfg, arbiter: NewArbiter(0, ReservedSlots(cfg.Name)),
+		cfg: cfg, arbiter: NewArbiter(0, ReservedSlots(cfg.Name)), pace: NewPace(),
 		yieldRequests: make(map[uint64]chan struct{}),
 		changed:       make(chan struct{}),
 		pollNow:       make(chan struct{}, 1),
@@ -154,13 +155,16 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.lastResponse = time.Now()
-	same := a.arbiter.Load() == load && !a.unresponsive
+	previous := a.arbiter.Load()
+	same := previous.Active == load.Active && previous.Queued == load.Queued && !a.unresponsive
 	if a.unresponsive {
 		// The target may have restarted. Failures of the earlier incarnation must not
 		// count against the new one, which would otherwise get requests only after all
 		// other targets.
 		maps.DeleteFunc(a.failureReports, func(_ string, at time.Time) bool { return at.Before(a.lastNoResponse) })
+		a.pace.Reset()
 	}
+	a.pace.Observe(a.lastResponse, load.Runs)
 	a.unresponsive = false
 	before := a.freeSeats
 	for _, id := range a.arbiter.Report(a.lastResponse, load) {
@@ -323,6 +327,7 @@
 
 func (a *Agent) loadLocked() *wire.Load {
 	load := a.arbiter.Load()
+	quick, usual := a.pace.TokenTimes()
 	return &wire.Load{
 		Active: uint32(load.Active),
 		Queued: uint32(load.Queued),
@@ -332,6 +337,9 @@
 
 		Spare:  uint32(max(a.arbiter.UrgentSeats(time.Now()), 0)),
 		Silent: a.unresponsive, Witnesses: uint32(a.failingEntriesLocked()),
+
+		TokenUs: uint32(quick.Microseconds()), UsualTokenUs: uint32(usual.Microseconds()),
+		MemoryUsed: uint32(load.MemoryUsed), MemoryTotal: uint32(load.MemoryTotal),
 	}
 }
 
--- a/seats/arbiter.go
+++ b/seats/arbiter.go
@@ -16,6 +16,11 @@
 type Load struct {
 	Active int // requests running
 	Queued int // requests waiting
+	// MemoryUsed and MemoryTotal are the target's memory in tokens that cannot be reclaimed,
+	// and all of it; both are 0 if unknown.
+	MemoryUsed, MemoryTotal int
+	// Runs are the running requests, nil if unknown.
+	Runs []Run
 }
 
 // reportLag is how long a granted seat may be missing from the target's reports:
