balance: online work goes by the pace of targets, their memory and the route's objectives

Callers saw first events late at slow targets while fast ones had room: weights, waits and admission assumed that all targets of a service are alike. Weights are now divided by the square of the pace, so that faster targets get more and still not all (entries would meet there); waits and admission use the hold time at the target's pace; a target at which the first event or the gaps would pass the route's objectives comes after those with room or batch work to displace; one whose memory does not hold the request has no room.

The log line "request sent" gains the pace and its age.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -32,8 +32,10 @@
 
 	scales      map[string]paceScale // by service
 	paceChanges []PaceChange
-	// figures and otherFigures are reused by paceScale.
+	// figures and otherFigures are reused by paceScale, the others by Pick.
 	figures, otherFigures []float64
+	eligibleViews         []*View
+	weights               []float64
 }
 
 // NewTable returns an empty Table. The salt breaks ties between targets that are equally
@@ -136,6 +138,7 @@
 	Wait       time.Duration // estimated time until a slot becomes free there
 	LoadAge    time.Duration // age of the load report; -1 if there is no current one
 	Pace       float64       // see estimate.UsualPace
+	PaceAge    time.Duration // age of the figure behind Pace; -1 if there is none
 	Candidates int           // number of targets that could have been chosen
 }
 
@@ -144,28 +147,49 @@
 	return c.LoadAge >= 0
 }
 
-// Pick chooses the target of a service for an online request, leaving out the targets in
-// tried. It returns false if there is no eligible target. The argument draw is a random
-// number in [0, 1).
+// Request is what is known of an online request that needs a target.
+type Request struct {
+	Service string
+	Work    estimate.Work
+	// FirstEventWithin and EventGapWithin are the objectives of its route, 0 for none.
+	FirstEventWithin, EventGapWithin time.Duration
+}
+
+// Pick chooses the target of a service for a request of which nothing else is known, see
+// PickFor.
 func (t *Table) Pick(now time.Time, service string, tried map[string]bool, draw float64) (Choice, bool) {
-	return t.choose(now, t.candidates(now, service, tried), draw)
+	return t.PickFor(now, Request{Service: service}, tried, draw)
 }
 
-// PickReported is like Pick, but chooses only among targets with a current load report if
-// there are any. It is used after a target without a report turned out to be full: a short
-// queue of known length is then better than a queue of unknown length.
+// PickFor chooses the target for an online request, leaving out the targets in tried. It
+// returns false if there is no eligible target. The argument draw is a random number in
+// [0, 1).
+func (t *Table) PickFor(now time.Time, r Request, tried map[string]bool, draw float64) (Choice, bool) {
+	return t.choose(now, r, t.candidates(now, r.Service, tried), draw)
+}
+
+// PickReported chooses like Pick among targets with a current load report, see
+// PickReportedFor.
 func (t *Table) PickReported(now time.Time, service string, tried map[string]bool, draw float64) (Choice, bool) {
-	all := t.candidates(now, service, tried)
-	var reported []*View
+	return t.PickReportedFor(now, Request{Service: service}, tried, draw)
+}
+
+// PickReportedFor is like PickFor, but chooses only among targets with a current load report
+// if there are any. It is used after a target without a report turned out to be full: a short
+// queue of known length is then better than a queue of unknown length.
+func (t *Table) PickReportedFor(now time.Time, r Request, tried map[string]bool, draw float64) (Choice, bool) {
+	all := t.candidates(now, r.Service, tried)
+	reported := 0
 	for _, v := range all {
 		if v.reported(now) {
-			reported = append(reported, v)
+			all[reported] = v
+			reported++
 		}
 	}
-	if len(reported) > 0 {
-		all = reported
+	if reported > 0 {
+		all = all[:reported]
 	}
-	return t.choose(now, all, draw)
+	return t.choose(now, r, all, draw)
 }
 
 // candidates returns the targets that may get a request, sorted by instance ID. If all of
@@ -179,12 +203,16 @@
 }
 
 // choose draws one of the candidates. It returns false if there are none.
-func (t *Table) choose(now time.Time, candidates []*View, draw float64) (Choice, bool) {
+func (t *Table) choose(now time.Time, r Request, candidates []*View, draw float64) (Choice, bool) {
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
-	v := drawWeighted(now, candidates, draw)
-	c := Choice{Instance: v.Instance, Load: v.load(now), Batch: v.batch(now), Waiting: v.Waiting(now), Wait: t.wait(now, v), LoadAge: -1, Pace: v.pace(now), Candidates: len(candidates)}
+	n := t.needsOf(r, candidates)
+	v := t.drawWeighted(now, n, candidates, draw)
+	c := Choice{
+		Instance: v.Instance, Load: v.load(now), Batch: v.batch(now), Waiting: v.Waiting(now), Wait: t.wait(now, n, v), LoadAge: -1,
+		Pace: v.pace(now), PaceAge: v.paceAge(now), Candidates: len(candidates),
+	}
 	if v.reported(now) {
 		c.LoadAge = now.Sub(v.reportedAt)
 	}
@@ -192,24 +220,27 @@
 }
 
 // eligible returns the targets that may get a request, sorted by instance ID. With
-// includeEjected it includes the ejected ones.
+// includeEjected it includes the ejected ones. The result is valid until the next call.
 func (t *Table) eligible(now time.Time, service string, tried map[string]bool, includeEjected bool) []*View {
-	var out []*View
+	out := t.eligibleViews[:0]
 	for _, v := range t.order {
 		if v.eligible(now, service, tried, includeEjected) {
 			out = append(out, v)
 		}
 	}
+	t.eligibleViews = out
 	return out
 }
 
 // drawWeighted draws a target of the best tier by weight. The argument draw is a random
 // number in [0, 1).
-func drawWeighted(now time.Time, candidates []*View, draw float64) *View {
+func (t *Table) drawWeighted(now time.Time, n needs, candidates []*View, draw float64) *View {
 	best, sum := tierQueue, 0.0
-	weights := make([]float64, len(candidates))
+	weights := slices.Grow(t.weights[:0], len(candidates))[:len(candidates)]
+	t.weights = weights
+	clear(weights)
 	for i, v := range candidates {
-		vTier, w := v.rank(now)
+		vTier, w := v.rank(now, n)
 		if vTier < best {
 			best, sum = vTier, 0
 			clear(weights[:i])
--- /dev/null
+++ b/balance/bench_test.go
@@ -0,0 +1,28 @@
+package balance_test
+
+import (
+	"fmt"
+	"testing"
+
+	"pumiceford/balance"
+)
+
+// BenchmarkPick measures the choice of a target for a request at three sizes of a fleet.
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{43, 180, 600} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			const slots = 8
+			tab := balance.NewTable(1)
+			tab.Replace(instances(n, slots))
+			for i := range n {
+				tab.UpdateLoad(start, fmt.Sprint("i", i), balance.Report{Active: i % (slots + 1), Slots: slots})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, ok := tab.Pick(start, "s", nil, 0.5); !ok {
+					b.Fatal("no target")
+				}
+			}
+		})
+	}
+}
--- a/balance/pace.go
+++ b/balance/pace.go
@@ -23,7 +23,7 @@
 	// paceHysteresis is the factor by which a pace must differ from the one that is believed
 	// to replace it, and from estimate.UsualPace to count at all. Work would otherwise move
 	// between targets that differ by noise only.
-	paceHysteresis = 1.3
+	paceHysteresis = 1.5
 	// minPace and maxPace bound what is believed of a target, so that a wrong figure neither
 	// draws all work to a target nor empties it.
 	minPace, maxPace = 0.4, 8.0
@@ -111,10 +111,10 @@
 
 // ObserveSlowness takes into account how long work takes at a target at this moment, relative
 // to usual work of its kind, as a response of the target states. It ignores values that are
-// not positive and unknown targets.
-func (t *Table) ObserveSlowness(now time.Time, id string, slowness float64) {
-	v := t.views[id]
-	if v == nil || slowness <= 0 || math.IsNaN(slowness) || math.IsInf(slowness, 0) {
+// not positive, and targets that are unknown or have restarted since.
+func (t *Table) ObserveSlowness(now time.Time, at targets.Instance, slowness float64) {
+	v := t.views[at.ID]
+	if v == nil || v.Instance.StartedUnixMs != at.StartedUnixMs || slowness <= 0 || math.IsNaN(slowness) || math.IsInf(slowness, 0) {
 		return
 	}
 	p := &v.speed
--- a/balance/suspect.go
+++ b/balance/suspect.go
@@ -19,11 +19,18 @@
 // stopped reporting. If all targets are suspect, the choice among them still follows their
 // free slots.
 func (v *View) suspect(now time.Time) bool {
-	if now.Before(v.suspectUntil) {
+	age, ok := v.reportAge(now)
+	return v.suspectAt(now, age, ok)
+}
+
+// suspectAt is suspect for a caller that knows the age of the last report and whether there
+// is one.
+func (v *View) suspectAt(now time.Time, age time.Duration, ok bool) bool {
+	if !v.suspectUntil.IsZero() && now.Before(v.suspectUntil) {
 		return true
 	}
-	if v.reportedAt.IsZero() {
+	if !ok {
 		return false // a new target without a report from its agent yet
 	}
-	return now.Sub(v.reportedAt) > aliveReportAge || v.report.Unresponsive || v.report.FailingEntries >= minFailingEntries
+	return age > aliveReportAge || v.report.Unresponsive || v.report.FailingEntries >= minFailingEntries
 }
--- a/balance/view.go
+++ b/balance/view.go
@@ -62,7 +62,12 @@
 // load estimates the requests at the target: the reported ones, corrected by the online
 // requests that this process has started or seen end since the report.
 func (v *View) load(now time.Time) int {
-	if !v.reported(now) {
+	return v.loadIf(v.reported(now))
+}
+
+// loadIf is load for a caller that knows whether there is a current report.
+func (v *View) loadIf(reported bool) int {
+	if !reported {
 		return v.onlineInFlight
 	}
 	if v.reserveFailed {
@@ -72,7 +77,16 @@
 }
 
 func (v *View) reported(now time.Time) bool {
-	return !v.reportedAt.IsZero() && now.Sub(v.reportedAt) <= maxReportAge
+	age, ok := v.reportAge(now)
+	return ok && age <= maxReportAge
+}
+
+// reportAge returns the age of the last report. It returns false if there was none.
+func (v *View) reportAge(now time.Time) (time.Duration, bool) {
+	if v.reportedAt.IsZero() {
+		return 0, false
+	}
+	return now.Sub(v.reportedAt), true
 }
 
 func (v *View) batch(now time.Time) int {
@@ -102,6 +116,7 @@
 const (
 	tierFree       tier = iota // a slot is free
 	tierPreempt                // batch work must yield a slot first
+	tierTooSlow                // there is room, but the route's objectives would be missed
 	tierUnreported             // the load is unknown
 	tierSuspect                // the target may not respond
 	tierQueue                  // the request waits until another one ends
@@ -121,20 +136,32 @@
 // a report therefore get a request only if no reported target has room for it.
 //
 // Weights are squares, so that emptier targets are clearly preferred without all processes
-// choosing the same one.
-func (v *View) rank(now time.Time) (tier, float64) {
-	load, slots, batch := v.load(now), v.slots(), v.batch(now)
+// choosing the same one. They are divided by the square of the pace for the same reason:
+// work ends sooner at a faster target, but not all of it fits there.
+func (v *View) rank(now time.Time, n needs) (tier, float64) {
+	age, ok := v.reportAge(now)
+	reported := ok && age <= maxReportAge
+	load, slots, batch, pace := v.loadIf(reported), v.slots(), 0, v.pace(now)
+	if reported {
+		batch = v.report.Batch
+	}
+	slowness := pace * pace
+	free, preempt := tierFree, tierPreempt
+	if pace > n.maxPace {
+		free, preempt = tierTooSlow, tierTooSlow
+	}
 	switch {
-	case v.suspect(now) && load-batch < slots:
-		return tierSuspect, square(slots - load + batch)
-	case !v.reported(now) && load < slots:
-		return tierUnreported, v.connWeight(now, square(slots-load))
+	case v.suspectAt(now, age, ok) && load-batch < slots:
+		return tierSuspect, square(slots-load+batch) / slowness
+	case !reported && load < slots:
+		return tierUnreported, v.connWeight(now, square(slots-load)) / slowness
+	case reported && !v.hasMemory(n):
 	case load < slots:
-		return tierFree, v.connWeight(now, square(freeSlotWeight*(slots-load)+batch))
+		return free, v.connWeight(now, square(freeSlotWeight*(slots-load)+batch)) / slowness
 	case batch > 0 && load-batch < slots:
-		return tierPreempt, square(slots - load + batch)
+		return preempt, square(slots-load+batch) / slowness
 	}
-	return tierQueue, 1 / square(1+load-slots)
+	return tierQueue, 1 / square(1+max(load-slots, 0)) / slowness
 }
 
 // conns estimates the connections between this process and a target.
@@ -192,5 +219,5 @@
 	if v.Instance.Service != service || v.Instance.Draining || v.Instance.Superseded || tried[v.Instance.ID] {
 		return false
 	}
-	return includeEjected || !now.Before(v.ejectedUntil)
+	return includeEjected || v.ejectedUntil.IsZero() || !now.Before(v.ejectedUntil)
 }
--- a/balance/wait.go
+++ b/balance/wait.go
@@ -16,9 +16,9 @@
 
 // wait estimates how long an online request waits for a slot at a target. Slots become free
 // one after the other, and requests that already wait go first. A slot held by batch work
-// becomes free almost at once.
-func (t *Table) wait(now time.Time, v *View) time.Duration {
-	if v.load(now)-v.batch(now) < v.slots() {
+// becomes free almost at once. Where memory is short, one of the running requests has to end.
+func (t *Table) wait(now time.Time, n needs, v *View) time.Duration {
+	if v.load(now)-v.batch(now) < v.slots() && (!v.reported(now) || v.hasMemory(n)) {
 		return 0
 	}
 	return time.Duration(v.Waiting(now)+1) * t.estimates.HoldTime(v.Instance.Service, estimate.Work{}, v.pace(now)) / time.Duration(v.slots())
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -276,7 +276,8 @@
 	// The send is logged in addition to the end: a process that dies does not log the end.
 	s.g.log.Info("request sent", logging.F("request", s.req.ID), logging.F("key", s.req.Key.String()), logging.F("route", s.route.Name),
 		logging.F("instance", c.Instance.ID), logging.F("load", c.Load), logging.F("batch", c.Batch),
-		logging.F("waiting", c.Waiting), logging.F("load_age_ms", loadAgeMillis(c)), logging.F("reserved", s.req.ReservedSlot != ""),
+		logging.F("waiting", c.Waiting), logging.F("load_age_ms", loadAgeMillis(c)),
+		logging.F("pace", c.Pace), logging.F("pace_age_ms", paceAgeMillis(c)), logging.F("reserved", s.req.ReservedSlot != ""),
 		logging.F("among", c.Candidates), logging.F("catalog", s.g.version()))
 	return c, true
 }
@@ -290,10 +291,26 @@
 	return c.LoadAge.Milliseconds()
 }
 
+// paceAgeMillis returns the age in milliseconds of the pace behind a choice, -1 when none was
+// known.
+func paceAgeMillis(c balance.Choice) int64 {
+	if c.PaceAge < 0 {
+		return -1
+	}
+	return c.PaceAge.Milliseconds()
+}
+
+// needs returns what the choice of a target considers of the request.
+func (s *requestState) needs() balance.Request {
+	return balance.Request{
+		Service: s.service, Work: s.req.Work, FirstEventWithin: s.route.FirstEventWithin, EventGapWithin: s.route.EventGapWithin,
+	}
+}
+
 // pick chooses a target and counts the request there when it is admissible.
 func (s *requestState) pick() (balance.Choice, bool) {
 	return s.selectTarget(func(t *balance.Table) (balance.Choice, bool) {
-		return t.Pick(time.Now(), s.service, s.tried, rand.Float64())
+		return t.PickFor(time.Now(), s.needs(), s.tried, rand.Float64())
 	})
 }
 
@@ -331,6 +348,7 @@
 		return s.handleSendError(c.Instance, err)
 	}
 	defer func() { _ = resp.Body.Close() }() // nothing more is read from it
+	s.g.view.WithTable(func(t *balance.Table) { t.ObserveSlowness(time.Now(), c.Instance, resp.Slowness) })
 	switch resp.Outcome {
 	case exchange.NotRun, exchange.OtherInstance:
 		return s.handleNotRun(c.Instance, resp)
--- a/gateway/overload.go
+++ b/gateway/overload.go
@@ -59,6 +59,9 @@
 		return
 	}
 	s.g.view.Estimates().ObserveRequest(s.service, s.req.Work, s.choice.Pace, now.Sub(s.sentAt))
+	if s.attemptEvents > 0 {
+		s.g.view.Estimates().ObserveStream(s.service, s.req.Work, s.choice.Pace, s.firstResponseAt.Sub(s.sentAt), s.attemptEvents, now.Sub(s.firstResponseAt))
+	}
 }
 
 // timeoutTracker tracks the longest timeout that callers of each route send. It tells first
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -36,7 +36,7 @@
 	for range maxReserveAttempts {
 		var c balance.Choice
 		var ok bool
-		s.g.view.WithTable(func(t *balance.Table) { c, ok = t.Pick(time.Now(), s.service, avoid, rand.Float64()) })
+		s.g.view.WithTable(func(t *balance.Table) { c, ok = t.PickFor(time.Now(), s.needs(), avoid, rand.Float64()) })
 		if !ok || !c.ShouldReserve() {
 			return c, false
 		}
@@ -63,7 +63,7 @@
 	// The targets tried so far are full or unresponsive, and most of the others are probably
 	// full too.
 	return s.selectTarget(func(t *balance.Table) (balance.Choice, bool) {
-		return t.PickReported(time.Now(), s.service, avoid, rand.Float64())
+		return t.PickReportedFor(time.Now(), s.needs(), avoid, rand.Float64())
 	})
 }
 
