Items start where they complete in time; the pace is divided out of what a run teaches

An item of five seconds took any free seat, also at a target where it takes 20, and stayed there until it had to yield or was late. Targets at which it would be late are now left to items with time to spare while it can still complete at a usual pace. Runs teach the model the time of an event at the usual pace.

Targets that are alike are placed exactly as before.

An item that finds only slow seats ends the search for its service in that pass, as before when there was no seat; items behind it with more time wait for the next.

--- a/balance/batchtargets.go
+++ b/balance/batchtargets.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"pumiceford/estimate"
 	"pumiceford/routing"
 	"pumiceford/targets"
 )
@@ -16,28 +17,50 @@
 	idleConn bool // this process has an idle connection to it
 }
 
-// BatchTargets returns the targets of a service whose agents have free seats for batch work.
-// Suspect targets come last; otherwise targets with an idle connection come first, then
-// those with the most free slots. Targets without a current report get no batch work,
-// because no agent would notice online requests waiting behind it.
+// Item is what is known of a batch item that needs a target. The zero Item stands for one of
+// which nothing is known.
+type Item struct {
+	Remaining time.Duration // time that it still runs at estimate.UsualPace
+	Due       time.Time
+	Urgent    bool // it may also use the slots that are kept free of other items
+}
+
+// inTime reports whether the item completes by its due time at a pace.
+func (i Item) inTime(now time.Time, pace float64) bool {
+	return i.Due.IsZero() || float64(i.Remaining)*pace <= float64(i.Due.Sub(now))
+}
+
+// BatchTargets returns the targets for an item of which nothing is known, see BatchTargetsFor.
 func (t *Table) BatchTargets(now time.Time, service string) []BatchTarget {
-	return t.batchTargets(now, service, false)
+	return t.BatchTargetsFor(now, service, Item{})
 }
 
-// UrgentBatchTargets returns the targets for an item that is due soon. Such an item may also
-// use the slots that are kept free of other items.
+// UrgentBatchTargets returns the targets for an item that is due soon and of which nothing
+// else is known, see BatchTargetsFor.
 func (t *Table) UrgentBatchTargets(now time.Time, service string) []BatchTarget {
-	return t.batchTargets(now, service, true)
+	return t.BatchTargetsFor(now, service, Item{Urgent: true})
 }
 
-func (t *Table) batchTargets(now time.Time, service string, urgent bool) []BatchTarget {
+// BatchTargetsFor returns the targets of a service whose agents have free seats for batch
+// work. Suspect targets come last; otherwise targets with an idle connection come first, then
+// those with the most free slots. Targets without a current report get no batch work, because
+// no agent would notice online requests waiting behind it.
+//
+// Targets at which the item would be late are left to items with time to spare while it can
+// still complete in time at a target with the usual pace. An item stays where it started
+// until it has to yield, so it would be late there even if a faster target became free.
+func (t *Table) BatchTargetsFor(now time.Time, service string, item Item) []BatchTarget {
 	var out []BatchTarget
-	for _, v := range t.views {
+	mayWait := item.inTime(now, estimate.UsualPace)
+	for _, v := range t.order {
 		if !v.eligible(now, service, nil, false) || !v.reported(now) || v.report.Unresponsive {
 			continue
 		}
+		if mayWait && !item.inTime(now, v.usualPace(now)) {
+			continue
+		}
 		seats := v.report.FreeSeats
-		if urgent {
+		if item.Urgent {
 			seats += v.report.UrgentSeats
 		}
 		if free := min(v.Free(now), seats) - v.seatsTaken; free > 0 {
--- a/bench/load/batch.go
+++ b/bench/load/batch.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"pumiceford/balance"
 	"pumiceford/schedule"
 	"pumiceford/seats"
 )
@@ -14,7 +15,8 @@
 		return // the run has ended already
 	}
 	if w.running {
-		w.remaining = max(w.remaining-w.target.unslowed(s.now.Sub(w.started)), time.Millisecond)
+		w.target.advance(s.now, w)
+		w.remaining = max(w.left, time.Millisecond)
 	}
 	s.out.SeatsYielded++
 	w.target.releaseSeat(w)
@@ -41,10 +43,7 @@
 // acquireSeat requests a seat for an item from the agents, most suitable target first,
 // and starts the item at the first that grants one.
 func (s *simulation) acquireSeat(e *entry, w *work, due time.Time) bool {
-	candidates := e.table.BatchTargets(s.now, "s")
-	if seats.Urgent(s.now, due) {
-		candidates = e.table.UrgentBatchTargets(s.now, "s")
-	}
+	candidates := e.table.BatchTargetsFor(s.now, "s", balance.Item{Remaining: w.remaining, Due: due, Urgent: seats.Urgent(s.now, due)})
 	for _, c := range candidates {
 		t := s.byID[c.Instance.ID]
 		seat, granted := t.arbiter.Acquire(s.now, seats.Request{Due: due})
--- a/bench/load/load.go
+++ b/bench/load/load.go
@@ -18,10 +18,23 @@
 	TroughRate, PeakRate float64
 	HoldTime             time.Duration // time that a request occupies a slot
 	MixedSpeeds          bool          // one target in three takes 1.3 times as long
-	ItemRate             float64       // batch items a second
-	RunTime              time.Duration
-	DueWithin            time.Duration
-	Duration             time.Duration
+	Paces                []float64     // of the targets in turn; empty if all are alike
+	FirstEvent           time.Duration // from the start in a slot, at the usual pace; 0 for firstEventDelay
+	Neighbours           Slowdown
+	// CutOffAt is when one target in nine, of the fastest, stops responding; 0 for never.
+	CutOffAt  time.Duration
+	ItemRate  float64 // batch items a second
+	RunTime   time.Duration
+	DueWithin time.Duration
+	Duration  time.Duration
+}
+
+// Slowdown makes some of the targets slower for a time.
+type Slowdown struct {
+	Share    float64       // of the targets
+	Factor   float64       // by which work there takes longer
+	Interval time.Duration // after which other targets are slowed; 0 if it begins once
+	From     time.Duration // from the start; with an Interval of 0 they slow down within a second
 }
 
 // Models of four deployments, with rounded sizes.
@@ -29,7 +42,9 @@
 	Fleet9   = Scenario{Name: "guild", Targets: 9, Slots: 8, Entries: 8, TroughRate: 16, PeakRate: 76, HoldTime: 700 * time.Millisecond, ItemRate: 5, RunTime: 5 * time.Second, DueWithin: 18 * time.Second, Duration: 60 * time.Second}
 	Fleet18  = Scenario{Name: "ffitiad", Targets: 18, Slots: 8, Entries: 8, TroughRate: 32, PeakRate: 155, HoldTime: 700 * time.Millisecond, ItemRate: 10, RunTime: 5 * time.Second, DueWithin: 18 * time.Second, Duration: 60 * time.Second}
 	Fleet180 = Scenario{Name: "large", Targets: 180, Slots: 7, Entries: 133, TroughRate: 350, PeakRate: 1600, HoldTime: 600 * time.Millisecond, ItemRate: 105, RunTime: 4800 * time.Millisecond, DueWithin: 18 * time.Second, Duration: 42 * time.Second}
-	Fleet56  = Scenario{Name: "grown", Targets: 56, Slots: 7, Entries: 40, TroughRate: 113, PeakRate: 440, HoldTime: 740 * time.Millisecond, MixedSpeeds: true, ItemRate: 30, RunTime: 4 * time.Second, DueWithin: 18 * time.Second, Duration: 60 * time.Second}
+	// Rates54 is a fleet of machines of three speeds.
+	Rates54 = Scenario{Name: "rates", Targets: 54, Slots: 8, Entries: 39, TroughRate: 150, PeakRate: 540, HoldTime: 400 * time.Millisecond, FirstEvent: 62 * time.Millisecond, Paces: []float64{0.6, 1, 1.6}, ItemRate: 25, RunTime: 5 * time.Second, DueWithin: 18 * time.Second, Duration: 42 * time.Second}
+	Fleet56 = Scenario{Name: "grown", Targets: 56, Slots: 7, Entries: 40, TroughRate: 113, PeakRate: 440, HoldTime: 740 * time.Millisecond, MixedSpeeds: true, ItemRate: 30, RunTime: 4 * time.Second, DueWithin: 18 * time.Second, Duration: 60 * time.Second}
 )
 
 // Policy configures the placement of work.
@@ -58,6 +73,8 @@
 	// MinRetryAfter and MaxRetryAfter bound the time after which a refused caller retries
 	// once; with a MaxRetryAfter of 0 it does not retry.
 	MinRetryAfter, MaxRetryAfter time.Duration
+	// IgnorePace hides from the balancer how fast the targets are.
+	IgnorePace bool
 	// IgnoreIdleConns hides idle connections from the balancer, as if none were kept
 	// open.
 	IgnoreIdleConns bool
@@ -81,20 +98,21 @@
 	Batch    bool   `json:"batch"`
 
 	Requests       int           `json:"requests"`
-	Late           int           `json:"late"`     // first event after more than 300 ms
-	Refused        int           `json:"refused"`  // refused attempts
-	RetriedInTime  int           `json:"back"`     // first event in time at the second attempt
-	NotServed      int           `json:"lost"`     // refused without a further attempt
-	QueuedAtTarget int           `json:"waited"`   // sent to a target without a free slot
-	Moves          int           `json:"moves"`    // moved to another target while waiting
-	ConnsOpened    int           `json:"opened"`   // opened connections to targets
-	LoadReports    int           `json:"told"`     // load reports from agents to entries
-	P50            time.Duration `json:"p50_ns"`   // median time to the first event
-	P99            time.Duration `json:"p99_ns"`   // 99th percentile of the same
-	Items          int           `json:"items"`    // batch items due before the end
-	InTime         int           `json:"in_time"`  // of those, items completed by their due time
-	SeatsYielded   int           `json:"cut_off"`  // item runs ended early to give the seat back
-	SlotUse        float64       `json:"capacity"` // fraction of the total slot time in use
+	Late           int           `json:"late"`            // first event after more than 300 ms
+	Refused        int           `json:"refused"`         // refused attempts
+	RetriedInTime  int           `json:"back"`            // first event in time at the second attempt
+	NotServed      int           `json:"lost"`            // refused without a further attempt
+	QueuedAtTarget int           `json:"waited"`          // sent to a target without a free slot
+	Moves          int           `json:"moves"`           // moved to another target while waiting
+	ConnsOpened    int           `json:"opened"`          // opened connections to targets
+	LoadReports    int           `json:"told"`            // load reports from agents to entries
+	P50            time.Duration `json:"p50_ns"`          // median time to the first event
+	P99            time.Duration `json:"p99_ns"`          // 99th percentile of the same
+	Items          int           `json:"items"`           // batch items due before the end
+	InTime         int           `json:"in_time"`         // of those, items completed by their due time
+	SeatsYielded   int           `json:"cut_off"`         // item runs ended early to give the seat back
+	SentToCutOff   int           `json:"sent_to_cut_off"` // requests sent to targets that do not respond
+	SlotUse        float64       `json:"capacity"`        // fraction of the total slot time in use
 	// FirstEventTimes are sorted in ascending order.
 	FirstEventTimes []time.Duration `json:"-"`
 }
--- a/bench/load/online.go
+++ b/bench/load/online.go
@@ -7,9 +7,15 @@
 	"pumiceford/balance"
 )
 
+// requestNeeds is what the balancer considers of each online request.
+var requestNeeds = balance.Request{Service: "s", FirstEventWithin: lateAfter}
+
 // maxReserveTries is how many targets an entry asks for a reservation.
 const maxReserveTries = 6
 
+// reserveTimeout is how long an entry waits for a reservation.
+const reserveTimeout = 60 * time.Millisecond
+
 // send places an online request. Under NaiveForwarding it also places batch items.
 func (s *simulation) send(w *work) {
 	if s.policy.ReserveSlots {
@@ -26,6 +32,9 @@
 		return
 	}
 	w.target = s.byID[id]
+	if w.target.cutOff {
+		s.out.SentToCutOff++
+	}
 	w.entry.table.OnlineStarted(s.now, id)
 	if w.target.active >= s.scenario.Slots {
 		s.out.QueuedAtTarget++
@@ -65,17 +74,29 @@
 func (s *simulation) reserve(w *work, tried map[string]bool) {
 	table := w.entry.table
 	if len(tried) == maxReserveTries {
-		c, ok := table.PickReported(s.now, "s", tried, s.choiceRand.Float64())
+		c, ok := table.PickReportedFor(s.now, requestNeeds, tried, s.choiceRand.Float64())
+		w.pace = c.Pace
 		s.sendTo(w, c.Instance.ID, ok && s.accepts(w, c))
 		return
 	}
-	c, ok := table.Pick(s.now, "s", tried, s.choiceRand.Float64())
+	c, ok := table.PickFor(s.now, requestNeeds, tried, s.choiceRand.Float64())
+	w.pace = c.Pace
 	if !ok || !c.ShouldReserve() {
 		s.sendTo(w, c.Instance.ID, ok && s.accepts(w, c))
 		return
 	}
 	table.OnlineStarted(s.now, c.Instance.ID)
 	t := s.byID[c.Instance.ID]
+	if t.cutOff {
+		s.after(reserveTimeout, func() {
+			table.OnlineEnded(s.now, t.id, true)
+			table.RecordOutcome(s.now, t.id, balance.Slow)
+			next := map[string]bool{t.id: true}
+			maps.Copy(next, tried)
+			s.reserve(w, next)
+		})
+		return
+	}
 	granted := t.active+t.reservedSlots < s.scenario.Slots && len(t.queue) == 0
 	if granted {
 		t.reservedSlots++
@@ -98,7 +119,8 @@
 	if s.policy.NaiveForwarding {
 		return s.leastRequests(w.entry), true
 	}
-	c, _ := w.entry.table.Pick(s.now, "s", nil, s.choiceRand.Float64())
+	c, _ := w.entry.table.PickFor(s.now, requestNeeds, nil, s.choiceRand.Float64())
+	w.pace = c.Pace
 	return c.Instance.ID, s.accepts(w, c)
 }
 
--- a/bench/load/simulation.go
+++ b/bench/load/simulation.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -42,14 +43,22 @@
 	choiceRand  *rand.Rand
 	arrivalRand *rand.Rand // of requests, independent of placement
 	itemRand    *rand.Rand // of item arrivals, independent of placement
+	paceRand    *rand.Rand // of neighbours' work, independent of placement
 	out         Outcome
+	lastID      int           // of a request or an item
 	slotTime    time.Duration // sum of the times that slots were in use
 }
 
 // target is a simulated target. It admits work in arrival order.
 type target struct {
 	id            string
-	slow          bool
+	instance      targets.Instance
+	machinePace   float64 // see estimate.UsualPace
+	slowdown      float64 // factor by which neighbours slow it now
+	cutOff        bool    // it does not respond
+	running       []*work
+	measured      *seats.Pace
+	observed      []observation // of the runs, newest last
 	active        int
 	queue         []*work
 	reservedSlots int // slots reserved for requests that have not arrived
@@ -65,23 +74,23 @@
 	sentAt     time.Time
 }
 
-// A slow target takes slowNumerator/slowDenominator times as long as the others.
-const slowNumerator, slowDenominator = 13, 10
+// mixedPace is the pace of the slower targets of a scenario with MixedSpeeds.
+const mixedPace = 1.3
 
-// slowed converts a duration at normal speed to the duration at this target.
+// slowed converts a duration at the usual pace to the duration at this target.
 func (t *target) slowed(d time.Duration) time.Duration {
-	if t.slow {
-		return d * slowNumerator / slowDenominator
-	}
-	return d
+	return whole(float64(d) * t.machinePace * t.slowdown)
 }
 
-// unslowed converts a duration at this target to the duration at normal speed.
+// unslowed converts a duration at this target to the duration at the usual pace.
 func (t *target) unslowed(d time.Duration) time.Duration {
-	if t.slow {
-		return d * slowDenominator / slowNumerator
-	}
-	return d
+	return whole(float64(d) / (t.machinePace * t.slowdown))
+}
+
+// whole rounds down to nanoseconds, allowing for errors of floating point.
+func whole(ns float64) time.Duration {
+	const tolerance = 1e-6
+	return time.Duration(math.Floor(ns + tolerance))
 }
 
 // releaseSeat releases the seat of an item, if it has one.
@@ -120,6 +129,11 @@
 	started       time.Time
 	running       bool
 	gotFirstEvent bool
+	id            string
+	pace          float64       // believed of its target when it was sent
+	left          time.Duration // of its run at the usual pace, at the time since
+	since         time.Time
+	timing        int // incremented whenever its end is computed anew, to ignore outdated events
 	// reserved is true while a slot is reserved for the work at its target.
 	reserved  bool
 	retried   bool // the request was refused and this is its second attempt
@@ -132,7 +146,7 @@
 func Run(scenario Scenario, policy Policy, seed uint64) Outcome {
 	s := &simulation{
 		scenario: scenario, policy: policy, byID: make(map[string]*target),
-		choiceRand: rand.New(rand.NewPCG(seed, 1)), arrivalRand: rand.New(rand.NewPCG(seed, 2)), itemRand: rand.New(rand.NewPCG(seed, 3)),
+		choiceRand: rand.New(rand.NewPCG(seed, 1)), arrivalRand: rand.New(rand.NewPCG(seed, 2)), itemRand: rand.New(rand.NewPCG(seed, 3)), paceRand: rand.New(rand.NewPCG(seed, 4)),
 		out: Outcome{Scenario: scenario.Name, Policy: policy.Name, Batch: scenario.ItemRate > 0},
 	}
 	s.start = time.Unix(1000, 0)
@@ -151,16 +165,18 @@
 	var all []targets.Instance
 	for i := range s.scenario.Targets {
 		t := &target{
-			id: fmt.Sprint("i", i), slow: s.scenario.MixedSpeeds && i%3 == 0,
+			id: fmt.Sprint("i", i), machinePace: s.scenario.pace(i), slowdown: 1, measured: seats.NewPace(),
 			arbiter: seats.NewArbiter(s.scenario.Slots, seats.ReservedSlots(fmt.Sprint("host", i))), workBySeat: make(map[uint64]*work),
 		}
 		s.targets = append(s.targets, t)
 		s.byID[t.id] = t
-		all = append(all, targets.Instance{ID: t.id, Service: "s", Slots: s.scenario.Slots})
+		t.instance = targets.Instance{ID: t.id, Service: "s", Slots: s.scenario.Slots}
+		all = append(all, t.instance)
 		if !s.policy.NoLoadReports && !s.policy.NaiveForwarding {
 			s.after(time.Duration(i)*time.Millisecond/2, func() { s.report(t) })
 		}
 	}
+	s.planFaults()
 	ids := make([]string, 0, len(all))
 	for _, in := range all {
 		ids = append(ids, in.ID)
@@ -190,6 +206,9 @@
 // report polls a target's load, recalls seats for waiting requests and sends the load to
 // the listeners. It then schedules the next poll.
 func (s *simulation) report(t *target) {
+	if t.cutOff {
+		return
+	}
 	load := seats.Load{Active: t.active, Queued: len(t.queue)}
 	for _, id := range t.arbiter.Report(s.now, load) {
 		w := t.workBySeat[id]
@@ -199,6 +218,7 @@
 		Active: load.Active, Queued: load.Queued, Batch: t.arbiter.Held(), Slots: s.scenario.Slots,
 		FreeSeats: max(t.arbiter.FreeSeats(s.now), 0), UrgentSeats: max(t.arbiter.UrgentSeats(s.now), 0),
 	}
+	s.measure(t, &rep)
 	for _, l := range t.listeners {
 		s.sendReport(t, l, rep)
 	}
@@ -208,11 +228,12 @@
 // sendReport sends a load to a listener if it has changed or the last report is at least
 // reportRepeatInterval old.
 func (s *simulation) sendReport(t *target, l *listener, rep balance.Report) {
-	since := s.now.Sub(l.sentAt)
-	if since < s.policy.MinReportInterval || rep == l.lastReport && since < reportRepeatInterval {
+	since, counts := s.now.Sub(l.sentAt), rep
+	counts.TokenTime, counts.UsualTokenTime = 0, 0
+	if since < s.policy.MinReportInterval || counts == l.lastReport && since < reportRepeatInterval {
 		return
 	}
-	l.lastReport, l.sentAt = rep, s.now
+	l.lastReport, l.sentAt = counts, s.now
 	s.out.LoadReports++
 	s.after(networkDelay+time.Duration(s.choiceRand.IntN(8))*time.Millisecond, func() { l.entry.table.UpdateLoad(s.now, t.id, rep) })
 }
@@ -222,7 +243,8 @@
 	if s.now.Sub(s.start)%cycleTime > troughTime {
 		rate = s.scenario.PeakRate
 	}
-	w := &work{entry: s.entries[s.arrivalRand.IntN(len(s.entries))], arrived: s.now}
+	s.lastID++
+	w := &work{id: fmt.Sprint(s.lastID), pace: estimate.UsualPace, entry: s.entries[s.arrivalRand.IntN(len(s.entries))], arrived: s.now}
 	next := time.Duration(s.arrivalRand.ExpFloat64() / rate * float64(time.Second))
 	s.out.Requests++
 	s.send(w)
@@ -230,8 +252,9 @@
 }
 
 func (s *simulation) arriveItem() {
+	s.lastID++
 	w := &work{
-		entry: s.entries[s.itemRand.IntN(len(s.entries))], batch: true, arrived: s.now,
+		id: fmt.Sprint(s.lastID), pace: estimate.UsualPace, entry: s.entries[s.itemRand.IntN(len(s.entries))], batch: true, arrived: s.now,
 		due: s.now.Add(s.scenario.DueWithin), remaining: s.scenario.RunTime,
 	}
 	next := time.Duration(s.itemRand.ExpFloat64() / s.scenario.ItemRate * float64(time.Second))
@@ -302,24 +325,49 @@
 
 // admit starts queued work in order while the target has free slots.
 func (s *simulation) admit(t *target) {
-	for t.active+t.reservedSlots < s.scenario.Slots && len(t.queue) > 0 {
+	for !t.cutOff && t.active+t.reservedSlots < s.scenario.Slots && len(t.queue) > 0 {
 		w := t.queue[0]
 		t.queue = t.queue[1:]
 		t.active++
-		w.running, w.started = true, s.now
-		placement, hold, first := w.placement, s.scenario.HoldTime, firstEventDelay
+		w.running, w.started, w.since, w.left = true, s.now, s.now, s.scenario.HoldTime
 		if w.batch {
-			hold = w.remaining
+			w.left = w.remaining
 		}
-		hold, first = t.slowed(hold), t.slowed(first)
-		s.after(first, func() { s.recordFirstEvent(w, placement) })
-		s.after(hold, func() { s.finish(w, placement) })
+		t.running = append(t.running, w)
+		s.scheduleRun(w)
 	}
 }
 
+// scheduleRun schedules the first event and the end of running work at the pace that its
+// target has now.
+func (s *simulation) scheduleRun(w *work) {
+	w.timing++
+	t, placement, timing, whole := w.target, w.placement, w.timing, s.scenario.HoldTime
+	if w.batch {
+		whole = w.remaining
+	}
+	if first := s.scenario.firstEvent() - (whole - w.left); first > 0 {
+		s.after(t.slowed(first), func() {
+			if w.timing == timing {
+				s.recordFirstEvent(w, placement)
+			}
+		})
+	}
+	s.after(t.slowed(w.left), func() {
+		if w.timing == timing {
+			s.finish(w, placement)
+		}
+	})
+}
+
 func (s *simulation) recordFirstEvent(w *work, placement int) {
 	if w.placement == placement && !w.batch {
 		w.gotFirstEvent = true
+		if t := w.target; !s.policy.IgnorePace && !s.policy.NaiveForwarding {
+			slowness := t.machinePace * t.slowdown
+			s.after(networkDelay, func() { w.entry.table.ObserveSlowness(s.now, t.instance, slowness) })
+		}
+		w.entry.table.Estimates().ObserveStream("s", estimate.Work{}, w.pace, s.now.Sub(w.started), 1, 0)
 		took := s.now.Sub(w.arrived)
 		s.out.FirstEventTimes = append(s.out.FirstEventTimes, took)
 		if w.retried && took <= lateAfter {
@@ -333,10 +381,10 @@
 		return
 	}
 	t := w.target
-	t.active--
+	t.stopped(w)
 	s.slotTime += s.now.Sub(w.started)
 	if !w.batch {
-		w.entry.table.Estimates().ObserveRequest("s", estimate.Work{}, estimate.UsualPace, s.now.Sub(w.started))
+		w.entry.table.Estimates().ObserveRequest("s", estimate.Work{}, w.pace, s.now.Sub(w.started))
 	}
 	s.release(w, true)
 	if w.batch {
@@ -355,7 +403,7 @@
 	w.placement++
 	if w.running {
 		w.running = false
-		t.active--
+		t.stopped(w)
 		s.slotTime += s.now.Sub(w.started)
 	}
 	t.queue = slices.DeleteFunc(t.queue, func(other *work) bool { return other == w })
--- a/runner/run.go
+++ b/runner/run.go
@@ -93,11 +93,8 @@
 }
 
 // seatCandidates returns the targets of a service that may have a free seat, best first.
-func seatCandidates(t *balance.Table, now time.Time, service string, due time.Time) []balance.BatchTarget {
-	if seats.Urgent(now, due) {
-		return t.UrgentBatchTargets(now, service)
-	}
-	return t.BatchTargets(now, service)
+func seatCandidates(t *balance.Table, now time.Time, service string, req seats.Request) []balance.BatchTarget {
+	return t.BatchTargetsFor(now, service, balance.Item{Remaining: req.Remaining, Due: req.Due, Urgent: seats.Urgent(now, req.Due)})
 }
 
 // seatTimeout bounds the search for one item's seat. Other items wait behind it, and a
@@ -112,7 +109,7 @@
 	defer cancel()
 	tried := make(map[string]bool)
 	for ctx.Err() == nil {
-		in, ok := r.nextTarget(service, avoid, req.Due, tried)
+		in, ok := r.nextTarget(service, avoid, req, tried)
 		if !ok {
 			break
 		}
@@ -137,11 +134,11 @@
 // nextTarget returns the best target for an item that has not been tried yet. It reports
 // false if there is none. If the item has failed at every target of the service, it excludes
 // none.
-func (r *Runner) nextTarget(service string, avoid []string, due time.Time, tried map[string]bool) (targets.Instance, bool) {
+func (r *Runner) nextTarget(service string, avoid []string, req seats.Request, tried map[string]bool) (targets.Instance, bool) {
 	var ranked []balance.BatchTarget
 	failedAtAll := false
 	r.cfg.View.WithTable(func(t *balance.Table) {
-		ranked = seatCandidates(t, time.Now(), service, due)
+		ranked = seatCandidates(t, time.Now(), service, req)
 		failedAtAll = t.CountInService(service) <= len(avoid)
 	})
 	if !failedAtAll {
@@ -225,6 +222,8 @@
 // endRun records the result of an attempt. It returns the item's last event and its number
 // of failed attempts.
 func (r *Runner) endRun(ctx context.Context, c candidate, st *itemState, in targets.Instance, o *jobs.Outcome, err error, from uint64, began time.Time) (uint64, int) {
+	pace := estimate.UsualPace
+	r.cfg.View.WithTable(func(t *balance.Table) { pace = t.UsualPace(time.Now(), in.ID) })
 	r.mu.Lock()
 	// Set done under the same lock as the end of the run. Otherwise the item looks open
 	// in between and is started again.
@@ -238,7 +237,7 @@
 		st.backoff = 0
 		r.estimates.ObserveItem(r.work(c.open), st.lastEvent)
 	}
-	r.estimates.ObserveRun(r.work(c.open), estimate.UsualPace, st.lastEvent-from, time.Since(began))
+	r.estimates.ObserveRun(r.work(c.open), pace, st.lastEvent-from, time.Since(began))
 	last, failed, ended := st.lastEvent, st.failures, st.ended
 	r.mu.Unlock()
 	switch {
@@ -289,6 +288,7 @@
 		return nil, errors.Mark(err, errNoOutcome)
 	}
 	defer func() { _ = resp.Body.Close() }() // nothing more is read from it
+	r.cfg.View.WithTable(func(t *balance.Table) { t.ObserveSlowness(time.Now(), in, resp.Slowness) })
 	if err := r.checkResponse(c, st, in, resp); err != nil {
 		return nil, err
 	}
