--- a/seats/agent_test.go
+++ b/seats/agent_test.go
@@ -265,3 +265,34 @@
 		}
 	})
 }
+
+// Guards against token times that do not reach the entries, or that cost messages of their
+// own: every poll finds other runs and another use of the memory.
+func TestTokenTimesPassInReportsThatAreSentAnyway(t *testing.T) {
+	inVirtualTime(t, func(ctx context.Context, t *testing.T) {
+		f := connect(ctx, seats.Load{Active: 1})
+		var mu sync.Mutex
+		var last *wire.Load
+		reports := 0
+		go seats.Watch(ctx, f.peer, target, func(l *wire.Load) {
+			mu.Lock()
+			defer mu.Unlock()
+			last, reports = l, reports+1
+		})
+		for i := range 300 { // 3 s at 10 ms for a token
+			f.target.set(seats.Load{Active: 1, MemoryUsed: 500 + i, MemoryTotal: 9000, Runs: []seats.Run{{ID: "r", Tokens: 1 + i}}}, false)
+			time.Sleep(10 * time.Millisecond)
+		}
+		mu.Lock()
+		l, n := last, reports
+		mu.Unlock()
+		within := func(us uint32) bool { return us > 8_000 && us < 12_000 }
+		if !within(l.GetTokenUs()) || !within(l.GetUsualTokenUs()) || l.GetMemoryUsed() < 700 || l.GetMemoryTotal() != 9000 {
+			t.Errorf("got %v, want about 10,000 us for a token and the memory", l)
+		}
+		if n > 13 {
+			t.Errorf("%d reports in 3 s, want those of an unchanged load", n)
+		}
+		f.peer.Close()
+	})
+}
