--- a/runner/move.go
+++ b/runner/move.go
@@ -106,7 +106,8 @@
 // moveTarget returns the fastest target with a free seat at which the item gains enough.
 func (r *Runner) moveTarget(now time.Time, m lateRun) (targets.Instance, bool) {
 	var free []balance.BatchTarget
-	r.cfg.View.WithTable(func(t *balance.Table) { free = seatCandidates(t, now, m.run.service, m.run.candidate.Due) })
+	req := r.seatRequest(now, m.run.candidate)
+	r.cfg.View.WithTable(func(t *balance.Table) { free = seatCandidates(t, now, m.run.service, req) })
 	var best balance.BatchTarget
 	for _, t := range excludeFailed(free, r.targetsToAvoid(m.st)) {
 		if !t.Suspect && t.Instance.ID != m.run.in.ID && (best.Pace == 0 || t.Pace < best.Pace) {
--- a/runner/run.go
+++ b/runner/run.go
@@ -150,11 +150,8 @@
 }
 
 // seatCandidates returns the targets of a service that may have a free seat, best first.
-func seatCandidates(t *balance.Table, now time.Time, service string, due time.Time) []balance.BatchTarget {
-	if seats.Urgent(now, due) {
-		return t.UrgentBatchTargets(now, service)
-	}
-	return t.BatchTargets(now, service)
+func seatCandidates(t *balance.Table, now time.Time, service string, req seats.Request) []balance.BatchTarget {
+	return t.BatchTargetsFor(now, service, balance.Item{Remaining: req.Remaining, Due: req.Due, Urgent: seats.Urgent(now, req.Due)})
 }
 
 // seatTimeout bounds the search for one item's seat. Other items wait behind it, and a
@@ -171,7 +168,7 @@
 	req := r.seatRequest(time.Now(), c)
 	tried := make(map[string]bool)
 	for ctx.Err() == nil {
-		t, slow, ok := r.nextTarget(service, avoid, c, req.Due, tried)
+		t, slow, ok := r.nextTarget(service, avoid, req, tried)
 		in := t.Instance
 		tooSlow = tooSlow || slow
 		if !ok {
@@ -210,30 +207,27 @@
 // nextTarget returns the best target for an item that has not been tried yet. It reports
 // false if there is none, and whether it left one out that is too slow. If the item has failed
 // at every target of the service, it excludes none.
-func (r *Runner) nextTarget(service string, avoid []string, c candidate, due time.Time, tried map[string]bool) (target balance.BatchTarget, tooSlow, ok bool) {
+func (r *Runner) nextTarget(service string, avoid []string, req seats.Request, tried map[string]bool) (target balance.BatchTarget, tooSlow, ok bool) {
 	var ranked []balance.BatchTarget
-	failedAtAll, best := false, estimate.UsualPace
+	failedAtAll := false
 	r.cfg.View.WithTable(func(t *balance.Table) {
-		ranked = seatCandidates(t, time.Now(), service, due)
+		now := time.Now()
+		ranked = seatCandidates(t, now, service, req)
+		tooSlow = len(t.BatchTargetsFor(now, service, balance.Item{Urgent: seats.Urgent(now, req.Due)})) > len(ranked)
 		failedAtAll = t.CountInService(service) <= len(avoid)
-		best = t.BestPace(time.Now(), service)
 	})
 	if !failedAtAll {
 		ranked = excludeFailed(ranked, avoid)
 	}
 	for _, t := range ranked {
-		switch {
-		case tried[t.Instance.ID]:
-		case !r.accepts(c, t.Pace, best):
-			tooSlow = true
-		default:
+		if !tried[t.Instance.ID] {
 			return t, tooSlow, true
 		}
 	}
 	return balance.BatchTarget{}, tooSlow, false
 }
 
-// accepts reports whether an item takes a seat at a target with the given pace, see
+// accepts reports whether an item waits for a seat at a target with the given pace, see
 // schedule.Item.Accepts.
 func (r *Runner) accepts(c candidate, pace, best float64) bool {
 	return pace <= best || c.Accepts(time.Now(), r.remainingAt(c, pace), r.remainingAt(c, best))
@@ -316,6 +310,8 @@
 // endRun records the result of an attempt. It returns the item's last event, its number of
 // failed attempts and the seat that it moves to.
 func (r *Runner) endRun(ctx context.Context, c candidate, st *itemState, in targets.Instance, o *jobs.Outcome, err error, from uint64, began time.Time) (uint64, int, *grant) {
+	pace := estimate.UsualPace
+	r.cfg.View.WithTable(func(t *balance.Table) { pace = t.UsualPace(time.Now(), in.ID) })
 	r.mu.Lock()
 	// Set done under the same lock as the end of the run. Otherwise the item looks open
 	// in between and is started again.
@@ -331,7 +327,7 @@
 		st.backoff = 0
 		r.estimates.ObserveItem(r.work(c.open), st.lastEvent)
 	}
-	r.estimates.ObserveRun(r.work(c.open), estimate.UsualPace, st.lastEvent-from, time.Since(began))
+	r.estimates.ObserveRun(r.work(c.open), pace, st.lastEvent-from, time.Since(began))
 	last, failed, ended := st.lastEvent, st.failures, st.ended
 	r.mu.Unlock()
 	switch {
@@ -382,6 +378,7 @@
 		return nil, errors.Mark(err, errNoOutcome)
 	}
 	defer func() { _ = resp.Body.Close() }() // nothing more is read from it
+	r.cfg.View.WithTable(func(t *balance.Table) { t.ObserveSlowness(time.Now(), in, resp.Slowness) })
 	if err := r.checkResponse(c, st, in, resp); err != nil {
 		return nil, err
 	}
