daemon: processes on the users' platform no longer link the older stack's HTTP library

What operators paid: each agent held 6,084 kB of anonymous memory while idle, of which initialisers of the JSON library that hertz brings take some 2.3 MB (GODEBUG=inittrace=1: 1,402,576 bytes and 3.5 ms, 521,256 bytes and 3.6 ms, and smaller ones). No process on the users' platform serves with hertz; it came along since package daemon built the processes of both stacks.

The three files of the older stack move to daemon/plainlog; WaitStop, StopContext and ConnFlushDelay stay in daemon and serve both. No other change. Ruled out: GOGC=50 and 25 (5,728 and 5,820 kB: idle memory is not garbage).

Measured: pumiceford agent, idle, 6 s after its start: RssAnon 6,084 -> 2,768 kB, RssFile 18,676 -> 14,460 kB, binary 24.7 -> 19.3 MB. go list -deps ./cmd/pumiceford names no package of hertz or sonic any more.

--- a/cmd/pumice-agent/main.go
+++ b/cmd/pumice-agent/main.go
@@ -7,6 +7,7 @@
 	"github.com/alexflint/go-arg"
 
 	"pumiceford/daemon"
+	"pumiceford/daemon/plainlog"
 	"pumiceford/settings"
 	"pumiceford/version"
 )
@@ -28,6 +29,6 @@
 		}
 		stop, cancel := daemon.StopContext()
 		defer cancel()
-		return daemon.RunAgent(stop, &set)
+		return plainlog.RunAgent(stop, &set)
 	})
 }
--- a/cmd/pumice-standin/main.go
+++ b/cmd/pumice-standin/main.go
@@ -8,6 +8,7 @@
 	"github.com/alexflint/go-arg"
 
 	"pumiceford/daemon"
+	"pumiceford/daemon/plainlog"
 	"pumiceford/settings"
 	"pumiceford/version"
 )
@@ -29,6 +30,6 @@
 		}
 		stop, cancel := daemon.StopContext()
 		defer cancel()
-		return daemon.RunStandin(stop, &set)
+		return plainlog.RunStandin(stop, &set)
 	})
 }
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -257,7 +257,7 @@
 	n.log.Info("started", logging.F("callers", n.set.Callers), logging.F("peers", n.set.Peers), logging.F("store", n.set.Store.Addr))
 	g.Go(func() error {
 		defer cancel()
-		if waitStop(ctx, stop) {
+		if WaitStop(ctx, stop) {
 			n.stop(ctx, func(stopCtx context.Context) error { return drainer.shutdown(stopCtx, listeners[0], front) })
 		}
 		return nil
--- a/daemon/agent.go
+++ b/daemon/plainlog/agent.go
@@ -1,4 +1,4 @@
-package daemon
+package plainlog
 
 import (
 	"context"
@@ -13,6 +13,7 @@
 	"pumiceford/admission"
 	"pumiceford/agent"
 	"pumiceford/config"
+	"pumiceford/daemon"
 	"pumiceford/engine"
 	"pumiceford/engine/enginehttp"
 	"pumiceford/httpx"
@@ -97,24 +98,20 @@
 	g.Go(func() error { return serveAgentOps(ctx, ops, series) })
 	g.Go(func() error {
 		defer cancel()
-		if !waitStop(ctx, stop) {
+		if !daemon.WaitStop(ctx, stop) {
 			return nil
 		}
 		agentLog.Info("stopping")
 		stopCtx, cancelStop := context.WithTimeout(context.Background(), durationOr(set.StopWithin, defaultStopWithin))
 		defer cancelStop()
 		logStopped(agentLog, a.Shutdown(stopCtx))
-		time.Sleep(connFlushDelay)
+		time.Sleep(daemon.ConnFlushDelay)
 		return nil
 	})
 	agentLog.Info("agent started", logging.F("listen", peers.Addr().String()))
 	return g.Wait()
 }
 
-// connFlushDelay is how long a stopping agent waits for the last frames and
-// acknowledgements to be sent on its connections.
-const connFlushDelay = 200 * time.Millisecond
-
 func serveAgentOps(ctx context.Context, ln net.Listener, set *metrics.Set) error {
 	const maxBody = 1 << 16
 	h := httpx.NewServer(ln, maxBody)
--- a/daemon/entry.go
+++ b/daemon/plainlog/entry.go
@@ -1,17 +1,17 @@
-// Package daemon builds the processes from their settings and runs them until a
-// signal stops them. The main packages of the commands only call it.
-package daemon
+// Package plainlog builds the processes of the project's own interface, which runs over a plain
+// log service, and runs them until a signal stops them. It is apart from package daemon so that
+// the processes on the users' platform do not link and initialise its HTTP library.
+package plainlog
 
 import (
 	"context"
 	"net"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"pumiceford/config"
+	"pumiceford/daemon"
 	"pumiceford/entry"
 	"pumiceford/infra"
 	"pumiceford/infra/infrahttp"
@@ -37,11 +37,6 @@
 	return time.Duration(d)
 }
 
-// StopContext returns a context that ends at the first SIGTERM or SIGINT.
-func StopContext() (context.Context, context.CancelFunc) {
-	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-}
-
 // Platform is the set of services that the platform provides, over any transport.
 type Platform interface {
 	infra.Log
@@ -118,7 +113,7 @@
 	g.Go(func() error { return e.ServeOperators(ctx, ls.Operators) })
 	g.Go(func() error {
 		defer cancel()
-		if !waitStop(ctx, stop) {
+		if !daemon.WaitStop(ctx, stop) {
 			return nil
 		}
 		entryLog.Info("stopping")
@@ -131,16 +126,6 @@
 	return g.Wait()
 }
 
-// waitStop waits until stop ends. It reports false if ctx ended first.
-func waitStop(ctx, stop context.Context) bool {
-	select {
-	case <-stop.Done():
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // logStopped logs the end of a shutdown that cut off the given number of requests.
 func logStopped(log logging.Logger, cut int) {
 	if cut > 0 {
--- a/daemon/standin.go
+++ b/daemon/plainlog/standin.go
@@ -1,4 +1,4 @@
-package daemon
+package plainlog
 
 import (
 	"context"
--- a/daemon/seatagent.go
+++ b/daemon/seatagent.go
@@ -63,10 +63,10 @@
 	log.Info("started", logging.F("listen", set.Listen), logging.F("target", set.Target))
 	g.Go(func() error {
 		defer cancel()
-		if waitStop(ctx, stop) {
+		if WaitStop(ctx, stop) {
 			log.Info("stopping")
 			a.Drain()
-			_ = wait.For(ctx, connFlushDelay)
+			_ = wait.For(ctx, ConnFlushDelay)
 			log.Info("stopped")
 		}
 		return nil
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -16,7 +16,7 @@
 	"pumiceford/apierr"
 	"pumiceford/client"
 	"pumiceford/config"
-	"pumiceford/daemon"
+	"pumiceford/daemon/plainlog"
 	"pumiceford/entry"
 	"pumiceford/infra"
 	"pumiceford/internal/defaults"
@@ -124,13 +124,13 @@
 	f.Platform.Put(infra.Host{Name: set.Name, Role: infra.RoleAgent, Addr: peers.Addr().String(), DataCentre: set.DataCentre})
 	services := map[string]agent.Service{"stamps": f.Service}
 	f.group.Go(func() error {
-		return daemon.ServeAgent(ctx, set, f.Platform, eng, services, peers, ops)
+		return plainlog.ServeAgent(ctx, set, f.Platform, eng, services, peers, ops)
 	})
 	return nil
 }
 
 func (f *Fleet) startEntry(ctx context.Context, opts Options, n int) error {
-	var ls daemon.EntryListeners
+	var ls plainlog.EntryListeners
 	for _, into := range []*net.Listener{&ls.Callers, &ls.Operators, &ls.Peers} {
 		ln, err := listenLoopback()
 		if err != nil {
@@ -149,7 +149,7 @@
 	f.Platform.Put(infra.Host{Name: set.Name, Role: infra.RoleEntry, Addr: ls.Peers.Addr().String(), DataCentre: set.DataCentre})
 	f.CallerURLs = append(f.CallerURLs, "http://"+ls.Callers.Addr().String())
 	f.OperatorURLs = append(f.OperatorURLs, "http://"+ls.Operators.Addr().String())
-	f.group.Go(func() error { return daemon.ServeEntry(ctx, set, f.Platform, ls) })
+	f.group.Go(func() error { return plainlog.ServeEntry(ctx, set, f.Platform, ls) })
 	return nil
 }
 
