--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -205,7 +205,7 @@
 	n.quarantine = quarantine.NewTracker(quarantine.Config{Prober: deps.Sender, Log: base.WithPrefix("quarantine"), Metrics: n.metrics})
 	n.archive = quarantine.NewArchive(n.quarantine, n.store, deps.QuarantineTopic, set.Store.Partitions, base.WithPrefix("quarantine"))
 	n.shares = fairshare.NewLedger()
-	n.agentLinks = newAgentLinks(linkCfg, set.AgentAddr, n.view, n.quarantine, n.shares)
+	n.agentLinks = newAgentLinks(linkCfg, set.AgentAddr, n.view, n.quarantine, n.shares, base.WithPrefix("targets"))
 	n.runner = runner.New(runner.Config{
 		Member: set.Peers, Group: jobGroup, Store: n.jobs, Groups: n.store, View: n.view, Sender: deps.Sender,
 		Seats: n.agentLinks, Quarantine: n.quarantine, Shares: n.shares, Log: base.WithPrefix("batch"), Metrics: n.metrics,
