Waiting room at the entry: requests wait there and take the first slot

Cause: a request was bound to a target before the target had room. Many entries estimate the same short queue and join it together, and who returns stands behind who came first.

Now a request for which no slot is free waits at its entry, ordered by rank, fair share, returning before new, time left; the head takes the first slot that a load report or the end of a request of this entry shows, by the existing reservation (exclusive, so two entries can't both win), or by batch work that yields. Who is not expected to get a slot in time (requests in flight over their hold time, less two standard deviations) is refused at once; a workspace beyond its share gets a smaller allowance. A retry that waited in vain joins a queue as before, but within 2 % of what is served: without that bound a lasting overload makes nearly everybody late.

As before: no token count or no reservations, no deadline or objective, loads unknown, fewer requests in flight than would end within the allowance, requests that were sent already. The quarantine is asked again after the wait.

--- a/daemon/agentlinks.go
+++ b/daemon/agentlinks.go
@@ -80,7 +80,7 @@
 	l := &agentLink{target: in.Addr, peer: link.NewPeer(a.cfg, a.addr(in.Addr)), stop: cancel}
 	go quarantine.Follow(ctx, l.peer, a.tracker)
 	go seats.Watch(ctx, l.peer, in, func(load *wire.Load) {
-		a.view.WithTable(func(t *balance.Table) { t.UpdateLoad(time.Now(), in.ID, loadReport(load)) })
+		a.view.UpdateLoad(time.Now(), in, loadReport(load))
 		if load.GetRoom()+load.GetSpare() > 0 {
 			a.onFreeSlot()
 		}
@@ -98,7 +98,7 @@
 	}
 	seat, load, err := seats.Acquire(ctx, l.peer, in, req)
 	if load != nil {
-		a.view.WithTable(func(t *balance.Table) { t.UpdateLoad(time.Now(), in.ID, loadReport(load)) })
+		a.view.UpdateLoad(time.Now(), in, loadReport(load))
 	}
 	return seat, err
 }
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -214,6 +214,7 @@
 		View: n.view, Sender: deps.Sender, Reserver: deps.Sender, FailureNotifier: n.agentLinks, Quarantine: n.quarantine,
 		Log: base.WithPrefix("online"), Metrics: n.metrics,
 	})
+	n.view.OnLoadChange(n.gateway.SlotsChanged)
 	n.view.OnTargetChange(func(all []targets.Instance) {
 		deps.Sender.Retain(all)
 		n.agentLinks.update(ctx, all)
--- a/fairshare/fairshare.go
+++ b/fairshare/fairshare.go
@@ -63,6 +63,18 @@
 	defer l.mu.Unlock()
 }
 
+// Wait records that a request of a holder waits for a slot, until EndWait.
+func (l *Ledger) Wait(_ time.Time, _ Holder) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+}
+
+// EndWait records that a request no longer waits.
+func (l *Ledger) EndWait(_ time.Time, _ Holder) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+}
+
 // Standing returns the standing of a holder.
 func (l *Ledger) Standing(_ time.Time, _ Holder) Standing {
 	return Standing{}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -48,6 +48,7 @@
 	changes       uint64
 	catalogSince  time.Time // when the catalog in force was applied
 	onChange      func([]targets.Instance)
+	onLoad        func(service string)
 }
 
 // NewView returns an empty View. salt is passed to balance.NewTable.
@@ -58,6 +59,7 @@
 		set:   targets.NewSet(), rawTargets: make(map[string]store.Record),
 		table:    balance.NewTable(salt),
 		onChange: func([]targets.Instance) {},
+		onLoad:   func(string) {},
 	}
 }
 
@@ -69,6 +71,23 @@
 	v.onChange = fn
 }
 
+// OnLoadChange sets the function that is called with the service of a target after its load was
+// reported. It is called without locks held and must not block.
+func (v *View) OnLoadChange(fn func(service string)) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.onLoad = fn
+}
+
+// UpdateLoad stores the load that a target's agent reported.
+func (v *View) UpdateLoad(now time.Time, in targets.Instance, r balance.Report) {
+	v.mu.Lock()
+	v.table.UpdateLoad(now, in.ID, r)
+	onLoad := v.onLoad
+	v.mu.Unlock()
+	onLoad(in.Service)
+}
+
 // Catalog returns the catalog in force, or nil if none is known yet.
 func (v *View) Catalog() *catalog.Catalog {
 	return v.current.Get()
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -280,7 +280,7 @@
 		s.abortResponse(string(reason))
 		return
 	}
-	s.outcome = string(reason)
+	s.outcome, s.retryIn = string(reason), retry
 	s.responder.Refuse(Refusal{Reason: reason, NotRun: s.possibleRuns == 0, RetryAfter: retry})
 }
 
@@ -302,6 +302,7 @@
 	m := s.g.metrics
 	m.Count("online_" + s.outcome)
 	if s.outcome == outcomeServed {
+		s.g.rooms.succeeded()
 		s.g.quarantine.RecordSuccess(s.req.Key)
 	}
 	now := time.Now()
@@ -320,5 +321,10 @@
 		logging.F("request", s.req.ID), logging.F("key", s.req.Key.String()), logging.F("route", s.route.Name), logging.F("outcome", s.outcome),
 		logging.F("workspace", s.req.Workspace), logging.F("instance", s.instance), logging.F("sends", s.sends), logging.F("events", s.lastEvent),
 		logging.F("returning", s.isRetry), logging.F("first_ms", firstMs), logging.F("aim_ms", s.route.FirstEventWithin.Milliseconds()), logging.F("took_ms", now.Sub(s.req.Arrived).Milliseconds()),
-		logging.F("load", s.choice.Load), logging.F("waiting", s.choice.Waiting), logging.F("among", s.choice.Candidates))
+		logging.F("load", s.choice.Load), logging.F("waiting", s.choice.Waiting), logging.F("among", s.choice.Candidates),
+		logging.F("load_age_ms", loadAgeMillis(s.choice)), logging.F("wait_estimate_ms", s.choice.Wait.Milliseconds()),
+		logging.F("rank", s.standing.Rank), logging.F("excess", s.standing.Excess),
+		logging.F("room_ms", s.roomTime.Milliseconds()), logging.F("room_estimate_ms", s.admission.Wait.Milliseconds()),
+		logging.F("room_spread_ms", s.admission.Spread.Milliseconds()), logging.F("room_allowance_ms", s.admission.Allowance.Milliseconds()),
+		logging.F("freed_per_s", s.freedRate), logging.F("retry_after_ms", s.retryIn.Milliseconds()))
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -6,6 +6,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"pumiceford/balance"
@@ -17,6 +18,7 @@
 	"pumiceford/metrics"
 	"pumiceford/quarantine"
 	"pumiceford/targets"
+	"pumiceford/waitroom"
 )
 
 // Responder writes the response to the client that sent a request.
@@ -119,6 +121,7 @@
 	Reserver        exchange.Reserver
 	FailureNotifier FailureNotifier
 	Quarantine      *quarantine.Tracker
+	Shares          *fairshare.Ledger // account of the slots held; nil for one of its own
 	Log             logging.Logger
 	Metrics         *metrics.Set
 }
@@ -134,13 +137,20 @@
 	metrics    *metrics.Set
 	started    time.Time
 	timeouts   *timeoutTracker
+	shares     *fairshare.Ledger
+	rooms      *rooms
+	orderedBy  atomic.Int64 // version of the catalog whose ranks order the requests that wait
 }
 
 // New returns a Gateway.
 func New(cfg Config) *Gateway {
+	if cfg.Shares == nil {
+		cfg.Shares = fairshare.NewLedger()
+	}
 	return &Gateway{
 		view: cfg.View, sender: cfg.Sender, reserver: cfg.Reserver, notifier: cfg.FailureNotifier, quarantine: cfg.Quarantine,
 		log: cfg.Log, metrics: cfg.Metrics, started: time.Now(), timeouts: newTimeoutTracker(),
+		shares: cfg.Shares, rooms: newRooms(),
 	}
 }
 
@@ -195,6 +205,7 @@
 	defer cancel()
 	s := &requestState{g: g, ctx: ctx, route: route, req: req, responder: responder, tried: make(map[string]bool), hasDeadline: hasDeadline, isRetry: isRetry}
 	s.service = route.Service(req.ID)
+	s.standing = g.shares.Standing(time.Now(), req.Holder)
 	req.Work.Class = route.Name
 	s.run()
 	s.report()
@@ -210,6 +221,13 @@
 	service     string
 	hasDeadline bool // the caller sent a deadline
 	isRetry     bool // the request was probably refused before
+	standing    fairshare.Standing
+	waitsHere   bool              // the request waits at this process, not at a target
+	waited      bool              // the request has waited at this process
+	roomTime    time.Duration     // time that it waited at this process
+	retryIn     time.Duration     // suggested with the refusal
+	freedRate   float64           // see balance.Table.FreedRate
+	admission   waitroom.Decision // to the room; zero if the request did not ask
 
 	tried           map[string]bool // targets to which the request is not sent again
 	sends           int
@@ -247,29 +265,24 @@
 // choose picks the target of the next send. It reports false when it has ended the request
 // instead.
 func (s *requestState) choose() (balance.Choice, bool) {
-	if s.ctx.Err() != nil {
-		s.fail(TimedOut, 0)
-		return balance.Choice{}, false
-	}
-	// The check precedes each send, since the request's own sends may have caused the last
-	// crash that is needed to hold it. Without the check one request that its caller
-	// retries crashes a service as fast as its targets restart.
-	s.g.quarantine.WaitSettled(s.ctx, s.req.Key)
-	if left, held := s.g.quarantine.Held(s.req.Key); held {
-		s.fail(Quarantined, left)
+	if !s.maySend() {
 		return balance.Choice{}, false
 	}
 	c, ok := s.pickAndReserve()
 	if !ok {
 		c, ok = s.pick()
 	}
+	if ok && s.waitsHere {
+		if c, ok = s.waitForSlot(c); !ok {
+			return c, false
+		}
+	}
 	switch {
 	case !ok:
 		s.fail(NoTarget, retryAfterUnavailable)
 		return c, false
-	case !s.admissible(c):
-		s.choice = c
-		s.fail(Overload, s.retryAfter())
+	case s.req.ReservedSlot == "" && !s.admissible(c):
+		s.refuseOverload(c)
 		return c, false
 	}
 	s.choice, s.instance = c, c.Instance.ID
@@ -281,6 +294,23 @@
 	return c, true
 }
 
+// maySend reports whether the request may still be sent. It ends the request if not. The check
+// precedes each send, since the request's own sends may have caused the last crash that is
+// needed to hold it. Without the check one request that its caller retries crashes a service
+// as fast as its targets restart.
+func (s *requestState) maySend() bool {
+	if s.ctx.Err() != nil {
+		s.fail(TimedOut, 0)
+		return false
+	}
+	s.g.quarantine.WaitSettled(s.ctx, s.req.Key)
+	if left, held := s.g.quarantine.Held(s.req.Key); held {
+		s.fail(Quarantined, left)
+		return false
+	}
+	return true
+}
+
 // loadAgeMillis returns the age in milliseconds of the load report behind a choice, -1 when
 // there was none.
 func loadAgeMillis(c balance.Choice) int64 {
@@ -298,11 +328,14 @@
 }
 
 // selectTarget calls choose with the table and counts the request at the chosen target when
-// it is admissible there. It holds the table's lock for both steps.
+// it is admissible there. It holds the table's lock for both steps. A request that should wait
+// at this process instead is not counted, and waitsHere is set.
 func (s *requestState) selectTarget(choose func(t *balance.Table) (balance.Choice, bool)) (c balance.Choice, ok bool) {
+	mayWait := s.mayWait()
 	s.g.view.WithTable(func(t *balance.Table) {
 		c, ok = choose(t)
-		if ok && s.admissible(c) {
+		s.waitsHere = ok && mayWait && s.waitPays(t, c)
+		if ok && !s.waitsHere && s.admissible(c) {
 			t.OnlineStarted(time.Now(), c.Instance.ID)
 		}
 	})
@@ -315,6 +348,7 @@
 		// The connection cannot be reused when the response was not read to its end.
 		reusable := s.outcome == outcomeServed
 		s.g.view.WithTable(func(t *balance.Table) { t.OnlineEnded(time.Now(), c.Instance.ID, reusable) })
+		s.g.slotEnded(s.service, c.Instance.ID)
 	}()
 	s.sends++
 	s.sentAt, s.attemptEvents = time.Now(), 0
--- a/gateway/overload.go
+++ b/gateway/overload.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pumiceford/balance"
+	"pumiceford/waitroom"
 )
 
 // Limits of admission under overload.
@@ -40,7 +41,19 @@
 	case s.isRetry || !s.hasDeadline || s.route.FirstEventWithin <= 0:
 		return c.QueueBelowLimit()
 	}
-	return c.FreeWithin(time.Duration(maxWaitShare * float64(s.route.FirstEventWithin)))
+	full := time.Duration(maxWaitShare * float64(s.route.FirstEventWithin))
+	return c.FreeWithin(waitroom.Allowance(full, s.standing))
+}
+
+// refuseOverload refuses a request that would have to wait too long in the best queue.
+func (s *requestState) refuseOverload(queue balance.Choice) {
+	s.choice = queue
+	if s.isRetry {
+		s.g.metrics.Count("refused_again")
+	} else {
+		s.g.metrics.Count("refused_first")
+	}
+	s.fail(Overload, s.retryAfter())
 }
 
 // retryAfter returns how long a refused caller should wait before it retries.
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -41,23 +41,9 @@
 			return c, false
 		}
 		s.g.view.WithTable(func(t *balance.Table) { t.OnlineStarted(time.Now(), c.Instance.ID) })
-		ctx, cancel := context.WithTimeout(s.ctx, reserveTimeout)
-		name, err := s.g.reserver.Reserve(ctx, c.Instance, s.req.Work.Tokens(), reservationTTL)
-		cancel()
-		if err == nil {
-			s.req.ReservedSlot = name
-			s.g.metrics.Count("slot_reserved")
+		if s.tryReserve(c) {
 			return c, true
 		}
-		s.g.metrics.Count("slot_not_reserved")
-		s.g.view.WithTable(func(t *balance.Table) {
-			t.OnlineEnded(time.Now(), c.Instance.ID, true)
-			if errors.Is(err, exchange.ErrFull) {
-				t.ReserveFailed(c.Instance.ID)
-			} else {
-				t.RecordOutcome(time.Now(), c.Instance.ID, balance.Slow)
-			}
-		})
 		avoid[c.Instance.ID] = true
 	}
 	// The targets tried so far are full or unresponsive, and most of the others are probably
@@ -67,6 +53,29 @@
 	})
 }
 
+// tryReserve reserves a slot at a target at which the request is already counted. If it fails,
+// the request is no longer counted there.
+func (s *requestState) tryReserve(c balance.Choice) bool {
+	ctx, cancel := context.WithTimeout(s.ctx, reserveTimeout)
+	defer cancel()
+	name, err := s.g.reserver.Reserve(ctx, c.Instance, s.req.Work.Tokens(), reservationTTL)
+	if err == nil {
+		s.req.ReservedSlot = name
+		s.g.metrics.Count("slot_reserved")
+		return true
+	}
+	s.g.metrics.Count("slot_not_reserved")
+	s.g.view.WithTable(func(t *balance.Table) {
+		t.OnlineEnded(time.Now(), c.Instance.ID, true)
+		if errors.Is(err, exchange.ErrFull) {
+			t.ReserveFailed(c.Instance.ID)
+		} else {
+			t.RecordOutcome(time.Now(), c.Instance.ID, balance.Slow)
+		}
+	})
+	return false
+}
+
 // canReserve reports whether a slot can be reserved for the request: its token count must be
 // known, and its service must support reservations of reservationTTL.
 func (s *requestState) canReserve() bool {
