Time to come back: the last quarter to third of a caller's remaining time

A refused caller was told a random time between a sixth and a third of its remaining time, so that many returned into the same peak. The window is now a quarter to a third, as late as the protocol lets callers be told while two thirds of their time are left.

--- a/gateway/overload.go
+++ b/gateway/overload.go
@@ -17,9 +17,9 @@
 	maxWaitShare = 0.4
 	// minRetryAfterShare and maxRetryAfterShare bound the retry-after of a refused caller,
 	// as fractions of the time left until its deadline. The value is random, so that the
-	// callers of one burst do not return as the next; at least two thirds of the time are
-	// left to serve the retry.
-	minRetryAfterShare = 1.0 / 6
+	// callers of one burst do not return as the next. It is late, so that most return after
+	// the peak; at least two thirds of the time are left to serve the retry.
+	minRetryAfterShare = 1.0 / 4
 	maxRetryAfterShare = 1.0 / 3
 	// retryAfterNoDeadline is the retry-after of a caller that sends no deadline.
 	retryAfterNoDeadline = 300 * time.Millisecond
