Budget of repeats: further sends are a fraction of the requests served

A request may be sent four times. When targets fail or are full, each entry multiplied its load by that while there was least room. Further sends now take from a token bucket that a served request fills by 0.2, 64 at most; first sends and the rest of streams that have begun take nothing. Without a token the request is refused truthfully (not run, if no target ran it), and a watchdog leaves the request where it waits. 64 is more than the requests of one entry at the targets that an outage takes, so that a lost data centre fails over as before.

TestResendsAreWithinBudget: 200 requests to dead targets are sent 264 times in all.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -104,14 +104,14 @@
 	s.tried[in.ID] = true
 	if !se.Sent {
 		s.possibleRuns--
-		if s.sends < maxSends {
+		if s.sends < maxSends && s.takeResend() {
 			s.logRetry("sent elsewhere; it never reached the target", in, "error", err.Error())
 			return tryNext
 		}
 		s.fail(NoTarget, retryAfterUnavailable)
 		return finished
 	}
-	if s.mayRetry() {
+	if s.mayResend() {
 		s.logRetry("sent again; its answer is lost", in, "error", err.Error())
 		return tryNext
 	}
@@ -128,7 +128,7 @@
 		reason = "other_instance"
 		s.g.view.MarkSuperseded(in.ID)
 	}
-	if s.sends < maxSends {
+	if s.sends < maxSends && s.takeResend() {
 		s.logRetry("sent elsewhere; the target did not run it", in, "why", reason)
 		return tryNext
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -222,6 +222,7 @@
 	hasDeadline bool // the caller sent a deadline
 	isRetry     bool // the request was probably refused before
 	standing    fairshare.Standing
+	resendTaken atomic.Bool       // the watchdog has taken a further send from the budget
 	waitsHere   bool              // the request waits at this process, not at a target
 	waited      bool              // the request has waited at this process
 	roomTime    time.Duration     // time that it waited at this process
@@ -370,7 +371,7 @@
 		return s.handleNotRun(c.Instance, resp)
 	case exchange.Failed:
 		s.updateHealth(c.Instance, balance.Failed, "failed")
-		if s.mayRetry() {
+		if s.mayResend() {
 			s.logRetry("sent again after a failure", c.Instance, "status", resp.Status)
 			s.tried[c.Instance.ID] = true
 			return tryNext
@@ -392,6 +393,29 @@
 	return s.route.Retryable() && s.possibleRuns < max(s.route.Attempts, 1) && s.sends < maxSends
 }
 
+// mayResend is like mayRetry, but also takes a further send from the budget of this process.
+// Streams that have begun need none: a slot is due to them until their end.
+func (s *requestState) mayResend() bool {
+	return s.mayRetry() && s.takeResend()
+}
+
+// takeResend reports whether the budget has a further send for the request.
+func (s *requestState) takeResend() bool {
+	if s.headerSent || s.resendTaken.Swap(false) {
+		return true
+	}
+	return s.g.takeResend()
+}
+
+// takeResend takes a further send from the budget of this process, if any is left.
+func (g *Gateway) takeResend() bool {
+	if g.rooms.takeResend() {
+		return true
+	}
+	g.metrics.Count("resend_over_budget")
+	return false
+}
+
 // updateHealth records the outcome of a call at a target, and notifies other processes when
 // the call failed or the target was unreachable. The reason is used for the log and the metric
 // of an ejection.
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -24,6 +24,10 @@
 	// they waited in vain: a fraction of the requests served, and as many at once.
 	latePerSuccess = 0.02
 	lateLimit      = 10
+	// resendPerSuccess and resendLimit bound the further sends of requests in the same way.
+	// The limit is enough for the requests of one process at the targets that an outage takes.
+	resendPerSuccess = 0.2
+	resendLimit      = 64
 )
 
 // rooms holds the requests that wait at this process until a target has a free slot. It is safe
@@ -32,6 +36,7 @@
 	mu       sync.Mutex
 	services map[string]*waitroom.Room
 	late     *waitroom.Budget
+	resends  *waitroom.Budget
 }
 
 // waiter is one request in a room. Once its ticket has left the room other than by the request
@@ -53,6 +58,7 @@
 	return &rooms{
 		services: make(map[string]*waitroom.Room),
 		late:     waitroom.NewBudget(latePerSuccess, lateLimit),
+		resends:  waitroom.NewBudget(resendPerSuccess, resendLimit),
 	}
 }
 
@@ -138,11 +144,19 @@
 	return r.late.Take()
 }
 
-// succeeded adds to the budget what a served request pays for.
+// takeResend reports whether a request may be sent once more.
+func (r *rooms) takeResend() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.resends.Take()
+}
+
+// succeeded adds to the budgets what a served request pays for.
 func (r *rooms) succeeded() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.late.Succeeded()
+	r.resends.Succeeded()
 }
 
 // SlotsChanged tells the Gateway that the load of a target of a service was reported. Requests
--- a/gateway/room_test.go
+++ b/gateway/room_test.go
@@ -179,6 +179,23 @@
 	})
 }
 
+// Guards against repeats that feed an outage: first sends always happen, further ones only
+// within the budget.
+func TestResendsAreWithinBudget(t *testing.T) {
+	const requests, resends = 200, 64
+	inVirtualTime(t, func(t *testing.T) {
+		f := newFixture(resumable, 4) // all sends fail
+		for range requests {
+			if c := f.serve(t.Context()); c.refusal == nil || !c.refusal.NotRun {
+				t.Fatalf("got refusal %+v, want one as not run", c.refusal)
+			}
+		}
+		if n := len(f.sender.calls); n != requests+resends {
+			t.Errorf("%d sends of %d requests, want %d further ones", n, requests, resends)
+		}
+	})
+}
+
 // Guards against online requests that wait while batch work holds the slot: it is asked to yield.
 func TestWaitingRequestTakesSlotOfBatch(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -35,7 +35,7 @@
 // or its target counts as unresponsive. A request does not leave one queue for another, since
 // it would only lose its place.
 func (s *requestState) queueCheck(c balance.Choice) func() bool {
-	sent, recorded := time.Now(), false
+	sent, recorded, resuming := time.Now(), false, s.headerSent
 	return func() bool {
 		now, free := time.Now(), false
 		idle := false
@@ -53,7 +53,15 @@
 			// unreachable. The next request should not spend one of its attempts there too.
 			s.updateHealth(c.Instance, balance.Slow, "late")
 		}
-		return s.mayRetry() && (free || unresponsive)
+		if !s.mayRetry() || !free && !unresponsive {
+			return false
+		}
+		if resuming {
+			return true
+		}
+		taken := s.g.takeResend()
+		s.resendTaken.Store(taken)
+		return taken
 	}
 }
 
