--- a/bench/load/backlog_test.go
+++ b/bench/load/backlog_test.go
@@ -41,10 +41,12 @@
 		{load.Fleet56, 66, 1190},
 	} {
 		c.scenario.ItemRate, c.scenario.Duration = c.items, 42*time.Second
-		got := load.Run(c.scenario, load.RefuseLate, 1)
-		t.Logf("\n%s", got)
-		if got.InTime < c.inTime {
-			t.Errorf("%s: %d of %d items in time, want at least %d", c.scenario.Name, got.InTime, got.Items, c.inTime)
+		for _, policy := range []load.Policy{load.RefuseLate, load.WaitAtEntry} {
+			got := load.Run(c.scenario, policy, 1)
+			t.Logf("\n%s", got)
+			if got.InTime < c.inTime {
+				t.Errorf("%s: %d of %d items in time, want at least %d", c.scenario.Name, got.InTime, got.Items, c.inTime)
+			}
 		}
 	}
 }
--- a/bench/load/load.go
+++ b/bench/load/load.go
@@ -22,12 +22,20 @@
 	RunTime              time.Duration
 	DueWithin            time.Duration
 	Duration             time.Duration
+	// Workspaces is the number of workspaces that send the same; in peaks the first of them
+	// sends Surge times what the others do. The rates contain it. Callers return over a new
+	// connection. Without workspaces there are no shares, and callers return to their entry.
+	Workspaces int
+	Surge      float64
+	// LostFrom is the time from which one target in three is no longer registered; 0 loses none.
+	LostFrom time.Duration
 }
 
-// Models of four deployments, with rounded sizes.
+// Models of five deployments, with rounded sizes.
 var (
 	Fleet9   = Scenario{Name: "guild", Targets: 9, Slots: 8, Entries: 8, TroughRate: 16, PeakRate: 76, HoldTime: 700 * time.Millisecond, ItemRate: 5, RunTime: 5 * time.Second, DueWithin: 18 * time.Second, Duration: 60 * time.Second}
 	Fleet18  = Scenario{Name: "ffitiad", Targets: 18, Slots: 8, Entries: 8, TroughRate: 32, PeakRate: 155, HoldTime: 700 * time.Millisecond, ItemRate: 10, RunTime: 5 * time.Second, DueWithin: 18 * time.Second, Duration: 60 * time.Second}
+	Fleet43  = Scenario{Name: "medium", Targets: 43, Slots: 8, Entries: 31, TroughRate: 128, PeakRate: 380, HoldTime: 400 * time.Millisecond, ItemRate: 12, RunTime: 5 * time.Second, DueWithin: 18 * time.Second, Duration: 60 * time.Second}
 	Fleet180 = Scenario{Name: "large", Targets: 180, Slots: 7, Entries: 133, TroughRate: 350, PeakRate: 1600, HoldTime: 600 * time.Millisecond, ItemRate: 105, RunTime: 4800 * time.Millisecond, DueWithin: 18 * time.Second, Duration: 42 * time.Second}
 	Fleet56  = Scenario{Name: "grown", Targets: 56, Slots: 7, Entries: 40, TroughRate: 113, PeakRate: 440, HoldTime: 740 * time.Millisecond, MixedSpeeds: true, ItemRate: 30, RunTime: 4 * time.Second, DueWithin: 18 * time.Second, Duration: 60 * time.Second}
 )
@@ -61,12 +69,23 @@
 	// IgnoreIdleConns hides idle connections from the balancer, as if none were kept
 	// open.
 	IgnoreIdleConns bool
+	// WaitAtEntry lets requests wait at their entry until a target has a free slot, at most for
+	// MaxFirstWait or, if they were refused before, for MaxRetryWait.
+	WaitAtEntry                bool
+	MaxFirstWait, MaxRetryWait time.Duration
 }
 
 // The policies that pumice-bench compares. Their names are values in its JSON output.
 var (
 	AllReports = Policy{Name: "agents grant seats"}
-	// RefuseLate matches the product: it also refuses requests that would be late.
+	// WaitAtEntry matches the product: requests wait at the entries, which refuse those that
+	// would be late.
+	WaitAtEntry = Policy{
+		Name: "wait at entry", MaxWatched: 16, MinReportInterval: 50 * time.Millisecond, ReserveSlots: true, MaxWait: 120 * time.Millisecond,
+		MinRetryAfter: 1200 * time.Millisecond, MaxRetryAfter: 1600 * time.Millisecond,
+		WaitAtEntry: true, MaxFirstWait: 180 * time.Millisecond, MaxRetryWait: 225 * time.Millisecond,
+	}
+	// RefuseLate is the same with requests that wait in the queues of the targets.
 	RefuseLate     = Policy{Name: "late ones come back", MaxWatched: 16, MinReportInterval: 50 * time.Millisecond, ReserveSlots: true, MaxWait: 120 * time.Millisecond, MinRetryAfter: 800 * time.Millisecond, MaxRetryAfter: 1600 * time.Millisecond}
 	PartialReports = Policy{Name: "part is told", MaxWatched: 16, MinReportInterval: 50 * time.Millisecond, ReserveSlots: true}
 	NoReports      = Policy{Name: "entries alone", NoLoadReports: true}
@@ -81,24 +100,54 @@
 	Batch    bool   `json:"batch"`
 
 	Requests       int           `json:"requests"`
-	Late           int           `json:"late"`     // first event after more than 300 ms
-	Refused        int           `json:"refused"`  // refused attempts
-	RetriedInTime  int           `json:"back"`     // first event in time at the second attempt
-	NotServed      int           `json:"lost"`     // refused without a further attempt
-	QueuedAtTarget int           `json:"waited"`   // sent to a target without a free slot
-	Moves          int           `json:"moves"`    // moved to another target while waiting
-	ConnsOpened    int           `json:"opened"`   // opened connections to targets
-	LoadReports    int           `json:"told"`     // load reports from agents to entries
-	P50            time.Duration `json:"p50_ns"`   // median time to the first event
-	P99            time.Duration `json:"p99_ns"`   // 99th percentile of the same
-	Items          int           `json:"items"`    // batch items due before the end
-	InTime         int           `json:"in_time"`  // of those, items completed by their due time
-	SeatsYielded   int           `json:"cut_off"`  // item runs ended early to give the seat back
-	SlotUse        float64       `json:"capacity"` // fraction of the total slot time in use
+	Late           int           `json:"late"`         // first event after more than 300 ms
+	Refused        int           `json:"refused"`      // refused attempts
+	RetriedInTime  int           `json:"back"`         // first event in time at the second attempt
+	NotServed      int           `json:"lost"`         // refused without a further attempt
+	QueuedAtTarget int           `json:"waited"`       // sent to a target without a free slot
+	Moves          int           `json:"moves"`        // moved to another target while waiting
+	ConnsOpened    int           `json:"opened"`       // opened connections to targets
+	LoadReports    int           `json:"told"`         // load reports from agents to entries
+	P50            time.Duration `json:"p50_ns"`       // median time to the first event
+	P99            time.Duration `json:"p99_ns"`       // 99th percentile of the same
+	Items          int           `json:"items"`        // batch items due before the end
+	InTime         int           `json:"in_time"`      // of those, items completed by their due time
+	SeatsYielded   int           `json:"cut_off"`      // item runs ended early to give the seat back
+	SlotUse        float64       `json:"capacity"`     // fraction of the total slot time in use
+	Reservations   int           `json:"reservations"` // attempts to reserve a slot
+
+	Surging Shares `json:"surging"` // of the workspace that surges
+	Others  Shares `json:"others"`  // of all others
+
 	// FirstEventTimes are sorted in ascending order.
 	FirstEventTimes []time.Duration `json:"-"`
 }
 
+// Shares counts what became of the requests of some workspaces.
+type Shares struct {
+	Requests     int `json:"requests"`
+	First        int `json:"first"`  // in time at the first attempt
+	Return       int `json:"return"` // in time at the second
+	Late         int `json:"late"`   // at either
+	RefusedTwice int `json:"refused_twice"`
+}
+
+// InTime returns the requests with a first event in time, in % of all.
+func (s Shares) InTime() float64 {
+	return percent(s.First+s.Return, s.Requests)
+}
+
+// String implements fmt.Stringer.
+func (s Shares) String() string {
+	return fmt.Sprintf("in time at the first attempt %5.1f %%, at the second %5.1f %%, late %4.1f %%, refused twice %5.2f %%",
+		percent(s.First, s.Requests), percent(s.Return, s.Requests), percent(s.Late, s.Requests), percent(s.RefusedTwice, s.Requests))
+}
+
+func percent(n, of int) float64 {
+	const whole = 100
+	return whole * float64(n) / float64(max(of, 1))
+}
+
 // String implements fmt.Stringer.
 func (o Outcome) String() string {
 	return fmt.Sprintf("%-8s %-20s %5d requests: late %4d, refused %3d, not served %3d, moves %4d, connections %4d, load reports %7d, p50 %4d ms, p99 %4d ms; %4d items: in time %4d, seats yielded %4d",
--- a/bench/load/online.go
+++ b/bench/load/online.go
@@ -27,6 +27,9 @@
 	}
 	w.target = s.byID[id]
 	w.entry.table.OnlineStarted(s.now, id)
+	if !w.batch && len(s.held) > 0 {
+		s.held[w.workspace]++
+	}
 	if w.target.active >= s.scenario.Slots {
 		s.out.QueuedAtTarget++
 	}
@@ -42,12 +45,16 @@
 	s.out.Refused++
 	if w.retried || s.policy.MaxRetryAfter == 0 {
 		s.out.NotServed++
+		s.shares(w).RefusedTwice++
 		return
 	}
 	w.retried = true
 	spread := s.policy.MaxRetryAfter - s.policy.MinRetryAfter
 	s.after(s.policy.MinRetryAfter+time.Duration(s.choiceRand.Float64()*float64(spread)), func() {
 		w.arrived = s.now
+		if len(s.held) > 0 {
+			w.entry = s.entries[s.choiceRand.IntN(len(s.entries))]
+		}
 		s.send(w)
 	})
 }
@@ -57,7 +64,7 @@
 	if w.retried || s.policy.MaxWait == 0 {
 		return c.QueueBelowLimit()
 	}
-	return c.FreeWithin(s.policy.MaxWait)
+	return c.FreeWithin(s.allowance(w, s.policy.MaxWait))
 }
 
 // reserve asks targets one after the other until one reserves a slot for a request, as an
@@ -66,31 +73,40 @@
 	table := w.entry.table
 	if len(tried) == maxReserveTries {
 		c, ok := table.PickReported(s.now, "s", tried, s.choiceRand.Float64())
-		s.sendTo(w, c.Instance.ID, ok && s.accepts(w, c))
+		s.sendOrWait(w, c, ok)
 		return
 	}
 	c, ok := table.Pick(s.now, "s", tried, s.choiceRand.Float64())
 	if !ok || !c.ShouldReserve() {
-		s.sendTo(w, c.Instance.ID, ok && s.accepts(w, c))
+		s.sendOrWait(w, c, ok)
 		return
 	}
-	table.OnlineStarted(s.now, c.Instance.ID)
-	t := s.byID[c.Instance.ID]
+	s.tryReserve(w, c.Instance.ID, func() {
+		next := map[string]bool{c.Instance.ID: true}
+		maps.Copy(next, tried)
+		s.reserve(w, next)
+	})
+}
+
+// tryReserve reserves a slot for a request and sends the request there. If the target reserves
+// none, it calls full.
+func (s *simulation) tryReserve(w *work, id string, full func()) {
+	table, t := w.entry.table, s.byID[id]
+	s.out.Reservations++
+	table.OnlineStarted(s.now, id)
 	granted := t.active+t.reservedSlots < s.scenario.Slots && len(t.queue) == 0
 	if granted {
 		t.reservedSlots++
 	}
 	s.after(reserveTime, func() {
-		table.OnlineEnded(s.now, t.id, true)
+		table.OnlineEnded(s.now, id, true)
 		if granted {
 			w.reserved = true
-			s.sendTo(w, t.id, true)
+			s.sendTo(w, id, true)
 			return
 		}
-		table.ReserveFailed(t.id)
-		next := map[string]bool{t.id: true}
-		maps.Copy(next, tried)
-		s.reserve(w, next)
+		table.ReserveFailed(id)
+		full()
 	})
 }
 
--- a/bench/load/overload_test.go
+++ b/bench/load/overload_test.go
@@ -32,14 +32,17 @@
 	} {
 		queue := load.PartialReports
 		queue.MinRetryAfter, queue.MaxRetryAfter = 300*time.Millisecond, 300*time.Millisecond
-		all, some := load.Run(s, queue, 1), load.Run(s, load.RefuseLate, 1)
-		t.Logf("\n%s\n%s", all, some)
+		all := load.Run(s, queue, 1)
 		inTime := func(o load.Outcome) int { return len(o.FirstEventTimes) - o.Late - o.RetriedInTime }
-		if inTime(some)*100 < inTime(all)*115 || some.Late > all.Late*3/4 {
-			t.Errorf("with and without refusals: in time at the first attempt %d and %d, late %d and %d", inTime(some), inTime(all), some.Late, all.Late)
-		}
-		if some.NotServed > all.NotServed {
-			t.Errorf("not served with and without refusals: %d and %d", some.NotServed, all.NotServed)
+		for _, policy := range []load.Policy{load.RefuseLate, load.WaitAtEntry} {
+			some := load.Run(s, policy, 1)
+			t.Logf("\n%s\n%s", all, some)
+			if inTime(some)*100 < inTime(all)*115 || some.Late > all.Late*3/4 {
+				t.Errorf("with and without refusals: in time at the first attempt %d and %d, late %d and %d", inTime(some), inTime(all), some.Late, all.Late)
+			}
+			if some.NotServed > all.NotServed {
+				t.Errorf("not served with and without refusals: %d and %d", some.NotServed, all.NotServed)
+			}
 		}
 	}
 }
@@ -48,12 +51,14 @@
 // need nine tenths of all slots. The failure has not been seen.
 func TestNearFullPeakRefusesFewRequests(t *testing.T) {
 	t.Parallel()
-	for _, scenario := range []load.Scenario{load.Fleet9, load.Fleet56} {
-		o := load.Run(overloaded(scenario, 0.9), load.RefuseLate, 1)
-		t.Logf("\n%s", o)
-		const share = 100 // at most two requests in 100 may be refused or late
-		if (o.Refused+o.Late)*share > o.Requests*2 {
-			t.Errorf("%s: %d refused and %d late of %d requests", scenario.Name, o.Refused, o.Late, o.Requests)
+	for _, scenario := range []load.Scenario{load.Fleet9, load.Fleet43, load.Fleet56} {
+		for _, policy := range []load.Policy{load.RefuseLate, load.WaitAtEntry} {
+			o := load.Run(overloaded(scenario, 0.9), policy, 1)
+			t.Logf("\n%s", o)
+			const share = 100 // at most two requests in 100 may be refused or late
+			if (o.Refused+o.Late)*share > o.Requests*2 {
+				t.Errorf("%s: %d refused and %d late of %d requests", scenario.Name, o.Refused, o.Late, o.Requests)
+			}
 		}
 	}
 }
--- a/bench/load/simulation.go
+++ b/bench/load/simulation.go
@@ -11,6 +11,7 @@
 	"pumiceford/routing"
 	"pumiceford/seats"
 	"pumiceford/targets"
+	"pumiceford/waitroom"
 )
 
 // Times and limits of the simulation. Values from the product's I/O code are repeated
@@ -43,6 +44,8 @@
 	arrivalRand *rand.Rand // of requests, independent of placement
 	itemRand    *rand.Rand // of item arrivals, independent of placement
 	out         Outcome
+	lost        bool          // see Scenario.LostFrom
+	held        []int         // requests sent to targets, by workspace
 	slotTime    time.Duration // sum of the times that slots were in use
 }
 
@@ -100,6 +103,8 @@
 	conns       map[string]*connCount // connections of this entry by target
 	batch       []*work               // items waiting for a seat
 	ownRequests map[string]int        // work of this entry in progress by target
+	room        *waitroom.Room
+	lateRetries *waitroom.Budget
 }
 
 // connCount counts the connections of an entry to one target: those in use and all
@@ -125,6 +130,8 @@
 	retried   bool // the request was refused and this is its second attempt
 	placement int  // incremented whenever the work leaves a target, to ignore outdated events
 	seat      uint64
+	workspace int
+	ticket    waitroom.Ticket
 }
 
 // Run simulates a scenario under a policy. The same seed gives the same arrivals under
@@ -137,6 +144,7 @@
 	}
 	s.start = time.Unix(1000, 0)
 	s.now = s.start
+	s.held = make([]int, scenario.Workspaces)
 	s.setUp()
 	s.arriveRequest()
 	if scenario.ItemRate > 0 {
@@ -161,12 +169,15 @@
 			s.after(time.Duration(i)*time.Millisecond/2, func() { s.report(t) })
 		}
 	}
+	if s.scenario.LostFrom > 0 {
+		s.after(s.scenario.LostFrom, func() { s.loseTargets(all) })
+	}
 	ids := make([]string, 0, len(all))
 	for _, in := range all {
 		ids = append(ids, in.ID)
 	}
 	for e := range s.scenario.Entries {
-		en := &entry{table: balance.NewTable(uint64(e)), conns: make(map[string]*connCount), ownRequests: make(map[string]int)}
+		en := &entry{table: balance.NewTable(uint64(e)), conns: make(map[string]*connCount), ownRequests: make(map[string]int), room: waitroom.NewRoom(roomLimit), lateRetries: waitroom.NewBudget(lateShare, lateLimit)}
 		en.table.Replace(all)
 		s.entries = append(s.entries, en)
 		s.subscribe(en, ids)
@@ -214,15 +225,19 @@
 	}
 	l.lastReport, l.sentAt = rep, s.now
 	s.out.LoadReports++
-	s.after(networkDelay+time.Duration(s.choiceRand.IntN(8))*time.Millisecond, func() { l.entry.table.UpdateLoad(s.now, t.id, rep) })
+	s.after(networkDelay+time.Duration(s.choiceRand.IntN(8))*time.Millisecond, func() {
+		l.entry.table.UpdateLoad(s.now, t.id, rep)
+		s.serveWaiting(l.entry)
+	})
 }
 
 func (s *simulation) arriveRequest() {
 	rate := s.scenario.TroughRate
-	if s.now.Sub(s.start)%cycleTime > troughTime {
+	if s.inPeak() {
 		rate = s.scenario.PeakRate
 	}
-	w := &work{entry: s.entries[s.arrivalRand.IntN(len(s.entries))], arrived: s.now}
+	w := &work{entry: s.entries[s.arrivalRand.IntN(len(s.entries))], arrived: s.now, workspace: s.drawWorkspace()}
+	s.shares(w).Requests++
 	next := time.Duration(s.arrivalRand.ExpFloat64() / rate * float64(time.Second))
 	s.out.Requests++
 	s.send(w)
@@ -298,6 +313,7 @@
 		return
 	}
 	w.entry.table.OnlineEnded(s.now, w.target.id, completed && !s.policy.IgnoreIdleConns)
+	s.onlineEnded(w, completed)
 }
 
 // admit starts queued work in order while the target has free slots.
@@ -322,8 +338,14 @@
 		w.gotFirstEvent = true
 		took := s.now.Sub(w.arrived)
 		s.out.FirstEventTimes = append(s.out.FirstEventTimes, took)
-		if w.retried && took <= lateAfter {
+		switch {
+		case took > lateAfter:
+			s.shares(w).Late++
+		case w.retried:
+			s.shares(w).Return++
 			s.out.RetriedInTime++
+		default:
+			s.shares(w).First++
 		}
 	}
 }
--- a/cmd/pumice-bench/main.go
+++ b/cmd/pumice-bench/main.go
@@ -60,7 +60,7 @@
 func runLoad(cmd *loadCmd) error {
 	var all []load.Outcome
 	for _, scenario := range []load.Scenario{load.Fleet9, load.Fleet18, load.Fleet56, load.Fleet180} {
-		for _, policy := range []load.Policy{load.RefuseLate, load.PartialReports, load.AllReports, load.NoReports, load.NaiveForwarder} {
+		for _, policy := range []load.Policy{load.WaitAtEntry, load.RefuseLate, load.PartialReports, load.AllReports, load.NoReports, load.NaiveForwarder} {
 			all = append(all, load.Run(scenario, policy, cmd.Seed))
 		}
 		noBatch := scenario
