--- a/gateway/room_test.go
+++ b/gateway/room_test.go
@@ -2,13 +2,18 @@
 
 import (
 	"context"
+	"fmt"
+	"math"
 	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"pumiceford/balance"
+	"pumiceford/estimate"
 	"pumiceford/exchange"
 	"pumiceford/targets"
 )
@@ -210,3 +215,77 @@
 		}
 	})
 }
+
+// Guards against a slot that stays counted after its request was refused or its caller left, and
+// against requests without an outcome, or with two: arrivals, free slots, failed reservations and
+// callers that leave in any order, also at the same moment.
+func TestEachWaitEndsOnceAndCountsNothing(t *testing.T) {
+	type request struct{ at, leaves time.Duration } // leaves 0: the caller stays
+	type freed struct {
+		at     time.Duration
+		target string
+		full   bool // another process takes the slot
+	}
+	ms := func(rt *rapid.T, from, to int, label string) time.Duration {
+		return time.Duration(rapid.IntRange(from, to).Draw(rt, label)) * 10 * time.Millisecond
+	}
+	rapid.Check(t, func(rt *rapid.T) {
+		var requests []request
+		for range rapid.IntRange(1, 20).Draw(rt, "requests") {
+			r := request{at: ms(rt, 0, 30, "at")}
+			if rapid.Bool().Draw(rt, "leaves") {
+				r.leaves = r.at + ms(rt, 1, 20, "after")
+			}
+			requests = append(requests, r)
+		}
+		var slots []freed
+		for range rapid.IntRange(0, 8).Draw(rt, "slots") {
+			slots = append(slots, freed{ms(rt, 0, 50, "freed at"), rapid.SampledFrom([]string{"i0", "i1"}).Draw(rt, "target"), rapid.Bool().Draw(rt, "full")})
+		}
+		problem := ""
+		inVirtualTime(t, func(t *testing.T) {
+			f := newBusyFixture()
+			for range requests {
+				f.sender.responses = append(f.sender.responses, goodStream())
+			}
+			var wg sync.WaitGroup
+			outcomes := make([]*recorder, len(requests))
+			for i, r := range requests {
+				wg.Go(func() {
+					ctx, cancel := context.WithCancel(t.Context())
+					defer cancel()
+					if r.leaves > 0 {
+						defer time.AfterFunc(r.leaves, cancel).Stop()
+					}
+					time.Sleep(r.at)
+					outcomes[i] = f.serveWithin(ctx, callerTimeout)
+				})
+			}
+			for _, s := range slots {
+				wg.Go(func() {
+					time.Sleep(s.at)
+					f.reserver.mu.Lock()
+					f.reserver.full[s.target] = s.full
+					f.reserver.mu.Unlock()
+					f.freeSlot(s.target)
+				})
+			}
+			wg.Wait()
+			for i, c := range outcomes {
+				served, refused := c.body.String() == eventStream(1, 2), c.refusal != nil
+				if served != refused || c.aborted && !served {
+					continue
+				}
+				problem = fmt.Sprintf("request %d: served %v, refused %v, aborted %v", i, served, refused, c.aborted)
+			}
+			f.view.WithTable(func(tab *balance.Table) {
+				if inFlight := tab.FreedRate("s") * tab.Estimates().HoldTime("s", estimate.Work{}, estimate.UsualPace).Seconds(); math.Round(inFlight) != float64(16-len(slots)) {
+					problem = fmt.Sprintf("%.1f requests are counted at targets, want %d", inFlight, 16-len(slots))
+				}
+			})
+		})
+		if problem != "" {
+			rt.Fatal(problem)
+		}
+	})
+}
