--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -133,11 +133,11 @@
 	reserver   exchange.Reserver
 	notifier   FailureNotifier
 	quarantine *quarantine.Tracker
+	shares     *fairshare.Ledger
 	log        logging.Logger
 	metrics    *metrics.Set
 	started    time.Time
 	timeouts   *timeoutTracker
-	shares     *fairshare.Ledger
 	rooms      *rooms
 	orderedBy  atomic.Int64 // version of the catalog whose ranks order the requests that wait
 }
@@ -149,8 +149,8 @@
 	}
 	return &Gateway{
 		view: cfg.View, sender: cfg.Sender, reserver: cfg.Reserver, notifier: cfg.FailureNotifier, quarantine: cfg.Quarantine,
-		log: cfg.Log, metrics: cfg.Metrics, started: time.Now(), timeouts: newTimeoutTracker(),
-		shares: cfg.Shares, rooms: newRooms(),
+		shares: cfg.Shares, log: cfg.Log, metrics: cfg.Metrics, started: time.Now(), timeouts: newTimeoutTracker(),
+		rooms: newRooms(),
 	}
 }
 
@@ -351,6 +351,8 @@
 		s.g.view.WithTable(func(t *balance.Table) { t.OnlineEnded(time.Now(), c.Instance.ID, reusable) })
 		s.g.slotEnded(s.service, c.Instance.ID)
 	}()
+	use := s.beginSlotUse(c)
+	defer use.end()
 	s.sends++
 	s.sentAt, s.attemptEvents = time.Now(), 0
 	s.possibleRuns++ // until the target reports that it did not run the request
@@ -366,6 +368,7 @@
 		return s.handleSendError(c.Instance, err)
 	}
 	defer func() { _ = resp.Body.Close() }() // nothing more is read from it
+	use.responded()
 	switch resp.Outcome {
 	case exchange.NotRun, exchange.OtherInstance:
 		return s.handleNotRun(c.Instance, resp)
