--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -18,6 +18,7 @@
 	"pumiceford/catalog"
 	"pumiceford/estimate"
 	"pumiceford/exchange"
+	"pumiceford/fairshare"
 	"pumiceford/fleet"
 	"pumiceford/gateway"
 	"pumiceford/logging"
@@ -237,13 +238,22 @@
 // serveWithin serves a caller that sends a deadline after the given time; 0 stands for no
 // deadline.
 func (f *fixture) serveWithin(ctx context.Context, within time.Duration) *recorder {
+	return f.serveHolder(ctx, within, fairshare.Holder{})
+}
+
+// serveAs serves a caller of a workspace with a deadline.
+func (f *fixture) serveAs(ctx context.Context, h fairshare.Holder) *recorder {
+	return f.serveHolder(ctx, callerTimeout, h)
+}
+
+func (f *fixture) serveHolder(ctx context.Context, within time.Duration, h fairshare.Holder) *recorder {
 	c := &recorder{}
 	route, refusal := f.gw.Route(ctx, "r", "h", "/x")
 	if refusal != nil {
 		c.refusal = refusal
 		return c
 	}
-	req := &gateway.Request{Call: exchange.Call{ID: "r", Method: "POST", Host: "h", URI: "/x", Work: estimate.Work{PromptTokens: 600}}, Arrived: time.Now()}
+	req := &gateway.Request{Call: exchange.Call{ID: "r", Method: "POST", Host: "h", URI: "/x", Work: estimate.Work{PromptTokens: 600}}, Arrived: time.Now(), Holder: h}
 	if within > 0 {
 		req.Deadline = req.Arrived.Add(within)
 	}
--- a/gateway/room_test.go
+++ b/gateway/room_test.go
@@ -15,6 +15,7 @@
 	"pumiceford/balance"
 	"pumiceford/estimate"
 	"pumiceford/exchange"
+	"pumiceford/fairshare"
 	"pumiceford/targets"
 )
 
@@ -297,3 +298,21 @@
 		}
 	})
 }
+
+// Guards against an urgent request that waits behind one that came earlier.
+func TestUrgentRequestGoesFirst(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		f := newBusyFixture(goodStream())
+		var usual, urgent *recorder
+		var wg sync.WaitGroup
+		wg.Go(func() { usual = f.serveAs(t.Context(), fairshare.Holder{Workspace: "a", Rank: 1}) })
+		synctest.Wait()
+		wg.Go(func() { urgent = f.serveAs(t.Context(), fairshare.Holder{Workspace: "b"}) })
+		synctest.Wait()
+		f.freeSlot("i0")
+		wg.Wait()
+		if urgent.refusal != nil || usual.refusal == nil {
+			t.Errorf("urgent request got refusal %+v, the usual one %+v; want the slot for the urgent one", urgent.refusal, usual.refusal)
+		}
+	})
+}
