--- a/balance/late.go
+++ b/balance/late.go
@@ -27,7 +27,7 @@
 	if allSuspect {
 		free = suspect
 	}
-	return t.choose(now, free, draw)
+	return t.choose(now, Request{Service: service}, free, draw)
 }
 
 // PickEnded chooses the target at which a request of this process has just ended, whatever is
@@ -37,7 +37,7 @@
 	if v == nil || !v.eligible(now, service, nil, false) || v.suspect(now) {
 		return Choice{}, false
 	}
-	return t.choose(now, []*View{v}, 0)
+	return t.choose(now, Request{Service: service}, []*View{v}, 0)
 }
 
 // FreedRate estimates the slots a second that online requests of this process leave at the
--- a/bench/load/waiting.go
+++ b/bench/load/waiting.go
@@ -130,7 +130,8 @@
 // after all, within a budget.
 func (s *simulation) waitedInVain(w *work) {
 	if w.retried && waitroom.MayBeLate(s.standing(w)) && w.entry.lateRetries.Take() {
-		c, ok := w.entry.table.PickReported(s.now, "s", nil, s.choiceRand.Float64())
+		c, ok := w.entry.table.PickReportedFor(s.now, requestNeeds, nil, s.choiceRand.Float64())
+		w.pace = c.Pace
 		s.sendTo(w, c.Instance.ID, ok && s.accepts(w, c))
 		return
 	}
@@ -144,13 +145,14 @@
 		if !ok {
 			return
 		}
-		s.serveNext(e, c.Instance.ID, c.ShouldReserve())
+		s.serveNext(e, c, c.ShouldReserve())
 	}
 }
 
 // serveNext sends the request that goes first to a target, after reserving a slot if needed.
-func (s *simulation) serveNext(e *entry, id string, reserve bool) {
-	w := e.room.Next(s.now).Owner.(*work) // only work enters
+func (s *simulation) serveNext(e *entry, c balance.Choice, reserve bool) {
+	w, id := e.room.Next(s.now).Owner.(*work), c.Instance.ID // only work enters
+	w.pace = c.Pace
 	if !reserve {
 		s.sendTo(w, id, true)
 		return
@@ -174,8 +176,8 @@
 		if e.room.Len() == 0 {
 			return
 		}
-		if _, ok := e.table.PickEnded(s.now, "s", id); ok {
-			s.serveNext(e, id, true)
+		if c, ok := e.table.PickEnded(s.now, "s", id); ok {
+			s.serveNext(e, c, true)
 		}
 	})
 }
--- a/daemon/agentlinks.go
+++ b/daemon/agentlinks.go
@@ -9,6 +9,7 @@
 	"pumiceford/fairshare"
 	"pumiceford/fleet"
 	"pumiceford/link"
+	"pumiceford/logging"
 	"pumiceford/quarantine"
 	"pumiceford/routing"
 	"pumiceford/seats"
@@ -29,6 +30,7 @@
 	view    *fleet.View
 	tracker *quarantine.Tracker
 	shares  *fairshare.Ledger
+	log     logging.Logger
 	// onFreeSlot is called when an agent reports that its target has a free slot for batch.
 	onFreeSlot func()
 
@@ -43,8 +45,8 @@
 	lastReport time.Time // when a failure of the target was last reported; guarded by agentLinks.mu
 }
 
-func newAgentLinks(cfg link.Config, addr func(string) string, view *fleet.View, tracker *quarantine.Tracker, shares *fairshare.Ledger) *agentLinks {
-	return &agentLinks{cfg: cfg, addr: addr, view: view, tracker: tracker, shares: shares, onFreeSlot: func() {}, links: make(map[string]*agentLink)}
+func newAgentLinks(cfg link.Config, addr func(string) string, view *fleet.View, tracker *quarantine.Tracker, shares *fairshare.Ledger, log logging.Logger) *agentLinks {
+	return &agentLinks{cfg: cfg, addr: addr, view: view, tracker: tracker, shares: shares, log: log, onFreeSlot: func() {}, links: make(map[string]*agentLink)}
 }
 
 // update opens and closes links so that the agents of the given targets are followed. When
@@ -85,6 +87,11 @@
 	go fairshare.Follow(ctx, l.peer, a.cfg.Node, in.ID, a.shares)
 	go seats.Watch(ctx, l.peer, in, func(load *wire.Load) {
 		a.view.UpdateLoad(time.Now(), in, loadReport(load))
+		var changes []balance.PaceChange
+		a.view.WithTable(func(t *balance.Table) { changes = t.TakePaceChanges() })
+		for _, c := range changes {
+			a.log.Info("target's usual pace changed", logging.F("instance", c.Instance), logging.F("was", c.Was), logging.F("pace", c.Pace))
+		}
 		if load.GetRoom()+load.GetSpare() > 0 {
 			a.onFreeSlot()
 		}
@@ -129,5 +136,7 @@
 // loadReport converts an agent's load message to a balance.Report.
 func loadReport(l *wire.Load) balance.Report {
 	return balance.Report{Active: int(l.GetActive()), Queued: int(l.GetQueued()), Batch: int(l.GetBatch()), Slots: int(l.GetSlots()),
-		FreeSeats: int(l.GetRoom()), UrgentSeats: int(l.GetSpare()), Unresponsive: l.GetSilent(), FailingEntries: int(l.GetWitnesses())}
+		FreeSeats: int(l.GetRoom()), UrgentSeats: int(l.GetSpare()), Unresponsive: l.GetSilent(), FailingEntries: int(l.GetWitnesses()),
+		TokenTime: time.Duration(l.GetTokenUs()) * time.Microsecond, UsualTokenTime: time.Duration(l.GetUsualTokenUs()) * time.Microsecond,
+		MemoryUsed: int(l.GetMemoryUsed()), MemoryTotal: int(l.GetMemoryTotal())}
 }
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -266,7 +266,7 @@
 	}
 	if s.isRetry && waitroom.MayBeLate(s.standing) && s.g.rooms.takeLate() {
 		c, ok := s.selectTarget(func(t *balance.Table) (balance.Choice, bool) {
-			return t.PickReported(time.Now(), s.service, s.tried, rand.Float64())
+			return t.PickReportedFor(time.Now(), s.needs(), s.tried, rand.Float64())
 		})
 		if ok {
 			return c, true
