--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -218,6 +218,7 @@
 		Shares: n.shares,
 		Log:    base.WithPrefix("online"), Metrics: n.metrics,
 	})
+	n.view.OnLoadChange(n.gateway.SlotsChanged)
 	n.view.OnTargetChange(func(all []targets.Instance) {
 		deps.Sender.Retain(all)
 		n.agentLinks.update(ctx, all)
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -104,14 +104,14 @@
 	s.tried[in.ID] = true
 	if !se.Sent {
 		s.possibleRuns--
-		if s.sends < maxSends {
+		if s.sends < maxSends && s.takeResend() {
 			s.logRetry("sent elsewhere; it never reached the target", in, "error", err.Error())
 			return tryNext
 		}
 		s.fail(NoTarget, retryAfterUnavailable)
 		return finished
 	}
-	if s.mayRetry() {
+	if s.mayResend() {
 		s.logRetry("sent again; its answer is lost", in, "error", err.Error())
 		return tryNext
 	}
@@ -128,7 +128,7 @@
 		reason = "other_instance"
 		s.g.view.MarkSuperseded(in.ID)
 	}
-	if s.sends < maxSends {
+	if s.sends < maxSends && s.takeResend() {
 		s.logRetry("sent elsewhere; the target did not run it", in, "why", reason)
 		return tryNext
 	}
@@ -283,7 +283,7 @@
 	if reason == Overload {
 		s.recordOverload()
 	}
-	s.outcome = string(reason)
+	s.outcome, s.retryIn = string(reason), retry
 	s.responder.Refuse(Refusal{Reason: reason, NotRun: s.possibleRuns == 0, RetryAfter: retry})
 }
 
@@ -305,6 +305,7 @@
 	m := s.g.metrics
 	m.Count("online_" + s.outcome)
 	if s.outcome == outcomeServed {
+		s.g.rooms.succeeded()
 		s.g.quarantine.RecordSuccess(s.req.Key)
 	}
 	now := time.Now()
@@ -323,5 +324,10 @@
 		logging.F("request", s.req.ID), logging.F("key", s.req.Key.String()), logging.F("route", s.route.Name), logging.F("outcome", s.outcome),
 		logging.F("workspace", s.req.Workspace), logging.F("instance", s.instance), logging.F("sends", s.sends), logging.F("events", s.lastEvent),
 		logging.F("returning", s.isRetry), logging.F("first_ms", firstMs), logging.F("aim_ms", s.route.FirstEventWithin.Milliseconds()), logging.F("took_ms", now.Sub(s.req.Arrived).Milliseconds()),
-		logging.F("load", s.choice.Load), logging.F("waiting", s.choice.Waiting), logging.F("among", s.choice.Candidates))
+		logging.F("load", s.choice.Load), logging.F("waiting", s.choice.Waiting), logging.F("among", s.choice.Candidates),
+		logging.F("load_age_ms", loadAgeMillis(s.choice)), logging.F("wait_estimate_ms", s.choice.Wait.Milliseconds()),
+		logging.F("rank", s.standing.Rank), logging.F("excess", s.standing.Excess),
+		logging.F("room_ms", s.roomTime.Milliseconds()), logging.F("room_estimate_ms", s.admission.Wait.Milliseconds()),
+		logging.F("room_spread_ms", s.admission.Spread.Milliseconds()), logging.F("room_allowance_ms", s.admission.Allowance.Milliseconds()),
+		logging.F("freed_per_s", s.freedRate), logging.F("retry_after_ms", s.retryIn.Milliseconds()))
 }
--- a/gateway/overload.go
+++ b/gateway/overload.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pumiceford/balance"
+	"pumiceford/waitroom"
 )
 
 // Limits of admission under overload.
@@ -16,9 +17,9 @@
 	maxWaitShare = 0.4
 	// minRetryAfterShare and maxRetryAfterShare bound the retry-after of a refused caller,
 	// as fractions of the time left until its deadline. The value is random, so that the
-	// callers of one burst do not return as the next; at least two thirds of the time are
-	// left to serve the retry.
-	minRetryAfterShare = 1.0 / 6
+	// callers of one burst do not return as the next. It is late, so that most return after
+	// the peak; at least two thirds of the time are left to serve the retry.
+	minRetryAfterShare = 1.0 / 4
 	maxRetryAfterShare = 1.0 / 3
 	// retryAfterNoDeadline is the retry-after of a caller that sends no deadline.
 	retryAfterNoDeadline = 300 * time.Millisecond
@@ -40,7 +41,19 @@
 	case s.isRetry || !s.hasDeadline || s.route.FirstEventWithin <= 0:
 		return c.QueueBelowLimit()
 	}
-	return c.FreeWithin(time.Duration(maxWaitShare * float64(s.route.FirstEventWithin)))
+	full := time.Duration(maxWaitShare * float64(s.route.FirstEventWithin))
+	return c.FreeWithin(waitroom.Allowance(full, s.standing))
+}
+
+// refuseOverload refuses a request that would have to wait too long in the best queue.
+func (s *requestState) refuseOverload(queue balance.Choice) {
+	s.choice = queue
+	if s.isRetry {
+		s.g.metrics.Count("refused_again")
+	} else {
+		s.g.metrics.Count("refused_first")
+	}
+	s.fail(Overload, s.retryAfter())
 }
 
 // retryAfter returns how long a refused caller should wait before it retries.
