Weak entries leave partitions of jobs to strong ones

Entries differ by seven times in power (0.109 to 0.8 of a core) and bore like duties: the store deals partitions evenly to the members of the group, and shards of rate limits and copies of the fleet follow the partitions. An entry now says what its host offers (settings "host", filled in by the platform), entries introduce themselves to the owners of partitions, and a weak one goes on standby while enough strong members are known (duties.Decide). It hands its partitions over like a process that stops, and joins again when a strong member is missing. Strain, measured from its processor time and live heap, makes an entry count half.

Ruled out: several member names for a strong entry (names are addresses that others dial) and an absolute floor in the settings (a fleet of weak entries would have no member). Without host settings, in alike fleets and while the store is silent nothing changes.

A group may list its last members as long as nobody joins; an entry on standby therefore asks one member whether it is there.

--- a/daemon/background.go
+++ b/daemon/background.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"pumiceford/duties"
 	"pumiceford/internal/wait"
 	"pumiceford/logging"
 )
@@ -32,7 +34,7 @@
 			n.peerPool.Fetch(ctx, n.view)
 		}
 		if now := time.Now(); now.After(next) {
-			next = now.Add(ownersInterval)
+			next = now.Add(n.ownersInterval())
 			if err := n.refreshPeers(ctx); err != nil {
 				n.metrics.Count("group_failures")
 				next = now.Add(ownersRetryInterval)
@@ -42,6 +44,14 @@
 	}
 }
 
+// ownersInterval returns the interval between two reads of the owners.
+func (n *entryNode) ownersInterval() time.Duration {
+	if n.duties.current() == duties.None {
+		return standbyOwnersInterval
+	}
+	return ownersInterval
+}
+
 // maintainCopies loads the fleet from a copy when the catalog and registry partitions
 // cannot be read at start-up. Afterwards it saves changes of the fleet to the copies, on
 // the process that runs copyPartition.
@@ -66,11 +76,12 @@
 		return err
 	}
 	n.routes.SetOwners(n.deps.JobsTopic, owners)
-	var addrs []string
-	for _, o := range owners {
-		addrs = append(addrs, o.Member)
-	}
-	n.peerPool.Set(append(addrs, n.set.Seeds...))
+	addrs := memberAddrs(owners)
+	n.ownersMu.Lock()
+	n.owners = addrs
+	n.ownersMu.Unlock()
+	n.peerPool.Set(slices.Concat(addrs, n.set.Seeds))
+	n.duties.update(ctx, addrs)
 	return nil
 }
 
--- /dev/null
+++ b/daemon/duties_test.go
@@ -0,0 +1,220 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pumiceford/catalog"
+	"pumiceford/duties"
+	"pumiceford/fleet"
+	"pumiceford/jobroute"
+	"pumiceford/jobstore"
+	"pumiceford/link"
+	"pumiceford/logging"
+	"pumiceford/metrics"
+	"pumiceford/peers"
+	"pumiceford/runner"
+	"pumiceford/settings"
+	"pumiceford/standin/sharedstore"
+	"pumiceford/store"
+	"pumiceford/targets"
+)
+
+const (
+	dutyPartitions = 8
+	strongCPU      = 0.8
+	weakCPU        = 0.109
+	// settleTime suffices for all entries to learn the strengths and to apply their decisions.
+	settleTime = 20 * time.Second
+	// takeOverBound is the longest time that partitions may be without a runner after the loss
+	// of all strong members: the time in which the group notices, as without duties, plus one
+	// read of the owners and one join with their pauses.
+	takeOverBound = 1600*time.Millisecond + standbyOwnersInterval + time.Second
+)
+
+type dutyDecoder struct{}
+
+func (dutyDecoder) CatalogKey() string { return "c" }
+
+func (dutyDecoder) Catalog([]byte) (*catalog.Catalog, error) {
+	return catalog.New(1, catalog.Limits{}, nil, nil), nil
+}
+
+func (dutyDecoder) Instance(id string, _ []byte) (targets.Instance, error) {
+	return targets.Instance{ID: id}, nil
+}
+
+// dutyFleet is a fleet of entries on one store that know each other's strengths.
+type dutyFleet struct {
+	store     *sharedstore.Store
+	mu        sync.Mutex // guards the maps
+	strengths map[string]duties.Strength
+	nodes     map[string]*entryNode
+	stops     map[string]context.CancelFunc
+}
+
+// start starts an entry that takes duties. A processor of 0 stands for settings without host.
+func (f *dutyFleet) start(ctx context.Context, name string, processor float64) {
+	ctx, cancel := context.WithCancel(ctx)
+	ms := metrics.New(name)
+	client := f.store.ClientFor(name)
+	set := &settings.Gateway{Peers: name, Store: settings.Store{Partitions: dutyPartitions}}
+	n := &entryNode{set: set, metrics: ms, deps: GatewayDeps{JobsTopic: "jobs"}}
+	n.view = fleet.NewView(dutyDecoder{}, 1, logging.Logger{}, ms)
+	n.view.CatalogSink().Reset([]store.Record{{Key: "c", Value: []byte("1")}})
+	n.view.TargetSink().Reset(nil)
+	n.store = store.NewFailover(client, func() []store.Peer { return nil })
+	n.jobs = jobstore.New(ctx, n.store, jobstore.Settings{Topic: "jobs", ProgressTopic: "progress", Partitions: dutyPartitions, MaxAppendBytes: 2 << 20, Retention: time.Minute}, logging.Logger{})
+	n.routes = jobroute.New(jobroute.Config{Self: name, Local: n.jobs, PartitionOf: n.jobs.PartitionOf, Metrics: ms})
+	n.peerPool = peers.NewPool(name, link.Config{}, nil)
+	n.runner = runner.New(runner.Config{Member: name, Group: jobGroup, Store: n.jobs, Groups: n.store, View: n.view, Metrics: ms, MaxRunning: 1})
+	n.duties = &dutyKeeper{self: name, strength: duties.Strength{CPUShare: processor}, partitions: dutyPartitions,
+		strengthOf: f.strength, setStandby: n.runner.SetStandby, metrics: ms, responds: f.responds}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.strengths[name] = n.duties.strength
+	f.nodes[name], f.stops[name] = n, cancel
+	go n.runner.Run(ctx)
+	go n.watchPeers(ctx)
+}
+
+func (f *dutyFleet) strength(addr string) duties.Strength {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.strengths[addr]
+}
+
+// responds stands in for a query of an entry.
+func (f *dutyFleet) responds(_ context.Context, addr string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.nodes[addr] != nil
+}
+
+// stop kills an entry.
+func (f *dutyFleet) stop(name string) {
+	f.stops[name]()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.nodes, name)
+}
+
+// unowned returns the partitions that no running entry runs.
+func (f *dutyFleet) unowned() (out []int) {
+	for p := range dutyPartitions {
+		owned := false
+		for _, n := range f.nodes {
+			owned = owned || n.runner.HasPartition(p)
+		}
+		if !owned {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// inDutyFleet runs fn with four entries of the first processor and two of the second.
+func inDutyFleet(t *testing.T, first, second float64, fn func(ctx context.Context, t *testing.T, f *dutyFleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := &dutyFleet{store: sharedstore.New(dutyPartitions), strengths: make(map[string]duties.Strength), nodes: make(map[string]*entryNode), stops: make(map[string]context.CancelFunc)}
+		for n := range 6 {
+			processor := first
+			if n >= 4 {
+				processor = second
+			}
+			f.start(ctx, fmt.Sprint("e", n), processor)
+		}
+		time.Sleep(settleTime)
+		fn(ctx, t, f)
+		cancel()
+		time.Sleep(time.Minute) // lets everything that still waits see the cancellation
+		synctest.Wait()
+	})
+}
+
+func (f *dutyFleet) checkLevel(t *testing.T, name string, want duties.Level) {
+	t.Helper()
+	if got := f.nodes[name].duties.current(); got != want {
+		t.Errorf("%s is at level %s, want %s", name, got, want)
+	}
+}
+
+// Guards against partitions without a runner when the strong members, to which weak entries
+// have left them, all fail at once.
+func TestWeakEntriesTakeOverFromLostStrongMembers(t *testing.T) {
+	inDutyFleet(t, strongCPU, weakCPU, func(_ context.Context, t *testing.T, f *dutyFleet) {
+		f.checkLevel(t, "e0", duties.Full)
+		f.checkLevel(t, "e4", duties.None)
+		if left := f.unowned(); len(left) > 0 || f.nodes["e4"].runner.HasPartition(0) || f.nodes["e5"].runner.HasPartition(0) {
+			t.Fatalf("partitions without a runner: %v; weak entries run partitions", left)
+		}
+		for n := range 4 {
+			f.stop(fmt.Sprint("e", n))
+		}
+		time.Sleep(takeOverBound)
+		if left := f.unowned(); len(left) > 0 {
+			t.Errorf("%s after the loss of all strong members partitions %v have no runner", takeOverBound, left)
+		}
+	})
+}
+
+// Guards against weak entries that stay away when too few strong members remain, and against
+// partitions without a runner meanwhile for longer than without duties.
+func TestWeakEntriesReturnWhenTooFewStrongMembersRemain(t *testing.T) {
+	inDutyFleet(t, strongCPU, weakCPU, func(ctx context.Context, t *testing.T, f *dutyFleet) {
+		f.stop("e0")
+		f.stop("e1")
+		time.Sleep(2500 * time.Millisecond) // the membership expires; members join each half second
+		if left := f.unowned(); len(left) > 0 {
+			t.Errorf("partitions %v have no runner although strong members are left", left)
+		}
+		time.Sleep(settleTime)
+		f.checkLevel(t, "e4", duties.Reduced)
+		f.start(ctx, "e6", strongCPU)
+		f.start(ctx, "e7", strongCPU)
+		time.Sleep(settleTime)
+		f.checkLevel(t, "e4", duties.None)
+	})
+}
+
+// Guards against changes while the store does not respond, when an entry cannot know who is
+// left.
+func TestDutiesStayWhileStoreIsSilent(t *testing.T) {
+	inDutyFleet(t, strongCPU, weakCPU, func(_ context.Context, t *testing.T, f *dutyFleet) {
+		for n := range 6 {
+			f.store.SetFault(fmt.Sprint("e", n), sharedstore.NoResponse)
+		}
+		time.Sleep(settleTime)
+		f.checkLevel(t, "e0", duties.Full)
+		f.checkLevel(t, "e4", duties.None)
+		if left := f.unowned(); len(left) > 0 {
+			t.Errorf("partitions %v lost their runner during the outage", left)
+		}
+	})
+}
+
+// Guards against a change for fleets whose entries are all weak, or whose settings do not say
+// what their hosts offer.
+func TestAlikeEntriesShareDutiesEvenly(t *testing.T) {
+	for _, processor := range []float64{weakCPU, 0} {
+		inDutyFleet(t, processor, processor, func(_ context.Context, t *testing.T, f *dutyFleet) {
+			for n := range 6 {
+				f.checkLevel(t, fmt.Sprint("e", n), duties.Full)
+			}
+		})
+	}
+}
+
+// Guards against an entry of unknown strength that steps down, or that others count as strong.
+func TestUnknownStrengthIsNotStrong(t *testing.T) {
+	inDutyFleet(t, 0, weakCPU, func(_ context.Context, t *testing.T, f *dutyFleet) {
+		f.checkLevel(t, "e0", duties.Full)
+		f.checkLevel(t, "e4", duties.Full)
+	})
+}
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -133,6 +133,8 @@
 	metrics    *metrics.Set
 	view       *fleet.View
 	peerPool   *peers.Pool
+	entries    *peers.Entries
+	duties     *dutyKeeper
 	store      *store.Failover
 	jobs       *jobstore.Store
 	routes     *jobroute.Router
@@ -149,6 +151,9 @@
 	copies     *fleet.Copies
 	tlsConf    *tls.Config
 	stopping   atomic.Bool
+
+	ownersMu sync.Mutex
+	owners   []string // members of jobGroup that own partitions, sorted
 }
 
 // RunGateway runs an entry on the users' platform until stop ends.
@@ -209,6 +214,11 @@
 		Headers: deps.ItemHeader, Work: deps.ItemWork, MaxRunning: maxRunningItems,
 	})
 	n.agentLinks.onFreeSlot = n.runner.Wake
+	n.entries = peers.NewEntries(set.Peers, strengthOf(&set.Host), linkCfg)
+	n.duties = &dutyKeeper{
+		self: set.Peers, strength: strengthOf(&set.Host), partitions: set.Store.Partitions,
+		strengthOf: n.entries.Strength, responds: n.entries.Responds, setStandby: n.runner.SetStandby, log: base.WithPrefix("duties"), metrics: ms,
+	}
 	n.setUpRateLimits(linkCfg, base.WithPrefix("limits"))
 	n.gateway = gateway.New(gateway.Config{
 		View: n.view, Sender: deps.Sender, Reserver: deps.Sender, FailureNotifier: n.agentLinks, Quarantine: n.quarantine,
@@ -242,7 +252,7 @@
 	g.Go(func() error { return serve(ctx, n.httpServer(n.deps.ReadyHandler(n.ready)), listeners[1]) })
 	peerServer := &peers.Server{
 		Store: n.deps.Store, View: n.view, Jobs: &jobroute.Server{Local: n.jobs, StoreUnavailable: n.store.Unreachable, HasDirectStore: n.store.DirectReachable},
-		Granter: n.granter, ActingSince: n.shards.Active,
+		Granter: n.granter, ActingSince: n.shards.Active, Entries: n.entries,
 	}
 	g.Go(func() error {
 		return link.Serve(ctx, listeners[2], link.Config{Node: n.set.Name, Handle: peerServer.Handle, TLS: n.tlsConf})
@@ -250,7 +260,7 @@
 	ops := opsHandler(n.metrics, n.quarantine)
 	ops.HandleFunc("GET /limits", n.limitsHandler)
 	g.Go(func() error { return serve(ctx, n.httpServer(ops), listeners[3]) })
-	for _, loop := range []func(context.Context){n.followStore, n.watchPeers, n.maintainCopies, n.expireTargets, n.keepKeyLease, n.shards.Run, n.runner.Run, n.quarantine.Run, n.archive.Run} {
+	for _, loop := range []func(context.Context){n.followStore, n.watchPeers, n.maintainCopies, n.expireTargets, n.keepKeyLease, n.introduce, n.observeUse, n.shards.Run, n.runner.Run, n.quarantine.Run, n.archive.Run} {
 		g.Go(func() error { loop(ctx); return nil })
 	}
 	g.Go(func() error { onReload(ctx, reloads, n.log, func() error { return n.reload(file) }); return nil })
--- a/daemon/limits.go
+++ b/daemon/limits.go
@@ -27,6 +27,7 @@
 		Self: n.set.Peers, Shards: count, Lease: shardLease, Log: n.store, Partition: store.Partition{Topic: n.deps.ShardsTopic},
 		Needed:  func() bool { c := n.view.Catalog(); return c != nil && c.RateLimited() },
 		Watches: n.runner.HasPartition, IsActing: grants.Acts, Clock: boottime.Now, Logger: out, Metrics: n.metrics,
+		Handicap: n.duties.shardHandicap,
 	})
 	tolerance := ratelimit.Tolerance{Window: n.set.Limits.WindowOrDefault(), Excess: n.set.Limits.Excess, Slack: n.set.Limits.Slack}
 	n.granter = ratelimit.NewGranter(ratelimit.GranterConfig{Tolerance: tolerance, Shards: count, Active: n.shards.Active, Clock: boottime.Now})
--- a/duties/duties_test.go
+++ b/duties/duties_test.go
@@ -129,3 +129,15 @@
 		}
 	}
 }
+
+func BenchmarkDecide(b *testing.B) {
+	members := make([]duties.Strength, 64)
+	for n := range members {
+		members[n] = duties.Strength{CPUShare: 0.8, LinkMbps: 600}
+	}
+	in := duties.Input{Self: duties.Strength{CPUShare: 0.109, LinkMbps: 22}, Members: members, Partitions: 64}
+	b.ReportAllocs()
+	for b.Loop() {
+		duties.Decide(duties.None, in)
+	}
+}
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -29,6 +29,8 @@
 	// ActingSince returns the time since which this process has acted for a shard, or
 	// false while it does not act for it.
 	ActingSince func(shard int) (since time.Duration, ok bool)
+	// Entries is what this entry knows of others.
+	Entries *Entries
 }
 
 // JobServer executes calls about jobs.
@@ -51,6 +53,9 @@
 	case call.GetGrant() != nil:
 		// A send fails only if the peer has disconnected.
 		_ = st.Send(s.grant(call.GetGrant()))
+	case call.GetEntry() != nil:
+		// A send fails only if the peer has disconnected.
+		_ = st.Send(s.Entries.Serve(call.GetEntry()))
 	case call.GetCatalog() != nil:
 		raw, recs := s.View.Export()
 		_ = st.Send(&wire.CatalogReply{Catalog: raw, Targets: store.ToWire(recs)})
--- a/runner/member.go
+++ b/runner/member.go
@@ -41,6 +41,14 @@
 func (r *Runner) membershipLoop(ctx context.Context) {
 	var generation uint64
 	for ctx.Err() == nil && !r.isLeaving() {
+		if r.standby.Load() {
+			r.stepDown(ctx)
+			generation = 0
+			for ctx.Err() == nil && r.standby.Load() && !r.isLeaving() {
+				_ = wait.For(ctx, joinInterval)
+			}
+			continue
+		}
 		m, err := r.cfg.Groups.Join(ctx, store.JoinRequest{
 			Group: r.cfg.Group, Member: r.cfg.Member, Topics: []string{r.cfg.Store.Topic()},
 			TTL: memberTTL, Generation: generation,
@@ -57,6 +65,24 @@
 	}
 }
 
+// SetStandby sets whether this process stays out of the group. On standby it hands its
+// partitions over to the members; it joins again within joinInterval.
+func (r *Runner) SetStandby(standby bool) {
+	r.standby.Store(standby)
+}
+
+// stepDown hands all partitions over and leaves the group. If the store does not respond,
+// the membership expires after memberTTL.
+func (r *Runner) stepDown(ctx context.Context) {
+	r.assign(ctx, store.Membership{})
+	leaveCtx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	if err := r.cfg.Groups.Leave(leaveCtx, r.cfg.Group, r.cfg.Member); err != nil {
+		r.cfg.Metrics.Count("group_failures")
+		r.cfg.Log.Warn("leaving the group failed; the membership expires on its own", logging.F("error", err.Error()))
+	}
+}
+
 // HasPartition reports whether a partition is assigned to this process.
 func (r *Runner) HasPartition(part int) bool {
 	r.mu.Lock()
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -108,6 +109,7 @@
 	finished      map[int][]jobs.Outcome // outcomes to be listed, by home partition
 	unlistedBytes int                    // size of the results that are not listed yet
 	leaving       bool
+	standby       atomic.Bool
 	wake          chan struct{}
 	wakeLister    chan struct{}
 }
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -308,6 +308,45 @@
 	})
 }
 
+// Guards against items that are lost, run twice or restart from their first event when a
+// process goes on standby, and against a process that does not return from it.
+func TestStandbyHandsItemsOverAndReturns(t *testing.T) {
+	inBubble(t, func(ctx context.Context, t *testing.T, s *sharedstore.Store, e *engine) {
+		a := startNode(ctx, s, e, "a")
+		b := startNode(ctx, s, e, "b")
+		time.Sleep(joinTime)
+		for n := range 4 {
+			acceptJob(ctx, t, a, fmt.Sprint("job", n), 1)
+		}
+		time.Sleep(itemDuration / 2)
+		a.runner.SetStandby(true)
+		time.Sleep(2 * itemDuration)
+		for part := range parts {
+			if a.runner.HasPartition(part) || !b.runner.HasPartition(part) {
+				t.Fatalf("partition %d: on standby it is assigned %v, at the member %v", part, a.runner.HasPartition(part), b.runner.HasPartition(part))
+			}
+		}
+		for n := range 4 {
+			checkFinished(ctx, t, b, fmt.Sprint("job", n), 1)
+			fromStart := 0
+			for _, after := range e.runs(fmt.Sprint("job", n, "-0")) {
+				if after == 0 {
+					fromStart++
+				}
+			}
+			if fromStart != 1 {
+				t.Errorf("job%d started from the first event %d times, want 1", n, fromStart)
+			}
+		}
+		a.runner.SetStandby(false)
+		b.stop()
+		time.Sleep(joinTime)
+		acceptJob(ctx, t, a, "late", 2)
+		time.Sleep(2 * itemDuration)
+		checkFinished(ctx, t, a, "late", 2)
+	})
+}
+
 // Guards against items that run twice at each restart of an entry: partitions move to a new
 // member while their items run, and the old runner continues as well.
 func TestReassignedPartitionIsNotRunTwice(t *testing.T) {
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -47,6 +47,34 @@
 	return out
 }
 
+// Host says what the host offers to the entry. A value of 0 is unknown.
+type Host struct {
+	CPUShare float64 `json:"cpu_share"` // share of a core
+	Cores    float64 `json:"cores"`     // speed of that core relative to a usual one; default 1
+	LinkMbps float64 `json:"link_mbps"` // of the host's own link
+}
+
+func (h *Host) check() []Problem {
+	var out []Problem
+	for _, f := range []struct {
+		name  string
+		value float64
+	}{{"host.cpu_share", h.CPUShare}, {"host.cores", h.Cores}, {"host.link_mbps", h.LinkMbps}} {
+		if f.value < 0 {
+			out = append(out, Problem{f.name, "expected 0 or more"})
+		}
+	}
+	return out
+}
+
+// Processor returns the processor of the host in usual cores, 0 if it is unknown.
+func (h *Host) Processor() float64 {
+	if h.Cores == 0 {
+		return h.CPUShare
+	}
+	return h.CPUShare * h.Cores
+}
+
 // defaultLimitWindow is the default of RateLimits.Window.
 const defaultLimitWindow = Duration(5 * time.Second)
 
@@ -79,6 +107,9 @@
 	// StopWithin is the time from the platform's stop signal until it kills the process.
 	StopWithin Duration `json:"stop_within"`
 	MemoryMB   int      `json:"memory_mb"` // memory limit of this process in MiB
+	// Host decides which duties of the fleet the entry takes, compared to other entries.
+	// Without cpu_share it takes all.
+	Host Host `json:"host"`
 	// PlainPeers allows connections between the processes without TLS on addresses
 	// other than loopback, for isolated networks.
 	PlainPeers bool `json:"plain_peers"`
@@ -99,6 +130,7 @@
 	}
 	out = append(out, checkPort("agent_port", g.AgentPort)...)
 	out = append(out, g.Limits.check()...)
+	out = append(out, g.Host.check()...)
 	out = append(out, g.Store.check()...)
 	const minStopWithin = Duration(2 * time.Second) // running streams take about 1 s to end
 	if g.StopWithin < minStopWithin {
--- a/settings/gateway_test.go
+++ b/settings/gateway_test.go
@@ -4,6 +4,8 @@
 	"os"
 	"strings"
 	"testing"
+
+	"github.com/cockroachdb/errors"
 )
 
 // One error names all problems of a file, so that an operator can correct them at once.
@@ -61,3 +63,34 @@
 		t.Errorf("agent address for an invalid target is %q, want \"\"", got)
 	}
 }
+
+// What a host offers is optional. Guards against a wrong value that passes the check, which
+// would leave the entry without duties.
+func TestGatewayHost(t *testing.T) {
+	good, err := os.ReadFile("../examples/gateway.hujson")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var set Gateway
+	for _, c := range []struct {
+		host      string
+		processor float64
+	}{{`{}`, 0}, {`{"cpu_share": 0.5}`, 0.5}, {`{"cpu_share": 0.5, "cores": 2, "link_mbps": 22}`, 1}} {
+		set = Gateway{}
+		file := strings.Replace(string(good), `{"cpu_share": 0.8, "cores": 1, "link_mbps": 1000}`, c.host, 1)
+		if err := Parse("x", []byte(file), &set); err != nil || set.Host.Processor() != c.processor {
+			t.Errorf("host %s: processor %g, error %v, want %g", c.host, set.Host.Processor(), err, c.processor)
+		}
+	}
+	bad := strings.Replace(string(good), `{"cpu_share": 0.8, "cores": 1, "link_mbps": 1000}`, `{"cpu_share": -1, "cores": -1, "link_mbps": -1}`, 1)
+	err = Parse("x", []byte(bad), &Gateway{})
+	var all Errors
+	if !errors.As(err, &all) || len(all) != 3 || all[0].Field != "host.cpu_share" || all[0].Line == 0 {
+		t.Errorf("got %v, want a typed problem with its line for each of the three fields", err)
+	}
+	typed := strings.Replace(string(good), `"cpu_share": 0.8`, `"cpu_share": "half"`, 1)
+	var one *Error
+	if err := Parse("x", []byte(typed), &Gateway{}); !errors.As(err, &one) || !strings.Contains(one.Field, "cpu_share") {
+		t.Errorf("got %v, want a typed problem of cpu_share", err)
+	}
+}
--- a/shards/manager.go
+++ b/shards/manager.go
@@ -68,6 +68,9 @@
 	Clock   func() time.Duration
 	Logger  logging.Logger
 	Metrics *metrics.Set
+	// Handicap is the number of shards that the process counts in addition to those that it
+	// owns when it waits before it takes another one. nil counts none.
+	Handicap func() int
 }
 
 // Manager takes, renews and releases the shards of a process. It is safe for concurrent use.
@@ -171,12 +174,21 @@
 		changed := m.changed()
 		m.take(ctx, m.watchedOwners(), nil)
 		wait.ForChange(ctx, changed, unownedCheckInterval)
-		if wait.For(ctx, rand.N(maxWriteJitter)+time.Duration(len(m.owned()))*claimSpacing) != nil {
+		if wait.For(ctx, rand.N(maxWriteJitter)+m.claimPause()) != nil {
 			return
 		}
 	}
 }
 
+// claimPause returns the wait before this process takes another shard.
+func (m *Manager) claimPause() time.Duration {
+	counted := len(m.owned())
+	if m.cfg.Handicap != nil {
+		counted += m.cfg.Handicap()
+	}
+	return time.Duration(counted) * claimSpacing
+}
+
 // owned returns the shards that this process owns.
 func (m *Manager) owned() (out []int) {
 	m.viewTable(func(t *Table, _ int64) { out = t.Owned() })
--- a/shards/manager_test.go
+++ b/shards/manager_test.go
@@ -286,3 +286,36 @@
 		})
 	}
 }
+
+// Guards against a weak process that takes shards as fast as the others.
+func TestHandicappedProcessTakesShardsLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s, started := sharedstore.New(1), time.Now()
+		start := func(name string, handicap int) *shards.Manager {
+			m := shards.NewManager(shards.Config{
+				Self: name, Shards: shardCount, Lease: lease, Log: s.ClientFor(name), Partition: store.Partition{Topic: "shards"},
+				Needed: func() bool { return true }, Watches: func(int) bool { return true },
+				IsActing: func(context.Context, string, int) (bool, bool) { return true, true },
+				Clock:    func() time.Duration { return time.Since(started) }, Metrics: metrics.New(name),
+				Handicap: func() int { return handicap },
+			})
+			go m.Run(ctx)
+			return m
+		}
+		leaving := start("leaving", 0)
+		time.Sleep(4 * lease)
+		weak, strong := start("weak", 4), start("strong", 0)
+		time.Sleep(lease)
+		leaving.Leave(ctx)
+		time.Sleep(lease)
+		for n := range shardCount {
+			if owner := strong.Owner(n); owner != "strong" || weak.Owner(n) != owner {
+				t.Errorf("shard %d belongs to %q, want strong", n, owner)
+			}
+		}
+		cancel()
+		time.Sleep(time.Minute) // lets everything that still waits see the cancellation
+		synctest.Wait()
+	})
+}
