pumice shares and pumice targets: what the whole fleet holds, waits for and refuses

Operators could not ask who holds the room, who waits, who is refused and why, and which targets are slow. Each entry counts refusals by workspace and reason in a bounded table; the asked entry collects the reports of all entries that it or they know, merges them, and names those that did not answer.

The gateway records in the ledger the slots that its requests hold (Begin and End around each attempt); items and waiting requests are left to the parts that decide on them.

Ruled out: pushing tables between entries (460 MB/s at 340 entries) and writing them to the store. Shown red: without the reports of other entries TestOperatorsSeeWholeFleet does not see the refusals of the other entry.

--- a/cmd/pumice/main.go
+++ b/cmd/pumice/main.go
@@ -99,6 +99,8 @@
 	Losses      *lossesCmd     `arg:"subcommand:losses" help:"count late and failed requests, jobs and items in logs by cause"`
 	Quarantine  *quarantineCmd `arg:"subcommand:quarantine" help:"list requests suspected of crashing targets or held in quarantine, or clear one"`
 	Limits      *limitsCmd     `arg:"subcommand:limits" help:"show the rate limits that an entry grants and the request rates of its callers"`
+	Shares      *sharesCmd     `arg:"subcommand:shares" help:"show which workspaces hold slots, wait and are refused, over all entries"`
+	Targets     *targetsCmd    `arg:"subcommand:targets" help:"show the pace, room and state of all targets"`
 	Chat        *chatCmd       `arg:"subcommand:chat" help:"send an online request and stream the response"`
 	Submit      *submitCmd     `arg:"subcommand:submit" help:"submit a batch job"`
 	Jobs        *jobsCmd       `arg:"subcommand:jobs" help:"list batch jobs"`
@@ -147,6 +149,10 @@
 		return runQuarantine(ctx, a.Quarantine)
 	case a.Limits != nil:
 		return runLimits(ctx, a.Limits)
+	case a.Shares != nil:
+		return runShares(ctx, a.Shares)
+	case a.Targets != nil:
+		return runTargets(ctx, a.Targets)
 	case a.Chat != nil:
 		return runChat(ctx, a.Chat)
 	case a.Submit != nil:
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -18,6 +18,7 @@
 	"pumiceford/catalog"
 	"pumiceford/estimate"
 	"pumiceford/exchange"
+	"pumiceford/fairshare"
 	"pumiceford/fleet"
 	"pumiceford/gateway"
 	"pumiceford/internal/boottime"
@@ -32,6 +33,7 @@
 	"pumiceford/peers"
 	"pumiceford/quarantine"
 	"pumiceford/ratelimit"
+	"pumiceford/refusals"
 	"pumiceford/runner"
 	"pumiceford/settings"
 	"pumiceford/shards"
@@ -127,13 +129,17 @@
 
 // entryNode is one running entry.
 type entryNode struct {
-	set        *settings.Gateway
-	deps       GatewayDeps
-	log        logging.Logger
-	metrics    *metrics.Set
-	view       *fleet.View
-	peerPool   *peers.Pool
-	entries    *peers.Entries
+	set      *settings.Gateway
+	deps     GatewayDeps
+	log      logging.Logger
+	metrics  *metrics.Set
+	view     *fleet.View
+	peerPool *peers.Pool
+	entries  *peers.Entries
+	refusals *refusals.Table
+	// usage returns the account of slots by workspace.
+	usage      func(now time.Time) []fairshare.Row
+	collecting chan struct{} // capacity 1; held while reports of other entries are collected
 	duties     *dutyKeeper
 	store      *store.Failover
 	jobs       *jobstore.Store
@@ -215,13 +221,15 @@
 	})
 	n.agentLinks.onFreeSlot = n.runner.Wake
 	n.entries = peers.NewEntries(set.Peers, strengthOf(&set.Host), linkCfg)
+	ledger := fairshare.NewLedger()
+	n.setUpReports(ledger)
 	n.duties = &dutyKeeper{
 		self: set.Peers, strength: strengthOf(&set.Host), partitions: set.Store.Partitions,
 		strengthOf: n.entries.Strength, responds: n.entries.Responds, setStandby: n.runner.SetStandby, log: base.WithPrefix("duties"), metrics: ms,
 	}
 	n.setUpRateLimits(linkCfg, base.WithPrefix("limits"))
 	n.gateway = gateway.New(gateway.Config{
-		View: n.view, Sender: deps.Sender, Reserver: deps.Sender, FailureNotifier: n.agentLinks, Quarantine: n.quarantine,
+		View: n.view, Sender: deps.Sender, Reserver: deps.Sender, FailureNotifier: n.agentLinks, Quarantine: n.quarantine, Ledger: ledger, Refusals: n.refusals,
 		Log: base.WithPrefix("online"), Metrics: n.metrics,
 	})
 	n.view.OnTargetChange(func(all []targets.Instance) {
@@ -259,6 +267,8 @@
 	})
 	ops := opsHandler(n.metrics, n.quarantine)
 	ops.HandleFunc("GET /limits", n.limitsHandler)
+	ops.HandleFunc("GET /shares", n.sharesHandler)
+	ops.HandleFunc("GET /targets", n.targetsHandler)
 	g.Go(func() error { return serve(ctx, n.httpServer(ops), listeners[3]) })
 	for _, loop := range []func(context.Context){n.followStore, n.watchPeers, n.maintainCopies, n.expireTargets, n.keepKeyLease, n.introduce, n.observeUse, n.shards.Run, n.runner.Run, n.quarantine.Run, n.archive.Run} {
 		g.Go(func() error { loop(ctx); return nil })
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -79,6 +79,9 @@
 // outcomeServed is the outcome of a request whose response was relayed to its end.
 const outcomeServed = "served"
 
+// outcomeCallerLeft is the outcome of a request whose caller has disconnected.
+const outcomeCallerLeft = "caller_left"
+
 // handleSendError decides what to do after a send without a usable response.
 func (s *requestState) handleSendError(in targets.Instance, err error) step {
 	var se *exchange.SendError
@@ -288,7 +291,7 @@
 // when a handler returns without writing, the HTTP library sends an empty success, which a
 // caller that has only closed its sending half would take for the response.
 func (s *requestState) callerDisconnected() {
-	s.outcome = "caller_left"
+	s.outcome = outcomeCallerLeft
 	s.responder.Abort()
 }
 
@@ -301,10 +304,14 @@
 func (s *requestState) report() {
 	m := s.g.metrics
 	m.Count("online_" + s.outcome)
-	if s.outcome == outcomeServed {
+	now := time.Now()
+	switch s.outcome {
+	case outcomeServed:
 		s.g.quarantine.RecordSuccess(s.req.Key)
+	case outcomeCallerLeft:
+	default:
+		s.g.refusals.Count(now, s.req.Workspace, s.outcome)
 	}
-	now := time.Now()
 	s.observeHoldTime(now)
 	m.Observe("online", s.route.Name, now.Sub(s.req.Arrived))
 	if s.req.Workspace != "" {
--- a/gateway/denied.go
+++ b/gateway/denied.go
@@ -22,17 +22,21 @@
 	var stale *access.StaleError
 	var over *ratelimit.OverLimitError
 	var ungranted *ratelimit.NoGrantError
+	workspace := ""
 	switch {
 	case errors.As(err, &stale):
 		r.Reason, r.RetryAfter = StaleConfiguration, stale.RetryAfter()
 	case errors.Is(err, access.ErrUnknownKey):
 		r.Reason, r.RetryAfter = UnknownKey, 0
 	case errors.As(err, &over):
+		workspace = over.Workspace
 		r.Reason, r.RetryAfter = OverLimit, over.RetryAfter+rand.N(overLimitJitter)
 	case errors.As(err, &ungranted):
+		workspace = ungranted.Workspace
 		r.Reason, r.RetryAfter = LimitUnknown, ungranted.RetryAfter()
 	}
 	g.metrics.Count("online_" + string(r.Reason))
+	g.refusals.Count(time.Now(), workspace, string(r.Reason))
 	g.log.Info("request refused", logging.F("request", id), logging.F("outcome", r.Reason),
 		logging.F("error", err.Error()), logging.F("catalog", g.version()))
 	return r
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"pumiceford/logging"
 	"pumiceford/metrics"
 	"pumiceford/quarantine"
+	"pumiceford/refusals"
 	"pumiceford/targets"
 )
 
@@ -119,8 +120,12 @@
 	Reserver        exchange.Reserver
 	FailureNotifier FailureNotifier
 	Quarantine      *quarantine.Tracker
-	Log             logging.Logger
-	Metrics         *metrics.Set
+	// Ledger accounts the slots in use; nil stands for one that nobody reads.
+	Ledger *fairshare.Ledger
+	// Refusals counts refused and failed requests; nil counts none.
+	Refusals *refusals.Table
+	Log      logging.Logger
+	Metrics  *metrics.Set
 }
 
 // Gateway serves requests. Its methods are safe for concurrent use.
@@ -130,6 +135,8 @@
 	reserver   exchange.Reserver
 	notifier   FailureNotifier
 	quarantine *quarantine.Tracker
+	ledger     *fairshare.Ledger
+	refusals   *refusals.Table
 	log        logging.Logger
 	metrics    *metrics.Set
 	started    time.Time
@@ -138,8 +145,11 @@
 
 // New returns a Gateway.
 func New(cfg Config) *Gateway {
+	if cfg.Ledger == nil {
+		cfg.Ledger = fairshare.NewLedger()
+	}
 	return &Gateway{
-		view: cfg.View, sender: cfg.Sender, reserver: cfg.Reserver, notifier: cfg.FailureNotifier, quarantine: cfg.Quarantine,
+		view: cfg.View, sender: cfg.Sender, reserver: cfg.Reserver, notifier: cfg.FailureNotifier, quarantine: cfg.Quarantine, ledger: cfg.Ledger, refusals: cfg.Refusals,
 		log: cfg.Log, metrics: cfg.Metrics, started: time.Now(), timeouts: newTimeoutTracker(),
 	}
 }
@@ -151,6 +161,7 @@
 	route, refusal := g.route(ctx, host, path)
 	if refusal != nil {
 		g.metrics.Count("online_" + string(refusal.Reason))
+		g.refusals.Count(time.Now(), "", string(refusal.Reason))
 		g.log.Info("request refused", logging.F("request", id), logging.F("outcome", refusal.Reason),
 			logging.F("host", host), logging.F("path", path), logging.F("catalog", g.version()))
 	}
@@ -311,7 +322,9 @@
 
 // attempt sends the request to one target and relays the response.
 func (s *requestState) attempt(c balance.Choice) step {
+	s.g.ledger.Begin(time.Now(), s.req.Holder)
 	defer func() {
+		s.g.ledger.End(time.Now(), s.req.Holder)
 		// The connection cannot be reused when the response was not read to its end.
 		reusable := s.outcome == outcomeServed
 		s.g.view.WithTable(func(t *balance.Table) { t.OnlineEnded(time.Now(), c.Instance.ID, reusable) })
