gateway: lines about refusals are bounded, and count what they leave out

A flood of refused requests (over a limit, unknown keys) cost most for its log lines, and lines beyond 600 a second displaced those of served requests.

Ruled out by reading: a lock held during I/O, and store reads for unknown keys (bounded by minRefreshInterval).

--- a/gateway/denied.go
+++ b/gateway/denied.go
@@ -35,9 +35,9 @@
 		workspace = ungranted.Workspace
 		r.Reason, r.RetryAfter = LimitUnknown, ungranted.RetryAfter()
 	}
-	g.metrics.Count("online_" + string(r.Reason))
-	g.refusals.Count(time.Now(), workspace, string(r.Reason))
-	g.log.Info("request refused", logging.F("request", id), logging.F("outcome", r.Reason),
-		logging.F("error", err.Error()), logging.F("catalog", g.version()))
+	if g.recordRefusal(workspace, r.Reason) {
+		g.log.Info("request refused", logging.F("request", id), logging.F("outcome", r.Reason),
+			logging.F("error", err.Error()), logging.F("catalog", g.version()))
+	}
 	return r
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -138,6 +138,7 @@
 	ledger     *fairshare.Ledger
 	refusals   *refusals.Table
 	log        logging.Logger
+	refusalLog *refusalLog
 	metrics    *metrics.Set
 	started    time.Time
 	timeouts   *timeoutTracker
@@ -149,7 +150,7 @@
 		cfg.Ledger = fairshare.NewLedger()
 	}
 	return &Gateway{
-		view: cfg.View, sender: cfg.Sender, reserver: cfg.Reserver, notifier: cfg.FailureNotifier, quarantine: cfg.Quarantine, ledger: cfg.Ledger, refusals: cfg.Refusals,
+		view: cfg.View, sender: cfg.Sender, reserver: cfg.Reserver, notifier: cfg.FailureNotifier, quarantine: cfg.Quarantine, ledger: cfg.Ledger, refusals: cfg.Refusals, refusalLog: &refusalLog{log: cfg.Log},
 		log: cfg.Log, metrics: cfg.Metrics, started: time.Now(), timeouts: newTimeoutTracker(),
 	}
 }
@@ -160,14 +161,23 @@
 func (g *Gateway) Route(ctx context.Context, id, host, path string) (*catalog.Route, *Refusal) {
 	route, refusal := g.route(ctx, host, path)
 	if refusal != nil {
-		g.metrics.Count("online_" + string(refusal.Reason))
-		g.refusals.Count(time.Now(), "", string(refusal.Reason))
-		g.log.Info("request refused", logging.F("request", id), logging.F("outcome", refusal.Reason),
-			logging.F("host", host), logging.F("path", path), logging.F("catalog", g.version()))
+		if g.recordRefusal("", refusal.Reason) {
+			g.log.Info("request refused", logging.F("request", id), logging.F("outcome", refusal.Reason),
+				logging.F("host", host), logging.F("path", path), logging.F("catalog", g.version()))
+		}
 	}
 	return route, refusal
 }
 
+// recordRefusal counts a refusal of a request that was not served. It reports whether the
+// caller has to log it; if not, it is part of a line with a count.
+func (g *Gateway) recordRefusal(workspace string, reason Reason) (listed bool) {
+	now := time.Now()
+	g.metrics.Count("online_" + string(reason))
+	g.refusals.Count(now, workspace, string(reason))
+	return g.refusalLog.listed(now, workspace, reason)
+}
+
 // version returns the version of the catalog in force, -1 while none is loaded.
 func (g *Gateway) version() int64 {
 	if c := g.view.Catalog(); c != nil {
--- a/losses/losses.go
+++ b/losses/losses.go
@@ -65,6 +65,9 @@
 	Jobs     int    `json:"jobs"`
 	Items    int    `json:"items"` // with a listed result
 	Losses   []Loss `json:"losses"`
+	// Unlisted counts refusals that lines count without their requests. A request that was
+	// refused several times counts each time, also if it was served in the end.
+	Unlisted map[Cause]int `json:"unlisted,omitempty"`
 }
 
 // maxAcceptTime is how long the acceptance of a job may take before it counts as late: the
--- a/losses/losses_test.go
+++ b/losses/losses_test.go
@@ -122,3 +122,18 @@
 		t.Fatal(err)
 	}
 }
+
+// Guards against refusals of a flood that a report leaves out because no line has their
+// requests.
+func TestCountedRefusals(t *testing.T) {
+	r := findLosses(t, `01.0 e "message":"online: requests refused","workspace":"w","others":false,"outcome":"over_limit","count":40`,
+		`02.0 e "message":"online: requests refused","workspace":"","others":true,"outcome":"over_limit","count":2`,
+		`02.0 e "message":"online: requests refused","workspace":"","others":false,"outcome":"unknown_key","count":5`)
+	if len(r.Losses) != 0 || r.Unlisted[losses.OverLimit] != 42 || r.Unlisted[losses.UnknownKey] != 5 {
+		t.Errorf("losses %v, only counted %v", r.Losses, r.Unlisted)
+	}
+	var out strings.Builder
+	if err := r.Write(&out); err != nil || !strings.Contains(out.String(), "over its limit, only counted  42") {
+		t.Errorf("error %v, report:\n%s", err, out.String())
+	}
+}
--- a/losses/online.go
+++ b/losses/online.go
@@ -25,10 +25,11 @@
 type online struct {
 	requests map[string]*request
 	order    []string
+	unlisted map[Cause]int // refusals that lines count without their requests
 }
 
 func newOnline() *online {
-	return &online{requests: make(map[string]*request)}
+	return &online{requests: make(map[string]*request), unlisted: make(map[Cause]int)}
 }
 
 func (o *online) get(id string) *request {
@@ -44,6 +45,10 @@
 func (o *online) addLine(l explain.Line) {
 	id := stringField(l, "request")
 	message, ok := strings.CutPrefix(l.Message, "online: ")
+	if message == "requests refused" {
+		o.unlisted[outcomeCause(stringField(l, "outcome"))] += int(intField(l, "count"))
+		return
+	}
 	if id == "" || !ok {
 		return
 	}
@@ -77,6 +82,9 @@
 
 func (o *online) report(r *Report) {
 	r.Requests = len(o.order)
+	if len(o.unlisted) > 0 {
+		r.Unlisted = o.unlisted
+	}
 	for _, id := range o.order {
 		q := o.requests[id]
 		if c, lost, at := q.loss(); c != "" {
@@ -93,6 +101,14 @@
 	"lost": ResponseLost, "cut_lost": ResponseLost, "timed_out": DeadlineExceeded, "cut_timed_out": DeadlineExceeded,
 }
 
+// outcomeCause returns the cause of an outcome other than served.
+func outcomeCause(outcome string) Cause {
+	if c, ok := causeByOutcome[outcome]; ok {
+		return c
+	}
+	return OtherOnline
+}
+
 // loss returns the cause, the delay and the time of a loss. The cause is "" if the request
 // was served in time or its caller left.
 func (q *request) loss() (Cause, time.Duration, time.Time) {
@@ -102,10 +118,7 @@
 	case q.outcome == "caller_left":
 		return "", 0, q.endedAt
 	case q.outcome != "served":
-		if c, ok := causeByOutcome[q.outcome]; ok {
-			return c, 0, q.endedAt
-		}
-		return OtherOnline, 0, q.endedAt
+		return outcomeCause(q.outcome), 0, q.endedAt
 	case q.firstWithin <= 0 || q.timeToFirst <= q.firstWithin:
 		return "", 0, q.endedAt
 	}
--- a/losses/write.go
+++ b/losses/write.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -23,6 +25,9 @@
 	for _, s := range r.ByCause() {
 		_, _ = fmt.Fprintf(t, "%s\t%d\t%.1f\t%s\t%s\n", s.Cause, s.Count, float64(s.LostMs)/1000, strings.Join(s.Seconds, ", "), s.Example)
 	}
+	for _, c := range slices.Sorted(maps.Keys(r.Unlisted)) {
+		_, _ = fmt.Fprintf(t, "%s, only counted\t%d\t\t\t\n", c, r.Unlisted[c])
+	}
 	return t.Flush()
 }
 
