--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -221,15 +221,14 @@
 	})
 	n.agentLinks.onFreeSlot = n.runner.Wake
 	n.entries = peers.NewEntries(set.Peers, strengthOf(&set.Host), linkCfg)
-	ledger := fairshare.NewLedger()
-	n.setUpReports(ledger)
+	n.setUpReports(fairshare.NewLedger())
 	n.duties = &dutyKeeper{
 		self: set.Peers, strength: strengthOf(&set.Host), partitions: set.Store.Partitions,
 		strengthOf: n.entries.Strength, responds: n.entries.Responds, setStandby: n.runner.SetStandby, log: base.WithPrefix("duties"), metrics: ms,
 	}
 	n.setUpRateLimits(linkCfg, base.WithPrefix("limits"))
 	n.gateway = gateway.New(gateway.Config{
-		View: n.view, Sender: deps.Sender, Reserver: deps.Sender, FailureNotifier: n.agentLinks, Quarantine: n.quarantine, Ledger: ledger, Refusals: n.refusals,
+		View: n.view, Sender: deps.Sender, Reserver: deps.Sender, FailureNotifier: n.agentLinks, Quarantine: n.quarantine, Refusals: n.refusals,
 		Log: base.WithPrefix("online"), Metrics: n.metrics,
 	})
 	n.view.OnTargetChange(func(all []targets.Instance) {
--- a/daemon/reports.go
+++ b/daemon/reports.go
@@ -32,9 +32,9 @@
 	n.entries.Report = func(name string) []byte {
 		switch name {
 		case opview.ReportShares:
-			return encodeReport(n.shares())
+			return encodeReport(n.ownShares())
 		case opview.ReportTargets:
-			return encodeReport(n.targetStatus())
+			return encodeReport(n.ownTargets())
 		}
 		return nil
 	}
@@ -49,8 +49,8 @@
 	return raw
 }
 
-// shares returns the report on workspaces of this entry.
-func (n *entryNode) shares() opview.Shares {
+// ownShares returns the report on workspaces of this entry.
+func (n *entryNode) ownShares() opview.Shares {
 	now := time.Now()
 	return opview.NewShares(now, n.usage(now), n.refusals, workspaceLimit(n.view.Catalog()))
 }
@@ -70,8 +70,8 @@
 	}
 }
 
-// targetStatus returns the report on targets of this entry.
-func (n *entryNode) targetStatus() opview.Targets {
+// ownTargets returns the report on targets of this entry.
+func (n *entryNode) ownTargets() opview.Targets {
 	now := time.Now()
 	var all []balance.TargetStatus
 	n.view.WithTable(func(t *balance.Table) { all = t.Snapshot(now) })
@@ -81,14 +81,14 @@
 // sharesHandler serves the SharesReport of the fleet as JSON.
 func (n *entryNode) sharesHandler(w http.ResponseWriter, r *http.Request) {
 	var report SharesReport
-	report.Shares, report.Coverage = collect(r.Context(), n, n.shares(), opview.ReportShares, opview.MergeShares)
+	report.Shares, report.Coverage = collect(r.Context(), n, n.ownShares(), opview.ReportShares, opview.MergeShares)
 	writeReport(w, report)
 }
 
 // targetsHandler serves the TargetsReport of the fleet as JSON.
 func (n *entryNode) targetsHandler(w http.ResponseWriter, r *http.Request) {
 	var report TargetsReport
-	report.Targets, report.Coverage = collect(r.Context(), n, n.targetStatus(), opview.ReportTargets, opview.MergeTargets)
+	report.Targets, report.Coverage = collect(r.Context(), n, n.ownTargets(), opview.ReportTargets, opview.MergeTargets)
 	writeReport(w, report)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -120,8 +120,6 @@
 	Reserver        exchange.Reserver
 	FailureNotifier FailureNotifier
 	Quarantine      *quarantine.Tracker
-	// Ledger accounts the slots in use; nil stands for one that nobody reads.
-	Ledger *fairshare.Ledger
 	// Refusals counts refused and failed requests; nil counts none.
 	Refusals *refusals.Table
 	Log      logging.Logger
@@ -135,7 +133,6 @@
 	reserver   exchange.Reserver
 	notifier   FailureNotifier
 	quarantine *quarantine.Tracker
-	ledger     *fairshare.Ledger
 	refusals   *refusals.Table
 	log        logging.Logger
 	refusalLog *refusalLog
@@ -146,11 +143,8 @@
 
 // New returns a Gateway.
 func New(cfg Config) *Gateway {
-	if cfg.Ledger == nil {
-		cfg.Ledger = fairshare.NewLedger()
-	}
 	return &Gateway{
-		view: cfg.View, sender: cfg.Sender, reserver: cfg.Reserver, notifier: cfg.FailureNotifier, quarantine: cfg.Quarantine, ledger: cfg.Ledger, refusals: cfg.Refusals, refusalLog: &refusalLog{log: cfg.Log},
+		view: cfg.View, sender: cfg.Sender, reserver: cfg.Reserver, notifier: cfg.FailureNotifier, quarantine: cfg.Quarantine, refusals: cfg.Refusals, refusalLog: &refusalLog{log: cfg.Log},
 		log: cfg.Log, metrics: cfg.Metrics, started: time.Now(), timeouts: newTimeoutTracker(),
 	}
 }
@@ -332,9 +326,7 @@
 
 // attempt sends the request to one target and relays the response.
 func (s *requestState) attempt(c balance.Choice) step {
-	s.g.ledger.Begin(time.Now(), s.req.Holder)
 	defer func() {
-		s.g.ledger.End(time.Now(), s.req.Holder)
 		// The connection cannot be reused when the response was not read to its end.
 		reusable := s.outcome == outcomeServed
 		s.g.view.WithTable(func(t *balance.Table) { t.OnlineEnded(time.Now(), c.Instance.ID, reusable) })
--- a/gateway/refusallog_test.go
+++ b/gateway/refusallog_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"runtime"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -23,11 +24,23 @@
 	"pumiceford/store"
 )
 
-// floodLog denies requests, ten each second of each of the given workspaces, and returns the
-// log lines.
+// lockedBuffer is a bytes.Buffer for concurrent writes.
+type lockedBuffer struct {
+	mu sync.Mutex
+	bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Buffer.Write(p)
+}
+
+// floodLog denies the given number of requests each second, of the given number of workspaces
+// in turn, and returns the log lines.
 func floodLog(t *testing.T, workspaces, perSecond int, over time.Duration) []explain.Line {
 	t.Helper()
-	var log bytes.Buffer
+	var log lockedBuffer
 	synctest.Test(t, func(t *testing.T) {
 		ms := metrics.New("test")
 		v := fleet.NewView(decoder{}, 1, logging.Logger{}, ms)
