peers: entries introduce themselves in an order of their own

Entries that start together took the owners in the same order: at 340 entries all would have opened a session to the same four owners at once. Shown red with the common order: in TestIntroductionsAreSpread 240 of 240 entries call the same 4 of 24 owners at once.

--- a/peers/entries.go
+++ b/peers/entries.go
@@ -8,6 +8,7 @@
 
 	"pumiceford/duties"
 	"pumiceford/link"
+	"pumiceford/routing"
 	"pumiceford/wire"
 )
 
@@ -105,7 +106,9 @@
 			delete(e.known, addr)
 		}
 	}
-	for _, addr := range addrs {
+	// Each entry has an order of its own, so that entries that start together do not all call
+	// the same ones.
+	for _, addr := range routing.Top(addrs, routing.Score(e.self.GetAddr(), 1), len(addrs)) {
 		if len(out) == maxIntroductions {
 			break
 		}
--- a/peers/entries_test.go
+++ b/peers/entries_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"runtime"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -71,3 +72,31 @@
 		t.Errorf("%d entries are known", got)
 	}
 }
+
+// Guards against entries that start together and all call the same few entries.
+func TestIntroductionsAreSpread(t *testing.T) {
+	var owners []string
+	for n := range 24 {
+		owners = append(owners, fmt.Sprint("10.0.0.", n, ":1"))
+	}
+	var mu sync.Mutex
+	calls := make(map[string]int)
+	for n := range 240 {
+		e := peers.NewEntries(fmt.Sprint("10.0.1.", n, ":1"), duties.Strength{}, link.Config{Dial: func(_ context.Context, addr string) (net.Conn, error) {
+			mu.Lock()
+			defer mu.Unlock()
+			calls[addr]++
+			return nil, errors.New("not reachable")
+		}})
+		e.Introduce(t.Context(), owners)
+	}
+	const mean = 240 * 4 / 24
+	for addr, n := range calls {
+		if n > 2*mean {
+			t.Errorf("%d of 240 entries call %s at once, %d on average", n, addr, mean)
+		}
+	}
+	if len(calls) != len(owners) {
+		t.Errorf("only %d of %d entries are called", len(calls), len(owners))
+	}
+}
