--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -153,6 +153,7 @@
 	granter    *ratelimit.Granter
 	limiter    *ratelimit.Limiter
 	quarantine *quarantine.Tracker
+	shares     *fairshare.Ledger
 	archive    *quarantine.Archive
 	copies     *fleet.Copies
 	tlsConf    *tls.Config
@@ -213,22 +214,23 @@
 	})
 	n.quarantine = quarantine.NewTracker(quarantine.Config{Prober: deps.Sender, Log: base.WithPrefix("quarantine"), Metrics: n.metrics})
 	n.archive = quarantine.NewArchive(n.quarantine, n.store, deps.QuarantineTopic, set.Store.Partitions, base.WithPrefix("quarantine"))
-	n.agentLinks = newAgentLinks(linkCfg, set.AgentAddr, n.view, n.quarantine)
+	n.shares = fairshare.NewLedger()
+	n.agentLinks = newAgentLinks(linkCfg, set.AgentAddr, n.view, n.quarantine, n.shares)
 	n.runner = runner.New(runner.Config{
 		Member: set.Peers, Group: jobGroup, Store: n.jobs, Groups: n.store, View: n.view, Sender: deps.Sender,
-		Seats: n.agentLinks, Quarantine: n.quarantine, Log: base.WithPrefix("batch"), Metrics: n.metrics,
+		Seats: n.agentLinks, Quarantine: n.quarantine, Shares: n.shares, Log: base.WithPrefix("batch"), Metrics: n.metrics,
 		Headers: deps.ItemHeader, Work: deps.ItemWork, MaxRunning: maxRunningItems,
 	})
 	n.agentLinks.onFreeSlot = n.runner.Wake
 	n.entries = peers.NewEntries(set.Peers, strengthOf(&set.Host), linkCfg)
-	n.setUpReports(fairshare.NewLedger())
+	n.setUpReports(n.shares)
 	n.duties = &dutyKeeper{
 		self: set.Peers, strength: strengthOf(&set.Host), partitions: set.Store.Partitions,
 		strengthOf: n.entries.Strength, responds: n.entries.Responds, setStandby: n.runner.SetStandby, log: base.WithPrefix("duties"), metrics: ms,
 	}
 	n.setUpRateLimits(linkCfg, base.WithPrefix("limits"))
 	n.gateway = gateway.New(gateway.Config{
-		View: n.view, Sender: deps.Sender, Reserver: deps.Sender, FailureNotifier: n.agentLinks, Quarantine: n.quarantine, Refusals: n.refusals,
+		View: n.view, Sender: deps.Sender, Reserver: deps.Sender, FailureNotifier: n.agentLinks, Quarantine: n.quarantine, Refusals: n.refusals, Shares: n.shares,
 		Log: base.WithPrefix("online"), Metrics: n.metrics,
 	})
 	n.view.OnTargetChange(func(all []targets.Instance) {
@@ -269,7 +271,7 @@
 	ops.HandleFunc("GET /shares", n.sharesHandler)
 	ops.HandleFunc("GET /targets", n.targetsHandler)
 	g.Go(func() error { return serve(ctx, n.httpServer(ops), listeners[3]) })
-	for _, loop := range []func(context.Context){n.followStore, n.watchPeers, n.maintainCopies, n.expireTargets, n.keepKeyLease, n.introduce, n.observeUse, n.shards.Run, n.runner.Run, n.quarantine.Run, n.archive.Run} {
+	for _, loop := range []func(context.Context){n.followStore, n.watchPeers, n.maintainCopies, n.expireTargets, n.keepKeyLease, n.introduce, n.observeUse, n.shards.Run, n.runner.Run, n.quarantine.Run, n.archive.Run, fairshare.NewMonitor(n.shares, n.log.WithPrefix("shares"), n.metrics).Run} {
 		g.Go(func() error { loop(ctx); return nil })
 	}
 	g.Go(func() error { onReload(ctx, reloads, n.log, func() error { return n.reload(file) }); return nil })
