duties: a weak entry that cannot reach the members stays in the group

What callers saw: a weak entry that reached the store but no other entry joined (no listed member responded) and left again at the next read of the owners, because it remembered the strengths of these members for six minutes. Each join and each leave deals all partitions anew and cancels running items.

Cause: only an entry on standby asked whether the members are there; the decision to step down counted remembered strengths.

Now an entry asks all members before it steps down and decides with those that respond.

Ruled out: to forget strengths at a failed query (a lost query would bring weak entries back one by one); to ask one member before stepping down (with half of them reachable the entry would still go back and forth). A pause between changes only slows them.

No existing check changed; the fake that answers queries became a function of the asking entry.

--- a/daemon/duties.go
+++ b/daemon/duties.go
@@ -68,15 +68,37 @@
 // returned.
 func (k *dutyKeeper) update(ctx context.Context, owners []string) {
 	prev := k.current()
-	others := slices.DeleteFunc(slices.Clone(owners), func(addr string) bool { return addr == k.self })
+	others := k.withoutSelf(owners)
 	if prev == duties.None {
 		others = k.responding(ctx, others)
 	}
+	level := k.decide(prev, others)
+	if level == duties.None && prev != duties.None {
+		// Remembered strengths do not suffice: an entry that cannot reach the members would
+		// leave, find them silent, and join again.
+		others = k.ask(ctx, others)
+		level = k.decide(prev, others)
+	}
+	k.apply(prev, level, len(others))
+}
+
+// withoutSelf returns the addresses of others, each once.
+func (k *dutyKeeper) withoutSelf(addrs []string) []string {
+	out := slices.DeleteFunc(slices.Clone(addrs), func(addr string) bool { return addr == k.self || addr == "" })
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+func (k *dutyKeeper) decide(prev duties.Level, others []string) duties.Level {
 	var members []duties.Strength
 	for _, addr := range others {
 		members = append(members, k.strengthOf(addr))
 	}
-	level := duties.Decide(prev, duties.Input{Self: k.strength, Strained: k.strained.Load(), Members: members, Partitions: k.partitions})
+	return duties.Decide(prev, duties.Input{Self: k.strength, Strained: k.strained.Load(), Members: members, Partitions: k.partitions})
+}
+
+// apply puts a level in force that was decided upon a number of members.
+func (k *dutyKeeper) apply(prev, level duties.Level, members int) {
 	k.metrics.SetGauge("duties_level", float64(level))
 	if level == prev {
 		return
@@ -84,7 +106,7 @@
 	k.level.Store(int32(level))
 	k.setStandby(level == duties.None)
 	k.log.Info("duties changed", logging.F("from", prev.String()), logging.F("to", level.String()),
-		logging.F("members", len(members)), logging.F("strained", k.strained.Load()))
+		logging.F("members", members), logging.F("strained", k.strained.Load()))
 }
 
 // responding returns the members that are there. A group may list its last members for as long
@@ -94,6 +116,11 @@
 	if len(addrs) == 0 || k.responds(ctx, addrs[rand.IntN(len(addrs))]) {
 		return addrs
 	}
+	return k.ask(ctx, addrs)
+}
+
+// ask returns the entries that respond. Their strengths are known afterwards.
+func (k *dutyKeeper) ask(ctx context.Context, addrs []string) []string {
 	found := make([]bool, len(addrs))
 	var probes sync.WaitGroup
 	for n, addr := range addrs {
--- a/daemon/duties_test.go
+++ b/daemon/duties_test.go
@@ -59,6 +59,9 @@
 	strengths map[string]duties.Strength
 	nodes     map[string]*entryNode
 	stops     map[string]context.CancelFunc
+	cutOff    string // an entry that reaches no other one
+	// standbys counts the changes of standby of all entries.
+	standbys int
 }
 
 // start starts an entry that takes duties. A processor of 0 stands for settings without host.
@@ -77,7 +80,22 @@
 	n.peerPool = peers.NewPool(name, link.Config{}, nil)
 	n.runner = runner.New(runner.Config{Member: name, Group: jobGroup, Store: n.jobs, Groups: n.store, View: n.view, Metrics: ms, MaxRunning: 1})
 	n.duties = &dutyKeeper{self: name, strength: duties.Strength{CPUShare: processor}, partitions: dutyPartitions,
-		strengthOf: f.strength, setStandby: n.runner.SetStandby, metrics: ms, responds: f.responds}
+		setStandby: func(standby bool) {
+			f.mu.Lock()
+			f.standbys++
+			f.mu.Unlock()
+			n.runner.SetStandby(standby)
+		}, metrics: ms,
+		strengthOf: func(addr string) duties.Strength {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return f.strengths[addr]
+		},
+		responds: func(_ context.Context, addr string) bool { // stands in for a query of an entry
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return f.nodes[addr] != nil && f.cutOff != name
+		}}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.strengths[name] = n.duties.strength
@@ -86,19 +104,6 @@
 	go n.watchPeers(ctx)
 }
 
-func (f *dutyFleet) strength(addr string) duties.Strength {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.strengths[addr]
-}
-
-// responds stands in for a query of an entry.
-func (f *dutyFleet) responds(_ context.Context, addr string) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.nodes[addr] != nil
-}
-
 // stop kills an entry.
 func (f *dutyFleet) stop(name string) {
 	f.stops[name]()
@@ -240,3 +245,21 @@
 		f.checkLevel(t, "e4", duties.Full)
 	})
 }
+
+// Guards against a weak entry that joins and leaves again and again while it reaches the store
+// but no other entry, because it remembers their strengths.
+func TestWeakEntryThatIsCutOffStaysInTheGroup(t *testing.T) {
+	inDutyFleet(t, strongCPU, weakCPU, func(_ context.Context, t *testing.T, f *dutyFleet) {
+		f.mu.Lock()
+		f.cutOff = "e4"
+		before := f.standbys
+		f.mu.Unlock()
+		time.Sleep(3 * settleTime)
+		f.checkLevel(t, "e4", duties.Full)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if got := f.standbys - before; got != 1 {
+			t.Errorf("%d changes between standby and membership within %s, want 1", got, 3*settleTime)
+		}
+	})
+}
