duties: a weak entry learns strengths before its first join

What is missing: after a restart of all entries each weak entry joined, learned the strengths by introductions and left some seconds later. Each join and each leave deals all partitions anew and cancels running items, just when the fleet recovers.

Cause: the first join did not wait for any strength, and an introduction asks four entries in 2 s.

Now an entry that knows its own strength asks the listed members and its seeds before it joins (600 ms at most, store included). It goes on standby at once if enough strong ones respond; one that is not weak, or gets no reply, joins as before; one that is weak but knows too few strong ones asks until the time is over. A process on standby that has not joined does not send a leave. Entries without cpu_share ask nobody.

The interval now follows the level.

Ruled out: to hold back the join until all members have replied (a silent host would delay recovery); to start the entry on standby and let the loop watchPeers decide (the fetch of the catalog would wait for queries, or two goroutines would change the level). The loop decides only after the first decision.

Measured, in virtual time: TestWeakEntriesDoNotJoinAndLeaveAfterRestart 4 deals without the first decision, 0 with it; TestWeakEntryReadsOwnersSoonAfterFirstDecision 3.9 s without a runner before, at most 3 s now.

Missing: at the very first start no member is listed; without seeds that respond, weak entries still join and leave. No existing check changed.

--- a/daemon/background.go
+++ b/daemon/background.go
@@ -28,16 +28,22 @@
 // watchPeers keeps the list of the other entries up to date from the group, and fetches
 // the catalog and the targets from them while this entry does not know them.
 func (n *entryNode) watchPeers(ctx context.Context) {
-	next := time.Time{}
+	var read time.Time // of the owners
+	failed := false
 	for ctx.Err() == nil {
 		if !n.view.Ready() {
 			n.peerPool.Fetch(ctx, n.view)
 		}
-		if now := time.Now(); now.After(next) {
-			next = now.Add(n.ownersInterval())
-			if err := n.refreshPeers(ctx); err != nil {
+		// The level may change between two reads, and with it the interval.
+		interval := n.ownersInterval()
+		if failed {
+			interval = ownersRetryInterval
+		}
+		if now := time.Now(); now.Sub(read) > interval {
+			read = now
+			err := n.refreshPeers(ctx)
+			if failed = err != nil; failed {
 				n.metrics.Count("group_failures")
-				next = now.Add(ownersRetryInterval)
 			}
 		}
 		_ = wait.For(ctx, fetchInterval)
@@ -81,7 +87,9 @@
 	n.owners = addrs
 	n.ownersMu.Unlock()
 	n.peerPool.Set(slices.Concat(addrs, n.set.Seeds))
-	n.duties.update(ctx, addrs)
+	if n.firstDecided.Load() {
+		n.duties.update(ctx, addrs)
+	}
 	return nil
 }
 
--- a/daemon/duties.go
+++ b/daemon/duties.go
@@ -14,6 +14,7 @@
 	"pumiceford/internal/wait"
 	"pumiceford/logging"
 	pumicemetrics "pumiceford/metrics"
+	"pumiceford/routing"
 	"pumiceford/settings"
 	"pumiceford/store"
 )
@@ -27,6 +28,12 @@
 	useInterval = 2 * time.Second
 	// reducedHandicap is the number of shards that a weak entry counts in addition.
 	reducedHandicap = 4
+	// firstJoinWait bounds how long an entry asks others for their strengths before its first
+	// join, firstJoinRetry is the pause until it asks again.
+	firstJoinWait  = 600 * time.Millisecond
+	firstJoinRetry = 100 * time.Millisecond
+	// maxFirstQueries bounds the entries that it asks at a time.
+	maxFirstQueries = 48
 )
 
 // dutyKeeper applies the decisions of package duties to this entry.
@@ -82,6 +89,18 @@
 	k.apply(prev, level, len(others))
 }
 
+// decideFirst asks the given entries for their strengths and decides with those that respond.
+func (k *dutyKeeper) decideFirst(ctx context.Context, addrs []string) duties.Level {
+	addrs = k.withoutSelf(addrs)
+	// Each entry has an order of its own, so that entries that start together do not all ask
+	// the same ones.
+	addrs = k.ask(ctx, routing.Top(addrs, routing.Score(k.self, 1), maxFirstQueries))
+	prev := k.current()
+	level := k.decide(prev, addrs)
+	k.apply(prev, level, len(addrs))
+	return level
+}
+
 // withoutSelf returns the addresses of others, each once.
 func (k *dutyKeeper) withoutSelf(addrs []string) []string {
 	out := slices.DeleteFunc(slices.Clone(addrs), func(addr string) bool { return addr == k.self || addr == "" })
@@ -136,6 +155,35 @@
 	return out
 }
 
+// runJobs decides upon the first join and then runs job items until ctx ends.
+func (n *entryNode) runJobs(ctx context.Context) {
+	n.decideFirstJoin(ctx)
+	n.firstDecided.Store(true)
+	n.runner.Run(ctx)
+}
+
+// decideFirstJoin lets an entry that knows its own strength learn those of the members and seeds
+// before it joins, so that a weak entry does not join and leave again after a restart. An
+// entry that finds itself weak asks until enough strong ones respond, for firstJoinWait at
+// most; without replies it joins.
+func (n *entryNode) decideFirstJoin(ctx context.Context) {
+	if !n.duties.strength.Known() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, firstJoinWait)
+	defer cancel()
+	for {
+		owners, err := n.store.Owners(ctx, jobGroup)
+		if err != nil {
+			n.metrics.Count("group_failures") // the seeds remain
+		}
+		level := n.duties.decideFirst(ctx, slices.Concat(memberAddrs(owners), n.set.Seeds))
+		if level != duties.Reduced || wait.For(ctx, firstJoinRetry) != nil {
+			return
+		}
+	}
+}
+
 // memberAddrs returns the members that own partitions, sorted.
 func memberAddrs(owners []store.Owner) []string {
 	out := make([]string, 0, len(owners))
--- a/daemon/duties_test.go
+++ b/daemon/duties_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"testing"
@@ -12,6 +13,7 @@
 	"pumiceford/catalog"
 	"pumiceford/duties"
 	"pumiceford/fleet"
+	"pumiceford/internal/wait"
 	"pumiceford/jobroute"
 	"pumiceford/jobstore"
 	"pumiceford/link"
@@ -59,9 +61,27 @@
 	strengths map[string]duties.Strength
 	nodes     map[string]*entryNode
 	stops     map[string]context.CancelFunc
-	cutOff    string // an entry that reaches no other one
-	// standbys counts the changes of standby of all entries.
-	standbys int
+	// asking says that an entry knows the strengths only of those that it has asked.
+	asking bool
+	cutOff string // an entry that reaches no other one
+	// standbys counts the changes of standby of all entries; generation is the last one of the group.
+	standbys   int
+	generation uint64
+}
+
+// countedGroups notes the generations of the group, one for each time that it deals the
+// partitions.
+type countedGroups struct {
+	store.Groups
+	fleet *dutyFleet
+}
+
+func (g countedGroups) Join(ctx context.Context, req store.JoinRequest) (store.Membership, error) {
+	m, err := g.Groups.Join(ctx, req)
+	g.fleet.mu.Lock()
+	defer g.fleet.mu.Unlock()
+	g.fleet.generation = max(g.fleet.generation, m.Generation)
+	return m, err
 }
 
 // start starts an entry that takes duties. A processor of 0 stands for settings without host.
@@ -78,7 +98,8 @@
 	n.jobs = jobstore.New(ctx, n.store, jobstore.Settings{Topic: "jobs", ProgressTopic: "progress", Partitions: dutyPartitions, MaxAppendBytes: 2 << 20, Retention: time.Minute}, logging.Logger{})
 	n.routes = jobroute.New(jobroute.Config{Self: name, Local: n.jobs, PartitionOf: n.jobs.PartitionOf, Metrics: ms})
 	n.peerPool = peers.NewPool(name, link.Config{}, nil)
-	n.runner = runner.New(runner.Config{Member: name, Group: jobGroup, Store: n.jobs, Groups: n.store, View: n.view, Metrics: ms, MaxRunning: 1})
+	n.runner = runner.New(runner.Config{Member: name, Group: jobGroup, Store: n.jobs, Groups: countedGroups{n.store, f}, View: n.view, Metrics: ms, MaxRunning: 1})
+	asked := make(map[string]bool) // guarded by f.mu
 	n.duties = &dutyKeeper{self: name, strength: duties.Strength{CPUShare: processor}, partitions: dutyPartitions,
 		setStandby: func(standby bool) {
 			f.mu.Lock()
@@ -89,18 +110,32 @@
 		strengthOf: func(addr string) duties.Strength {
 			f.mu.Lock()
 			defer f.mu.Unlock()
+			if f.asking && !asked[addr] {
+				return duties.Strength{}
+			}
 			return f.strengths[addr]
 		},
 		responds: func(_ context.Context, addr string) bool { // stands in for a query of an entry
 			f.mu.Lock()
 			defer f.mu.Unlock()
-			return f.nodes[addr] != nil && f.cutOff != name
+			if f.nodes[addr] == nil || f.cutOff == name {
+				return false
+			}
+			asked[addr] = true
+			return true
 		}}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.strengths[name] = n.duties.strength
 	f.nodes[name], f.stops[name] = n, cancel
-	go n.runner.Run(ctx)
+	go n.runJobs(ctx)
+	go func() { // stands in for introduce
+		for wait.For(ctx, useInterval) == nil {
+			for _, addr := range n.otherEntries() {
+				n.duties.responds(ctx, addr)
+			}
+		}
+	}()
 	go n.watchPeers(ctx)
 }
 
@@ -246,6 +281,52 @@
 	})
 }
 
+// Guards against a restart of all entries that deals the partitions anew for each weak entry
+// twice, because it joins before it knows the strong ones, and cancels running items each time.
+func TestWeakEntriesDoNotJoinAndLeaveAfterRestart(t *testing.T) {
+	inDutyFleet(t, strongCPU, weakCPU, func(ctx context.Context, t *testing.T, f *dutyFleet) {
+		for n := range 6 {
+			f.stop(fmt.Sprint("e", n))
+		}
+		f.mu.Lock()
+		f.asking = true
+		before, strengths := f.generation, maps.Clone(f.strengths)
+		f.mu.Unlock()
+		for n := range 6 {
+			f.start(ctx, fmt.Sprint("e", n), strengths[fmt.Sprint("e", n)].CPUShare)
+		}
+		if gap := f.longestGap(settleTime); gap > takeOverBound {
+			t.Errorf("a partition had no runner for %s after the restart, want at most %s", gap, takeOverBound)
+		}
+		f.checkLevel(t, "e4", duties.None)
+		f.checkLevel(t, "e5", duties.None)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if dealt := f.generation - before; dealt > 0 {
+			t.Errorf("the partitions were dealt anew %d times after a restart of all entries, want none: the members are the same", dealt)
+		}
+	})
+}
+
+// Guards against an entry that has just gone on standby and reads the owners as rarely as a
+// member, so that it notices late that all strong members are lost.
+func TestWeakEntryReadsOwnersSoonAfterFirstDecision(t *testing.T) {
+	inDutyFleet(t, strongCPU, weakCPU, func(ctx context.Context, t *testing.T, f *dutyFleet) {
+		f.stop("e4")
+		f.start(ctx, "e4", weakCPU)
+		time.Sleep(firstJoinWait)
+		f.checkLevel(t, "e4", duties.None)
+		f.stop("e5")
+		for n := range 4 {
+			f.stop(fmt.Sprint("e", n))
+		}
+		const bound = standbyOwnersInterval + time.Second
+		if gap := f.longestGap(3 * bound); gap > bound {
+			t.Errorf("a partition had no runner for %s, want at most %s", gap, bound)
+		}
+	})
+}
+
 // Guards against a weak entry that joins and leaves again and again while it reaches the store
 // but no other entry, because it remembers their strengths.
 func TestWeakEntryThatIsCutOffStaysInTheGroup(t *testing.T) {
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -158,6 +158,9 @@
 	copies     *fleet.Copies
 	tlsConf    *tls.Config
 	stopping   atomic.Bool
+	// firstDecided is set when decideFirstJoin has ended. Only the loop watchPeers decides on
+	// duties afterwards.
+	firstDecided atomic.Bool
 
 	ownersMu sync.Mutex
 	owners   []string // members of jobGroup that own partitions, sorted
@@ -271,7 +274,7 @@
 	ops.HandleFunc("GET /shares", n.sharesHandler)
 	ops.HandleFunc("GET /targets", n.targetsHandler)
 	g.Go(func() error { return serve(ctx, n.httpServer(ops), listeners[3]) })
-	for _, loop := range []func(context.Context){n.followStore, n.watchPeers, n.maintainCopies, n.expireTargets, n.keepKeyLease, n.introduce, n.observeUse, n.shards.Run, n.runner.Run, n.quarantine.Run, n.archive.Run, fairshare.NewMonitor(n.shares, n.log.WithPrefix("shares"), n.metrics).Run} {
+	for _, loop := range []func(context.Context){n.followStore, n.watchPeers, n.maintainCopies, n.expireTargets, n.keepKeyLease, n.introduce, n.observeUse, n.shards.Run, n.runJobs, n.quarantine.Run, n.archive.Run, fairshare.NewMonitor(n.shares, n.log.WithPrefix("shares"), n.metrics).Run} {
 		g.Go(func() error { loop(ctx); return nil })
 	}
 	g.Go(func() error { onReload(ctx, reloads, n.log, func() error { return n.reload(file) }); return nil })
--- a/runner/member.go
+++ b/runner/member.go
@@ -40,15 +40,21 @@
 // membershipLoop keeps this process in the group and applies its assignments.
 func (r *Runner) membershipLoop(ctx context.Context) {
 	var generation uint64
+	joined := false
 	for ctx.Err() == nil && !r.isLeaving() {
 		if r.standby.Load() {
-			r.stepDown(ctx)
-			generation = 0
+			// A leave deals the partitions anew, so a process that has not joined does not leave.
+			// The membership of its predecessor under this name expires after memberTTL.
+			if joined {
+				r.stepDown(ctx)
+			}
+			generation, joined = 0, false
 			for ctx.Err() == nil && r.standby.Load() && !r.isLeaving() {
 				_ = wait.For(ctx, joinInterval)
 			}
 			continue
 		}
+		joined = true // also if no reply arrives
 		m, err := r.cfg.Groups.Join(ctx, store.JoinRequest{
 			Group: r.cfg.Group, Member: r.cfg.Member, Topics: []string{r.cfg.Store.Topic()},
 			TTL: memberTTL, Generation: generation,
