gateway: intervals of refusal lines are not cut short

What is wrong: in a steady flood a workspace and reason had up to twice the lines that the bounds state (185 in 10 s where 10 a second are allowed), and all together up to 200 a second, which displaces lines of served requests.

Cause: the report of counts was scheduled a whole interval after the first unlisted refusal. It fired within the next interval, which a refusal had begun, and ended it early.

Now the report is scheduled for the end of the interval, and waits for the end of the next one if that has begun.

Ruled out: no report while refusals go on (the counts are written by the next refusal, but a flood that pauses would leave them unwritten).

No existing check changed.

--- a/gateway/refusallog.go
+++ b/gateway/refusallog.go
@@ -110,20 +110,31 @@
 	}
 	listed := l.sampler.add(workspace, reason)
 	if !listed && !l.pending {
-		l.pending = true
-		time.AfterFunc(refusalLogInterval, l.report)
+		l.scheduleReport(now)
 	}
 	l.mu.Unlock()
 	l.write(unlisted)
 	return listed
 }
 
-// report logs the counts of an interval in which a refusal got no line, unless a later refusal
-// has caused that.
+// scheduleReport schedules report for the end of the interval. The caller holds l.mu.
+func (l *refusalLog) scheduleReport(now time.Time) {
+	l.pending = true
+	time.AfterFunc(refusalLogInterval-now.Sub(l.sampler.began), l.report)
+}
+
+// report logs the counts of an interval in which a refusal got no line. If a later refusal has
+// caused that, a new interval runs, whose end it waits for.
 func (l *refusalLog) report() {
+	now := time.Now()
+	var unlisted []unlistedRefusals
 	l.mu.Lock()
-	l.pending = false
-	unlisted := l.sampler.next(time.Now())
+	if l.sampler.expired(now) {
+		l.pending = false
+		unlisted = l.sampler.next(now)
+	} else {
+		l.scheduleReport(now)
+	}
 	l.mu.Unlock()
 	l.write(unlisted)
 }
--- a/gateway/refusallog_test.go
+++ b/gateway/refusallog_test.go
@@ -86,6 +86,36 @@
 	}
 }
 
+// Guards against intervals that are cut short, so that a steady flood has more lines than the
+// bounds allow, and against counts of the last interval that are not logged.
+func TestRefusalLinesOfSteadyFloodAreBounded(t *testing.T) {
+	const seconds, perSecond, maxPerReason = 10, 100, 10
+	var log lockedBuffer
+	synctest.Test(t, func(t *testing.T) {
+		ms := metrics.New("test")
+		gw := gateway.New(gateway.Config{
+			View: fleet.NewView(decoder{}, 1, logging.Logger{}, ms), Quarantine: quarantine.NewTracker(quarantine.Config{Prober: &fakeProber{}, Metrics: ms}), Metrics: ms,
+			Log: logging.New(logging.Settings{Format: "json", Writer: &log}).WithPrefix("online"),
+		})
+		for n := range seconds * perSecond {
+			gw.Deny(fmt.Sprint("r", n), &ratelimit.OverLimitError{Workspace: "w"})
+			time.Sleep(time.Second / perSecond)
+		}
+		time.Sleep(2 * time.Second) // the last counts are logged
+	})
+	lines, err := explain.Read("log", &log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := losses.Find(lines)
+	if most := (seconds + 1) * maxPerReason; len(r.Losses) > most {
+		t.Errorf("%d refusals in %d s have lines of their own, want at most %d", len(r.Losses), seconds, most)
+	}
+	if got := len(r.Losses) + r.Unlisted[losses.OverLimit]; got != seconds*perSecond {
+		t.Errorf("lines account for %d of %d refusals", got, seconds*perSecond)
+	}
+}
+
 // versionDecoder decodes a catalog from the length of its value, which is the version.
 type versionDecoder struct{ decoder }
 
