duties: relapses into strain lengthen it

What is missing: an entry between a quarter and half of the strongest is weak only while it is strained. If its duties strain it, its use falls when it gives them up, so it takes them again after 20 s and gives them up after 6 s more. Each change deals all partitions anew.

Cause: the two thresholds of use are hysteresis against noise, not against a use that follows from the decision itself.

Now a strain that begins within 5 minutes of the end of the last one has to be over for twice as many observations, up to 160.

Ruled out: a wider band of use (no band holds what duties add); never to return (a passing load would leave duties to others for good).

No existing check changed.

--- a/duties/duties.go
+++ b/duties/duties.go
@@ -135,6 +135,11 @@
 	// state changes. The way back takes longer, because duties given up lower the use at once.
 	strainedAfter = 3
 	calmAfter     = 10
+	// An entry that is strained again within relapseWithin observations of the end of its
+	// strain bears its duties badly: the way back then takes twice as long as the last time,
+	// up to maxCalmAfter.
+	relapseWithin = 150
+	maxCalmAfter  = 160
 )
 
 // Strain folds observations of an entry's use of its host into whether the entry is strained.
@@ -142,6 +147,8 @@
 type Strain struct {
 	strained bool
 	against  int // consecutive observations that speak against the current state
+	calm     int // observations since the last strain ended
+	required int // calm observations that end the strain; 0 before the first strain
 }
 
 // Observe adds an observation: the larger of the used fractions of the processor share and of
@@ -149,14 +156,29 @@
 func (s *Strain) Observe(use float64) bool {
 	contradicts, changeAfter := use >= strainedUse, strainedAfter
 	if s.strained {
-		contradicts, changeAfter = use < calmUse, calmAfter
+		contradicts, changeAfter = use < calmUse, s.required
+	} else {
+		s.calm++
 	}
 	if !contradicts {
 		s.against = 0
 		return s.strained
 	}
 	if s.against++; s.against >= changeAfter {
-		s.strained, s.against = !s.strained, 0
+		s.change()
 	}
 	return s.strained
 }
+
+// change begins or ends the strain.
+func (s *Strain) change() {
+	s.strained, s.against = !s.strained, 0
+	switch {
+	case !s.strained:
+		s.calm = 0
+	case s.required > 0 && s.calm <= relapseWithin:
+		s.required = min(2*s.required, maxCalmAfter)
+	default:
+		s.required = calmAfter
+	}
+}
--- a/duties/duties_test.go
+++ b/duties/duties_test.go
@@ -130,6 +130,27 @@
 	}
 }
 
+// Guards against an entry whose use falls as soon as it gives its duties up, and which takes
+// and gives them up again and again, each time moving partitions of all members.
+func TestRelapsesIntoStrainLengthenIt(t *testing.T) {
+	const perHour, maxChanges = 1800, 40
+	var s duties.Strain
+	strained, changes := false, 0
+	for range perHour {
+		use := 0.95
+		if strained {
+			use = 0.3
+		}
+		if next := s.Observe(use); next != strained {
+			strained = next
+			changes++
+		}
+	}
+	if changes > maxChanges {
+		t.Errorf("%d changes in an hour, want at most %d", changes, maxChanges)
+	}
+}
+
 func BenchmarkDecide(b *testing.B) {
 	members := make([]duties.Strength, 64)
 	for n := range members {
