daemon: use of the processor is measured against the share of the core

What is wrong: processor time was divided by share times speed of the core. Processor time is counted on that core: on one twice as fast the use is at most 0.5 and no entry counts as strained; on one half as fast it counts as strained at 45 % of its share.

There is no test: the value is that of the process itself.

--- a/daemon/duties.go
+++ b/daemon/duties.go
@@ -197,7 +197,7 @@
 // observeUse observes the entry's use of its host until ctx ends.
 func (n *entryNode) observeUse(ctx context.Context) {
 	var strain duties.Strain
-	u := hostUse{processor: n.set.Host.Processor(), memory: memoryFraction * float64(n.set.MemoryMB<<20)}
+	u := hostUse{processor: n.set.Host.CPUShare, memory: memoryFraction * float64(n.set.MemoryMB<<20)}
 	u.observe(time.Now())
 	for wait.For(ctx, useInterval) == nil {
 		use := u.observe(time.Now())
@@ -208,7 +208,7 @@
 
 // hostUse measures how much of its host the entry uses.
 type hostUse struct {
-	processor float64 // offered, in cores; 0 if unknown
+	processor float64 // offered share of the core, whatever its speed; 0 if unknown
 	memory    float64 // soft limit of the runtime in bytes; 0 if there is none
 	spent     time.Duration
 	at        time.Time
