--- a/daemon/background.go
+++ b/daemon/background.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"pumiceford/duties"
 	"pumiceford/internal/wait"
 	"pumiceford/logging"
 )
@@ -26,22 +28,36 @@
 // watchPeers keeps the list of the other entries up to date from the group, and fetches
 // the catalog and the targets from them while this entry does not know them.
 func (n *entryNode) watchPeers(ctx context.Context) {
-	next := time.Time{}
+	var read time.Time // of the owners
+	failed := false
 	for ctx.Err() == nil {
 		if !n.view.Ready() {
 			n.peerPool.Fetch(ctx, n.view)
 		}
-		if now := time.Now(); now.After(next) {
-			next = now.Add(ownersInterval)
-			if err := n.refreshPeers(ctx); err != nil {
+		// The level may change between two reads, and with it the interval.
+		interval := n.ownersInterval()
+		if failed {
+			interval = ownersRetryInterval
+		}
+		if now := time.Now(); now.Sub(read) > interval {
+			read = now
+			err := n.refreshPeers(ctx)
+			if failed = err != nil; failed {
 				n.metrics.Count("group_failures")
-				next = now.Add(ownersRetryInterval)
 			}
 		}
 		_ = wait.For(ctx, fetchInterval)
 	}
 }
 
+// ownersInterval returns the interval between two reads of the owners.
+func (n *entryNode) ownersInterval() time.Duration {
+	if n.duties.current() == duties.None {
+		return standbyOwnersInterval
+	}
+	return ownersInterval
+}
+
 // maintainCopies loads the fleet from a copy when the catalog and registry partitions
 // cannot be read at start-up. Afterwards it saves changes of the fleet to the copies, on
 // the process that runs copyPartition.
@@ -66,11 +82,14 @@
 		return err
 	}
 	n.routes.SetOwners(n.deps.JobsTopic, owners)
-	var addrs []string
-	for _, o := range owners {
-		addrs = append(addrs, o.Member)
+	addrs := memberAddrs(owners)
+	n.ownersMu.Lock()
+	n.owners = addrs
+	n.ownersMu.Unlock()
+	n.peerPool.Set(slices.Concat(addrs, n.set.Seeds))
+	if n.firstDecided.Load() {
+		n.duties.update(ctx, addrs)
 	}
-	n.peerPool.Set(append(addrs, n.set.Seeds...))
 	return nil
 }
 
--- a/runner/member.go
+++ b/runner/member.go
@@ -40,7 +40,21 @@
 // membershipLoop keeps this process in the group and applies its assignments.
 func (r *Runner) membershipLoop(ctx context.Context) {
 	var generation uint64
+	joined := false
 	for ctx.Err() == nil && !r.isLeaving() {
+		if r.standby.Load() {
+			// A leave deals the partitions anew, so a process that has not joined does not leave.
+			// The membership of its predecessor under this name expires after memberTTL.
+			if joined {
+				r.stepDown(ctx)
+			}
+			generation, joined = 0, false
+			for ctx.Err() == nil && r.standby.Load() && !r.isLeaving() {
+				_ = wait.For(ctx, joinInterval)
+			}
+			continue
+		}
+		joined = true // also if no reply arrives
 		m, err := r.cfg.Groups.Join(ctx, store.JoinRequest{
 			Group: r.cfg.Group, Member: r.cfg.Member, Topics: []string{r.cfg.Store.Topic()},
 			TTL: memberTTL, Generation: generation,
@@ -57,6 +71,24 @@
 	}
 }
 
+// SetStandby sets whether this process stays out of the group. On standby it hands its
+// partitions over to the members; it joins again within joinInterval.
+func (r *Runner) SetStandby(standby bool) {
+	r.standby.Store(standby)
+}
+
+// stepDown hands all partitions over and leaves the group. If the store does not respond,
+// the membership expires after memberTTL.
+func (r *Runner) stepDown(ctx context.Context) {
+	r.assign(ctx, store.Membership{})
+	leaveCtx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	if err := r.cfg.Groups.Leave(leaveCtx, r.cfg.Group, r.cfg.Member); err != nil {
+		r.cfg.Metrics.Count("group_failures")
+		r.cfg.Log.Warn("leaving the group failed; the membership expires on its own", logging.F("error", err.Error()))
+	}
+}
+
 // HasPartition reports whether a partition is assigned to this process.
 func (r *Runner) HasPartition(part int) bool {
 	r.mu.Lock()
