--- a/bench/load/batch.go
+++ b/bench/load/batch.go
@@ -71,9 +71,9 @@
 	s.submit(w)
 }
 
-// standing returns the standing of a source: what it holds beyond an equal share of all seats
+// itemStanding returns the standing of a source: what it holds beyond an equal share of all seats
 // in use among the sources that hold or wait for seats.
-func (s *simulation) standing(source int) fairshare.Standing {
+func (s *simulation) itemStanding(source int) fairshare.Standing {
 	if !s.policy.Standings || len(s.scenario.Sources) == 0 {
 		return fairshare.Standing{}
 	}
@@ -103,7 +103,7 @@
 // claim returns an item's claim to a seat.
 func (s *simulation) claim(w *work) schedule.Claim {
 	return schedule.Claim{
-		Standing: s.standing(w.source),
+		Standing: s.itemStanding(w.source),
 		Item:     schedule.Item{Due: w.due, Remaining: w.remaining, Started: w.remaining < s.scenario.RunTime},
 	}
 }
@@ -203,7 +203,7 @@
 			continue
 		}
 		left--
-		s.out.Reservations++
+		s.out.SeatReservations++
 		s.after(networkDelay, func() {
 			if w.reservation != mine {
 				return
--- a/bench/load/items_test.go
+++ b/bench/load/items_test.go
@@ -42,8 +42,8 @@
 		// Four items at a time, each at three agents for a second, and as many again for each
 		// item that starts.
 		perEntry := 12*mixedFleet.Duration.Seconds() + 3*mixedFleet.ItemRate*mixedFleet.Duration.Seconds()/float64(mixedFleet.Entries)
-		if float64(fleet.Reservations) > perEntry*float64(mixedFleet.Entries) {
-			t.Errorf("%d reservations", fleet.Reservations)
+		if float64(fleet.SeatReservations) > perEntry*float64(mixedFleet.Entries) {
+			t.Errorf("%d reservations", fleet.SeatReservations)
 		}
 	}
 }
--- a/daemon/agentlinks.go
+++ b/daemon/agentlinks.go
@@ -46,7 +46,9 @@
 }
 
 func newAgentLinks(cfg link.Config, addr func(string) string, view *fleet.View, tracker *quarantine.Tracker, shares *fairshare.Ledger, log logging.Logger) *agentLinks {
-	return &agentLinks{cfg: cfg, addr: addr, view: view, tracker: tracker, shares: shares, log: log, onFreeSlot: func() {}, links: make(map[string]*agentLink)}
+	return &agentLinks{
+		cfg: cfg, addr: addr, view: view, tracker: tracker, shares: shares, log: log, onFreeSlot: func() {}, links: make(map[string]*agentLink),
+	}
 }
 
 // update opens and closes links so that the agents of the given targets are followed. When
@@ -86,11 +88,9 @@
 	go quarantine.Follow(ctx, l.peer, a.tracker)
 	go fairshare.Follow(ctx, l.peer, a.cfg.Node, in.ID, a.shares)
 	go seats.Watch(ctx, l.peer, in, func(load *wire.Load) {
+		a.view.UpdateLoad(time.Now(), in, loadReport(load))
 		var changes []balance.PaceChange
-		a.view.WithTable(func(t *balance.Table) {
-			t.UpdateLoad(time.Now(), in.ID, loadReport(load))
-			changes = t.TakePaceChanges()
-		})
+		a.view.WithTable(func(t *balance.Table) { changes = t.TakePaceChanges() })
 		for _, c := range changes {
 			a.log.Info("target's usual pace changed", logging.F("instance", c.Instance), logging.F("was", c.Was), logging.F("pace", c.Pace))
 		}
@@ -111,7 +111,7 @@
 	}
 	seat, load, err := seats.Acquire(ctx, l.peer, in, req)
 	if load != nil {
-		a.view.WithTable(func(t *balance.Table) { t.UpdateLoad(time.Now(), in.ID, loadReport(load)) })
+		a.view.UpdateLoad(time.Now(), in, loadReport(load))
 	}
 	return seat, err
 }
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -33,6 +33,7 @@
 	"pumiceford/peers"
 	"pumiceford/quarantine"
 	"pumiceford/ratelimit"
+	"pumiceford/refusals"
 	"pumiceford/runner"
 	"pumiceford/settings"
 	"pumiceford/shards"
@@ -128,12 +129,18 @@
 
 // entryNode is one running entry.
 type entryNode struct {
-	set        *settings.Gateway
-	deps       GatewayDeps
-	log        logging.Logger
-	metrics    *metrics.Set
-	view       *fleet.View
-	peerPool   *peers.Pool
+	set      *settings.Gateway
+	deps     GatewayDeps
+	log      logging.Logger
+	metrics  *metrics.Set
+	view     *fleet.View
+	peerPool *peers.Pool
+	entries  *peers.Entries
+	refusals *refusals.Table
+	// usage returns the account of slots by workspace.
+	usage      func(now time.Time) []fairshare.Row
+	collecting chan struct{} // capacity 1; held while reports of other entries are collected
+	duties     *dutyKeeper
 	store      *store.Failover
 	jobs       *jobstore.Store
 	routes     *jobroute.Router
@@ -151,6 +158,12 @@
 	copies     *fleet.Copies
 	tlsConf    *tls.Config
 	stopping   atomic.Bool
+	// firstDecided is set when decideFirstJoin has ended. Only the loop watchPeers decides on
+	// duties afterwards.
+	firstDecided atomic.Bool
+
+	ownersMu sync.Mutex
+	owners   []string // members of jobGroup that own partitions, sorted
 }
 
 // RunGateway runs an entry on the users' platform until stop ends.
@@ -212,12 +225,18 @@
 		Headers: deps.ItemHeader, Work: deps.ItemWork, MaxRunning: maxRunningItems,
 	})
 	n.agentLinks.onFreeSlot = n.runner.Wake
+	n.entries = peers.NewEntries(set.Peers, strengthOf(&set.Host), linkCfg)
+	n.setUpReports(n.shares)
+	n.duties = &dutyKeeper{
+		self: set.Peers, strength: strengthOf(&set.Host), partitions: set.Store.Partitions,
+		strengthOf: n.entries.Strength, responds: n.entries.Responds, setStandby: n.runner.SetStandby, log: base.WithPrefix("duties"), metrics: ms,
+	}
 	n.setUpRateLimits(linkCfg, base.WithPrefix("limits"))
 	n.gateway = gateway.New(gateway.Config{
-		View: n.view, Sender: deps.Sender, Reserver: deps.Sender, FailureNotifier: n.agentLinks, Quarantine: n.quarantine,
-		Shares: n.shares,
-		Log:    base.WithPrefix("online"), Metrics: n.metrics,
+		View: n.view, Sender: deps.Sender, Reserver: deps.Sender, FailureNotifier: n.agentLinks, Quarantine: n.quarantine, Refusals: n.refusals, Shares: n.shares,
+		Log: base.WithPrefix("online"), Metrics: n.metrics,
 	})
+	n.view.OnLoadChange(n.gateway.SlotsChanged)
 	n.view.OnTargetChange(func(all []targets.Instance) {
 		deps.Sender.Retain(all)
 		n.agentLinks.update(ctx, all)
@@ -246,22 +265,24 @@
 	g.Go(func() error { return serve(ctx, n.httpServer(n.deps.ReadyHandler(n.ready)), listeners[1]) })
 	peerServer := &peers.Server{
 		Store: n.deps.Store, View: n.view, Jobs: &jobroute.Server{Local: n.jobs, StoreUnavailable: n.store.Unreachable, HasDirectStore: n.store.DirectReachable},
-		Granter: n.granter, ActingSince: n.shards.Active,
+		Granter: n.granter, ActingSince: n.shards.Active, Entries: n.entries,
 	}
 	g.Go(func() error {
 		return link.Serve(ctx, listeners[2], link.Config{Node: n.set.Name, Handle: peerServer.Handle, TLS: n.tlsConf})
 	})
 	ops := opsHandler(n.metrics, n.quarantine)
 	ops.HandleFunc("GET /limits", n.limitsHandler)
+	ops.HandleFunc("GET /shares", n.sharesHandler)
+	ops.HandleFunc("GET /targets", n.targetsHandler)
 	g.Go(func() error { return serve(ctx, n.httpServer(ops), listeners[3]) })
-	for _, loop := range []func(context.Context){n.followStore, n.watchPeers, n.maintainCopies, n.expireTargets, n.keepKeyLease, n.shards.Run, n.runner.Run, n.quarantine.Run, n.archive.Run, fairshare.NewMonitor(n.shares, n.log.WithPrefix("shares"), n.metrics).Run} {
+	for _, loop := range []func(context.Context){n.followStore, n.watchPeers, n.maintainCopies, n.expireTargets, n.keepKeyLease, n.introduce, n.observeUse, n.shards.Run, n.runJobs, n.quarantine.Run, n.archive.Run, fairshare.NewMonitor(n.shares, n.log.WithPrefix("shares"), n.metrics).Run} {
 		g.Go(func() error { loop(ctx); return nil })
 	}
 	g.Go(func() error { onReload(ctx, reloads, n.log, func() error { return n.reload(file) }); return nil })
 	n.log.Info("started", logging.F("callers", n.set.Callers), logging.F("peers", n.set.Peers), logging.F("store", n.set.Store.Addr))
 	g.Go(func() error {
 		defer cancel()
-		if waitStop(ctx, stop) {
+		if WaitStop(ctx, stop) {
 			n.stop(ctx, func(stopCtx context.Context) error { return drainer.shutdown(stopCtx, listeners[0], front) })
 		}
 		return nil
