--- a/bench/load/load.go
+++ b/bench/load/load.go
@@ -22,8 +22,11 @@
 	FirstEvent           time.Duration // from the start in a slot, at the usual pace; 0 for firstEventDelay
 	Neighbours           Slowdown
 	// CutOffAt is when one target in nine, of the fastest, stops responding; 0 for never.
-	CutOffAt  time.Duration
-	ItemRate  float64 // batch items a second
+	CutOffAt time.Duration
+	ItemRate float64 // batch items a second
+	// Sources are the workspaces that submit the items; nil stands for one that submits each
+	// item by itself.
+	Sources   []Source
 	RunTime   time.Duration
 	DueWithin time.Duration
 	Duration  time.Duration
@@ -36,6 +39,13 @@
 	LostFrom time.Duration
 }
 
+// Source is a workspace that submits batch jobs.
+type Source struct {
+	Share    float64 // of all items
+	JobItems int     // items of one job, which belong to one entry
+	Rank     int
+}
+
 // Slowdown makes some of the targets slower for a time.
 type Slowdown struct {
 	Share    float64       // of the targets
@@ -81,6 +91,15 @@
 	// MinRetryAfter and MaxRetryAfter bound the time after which a refused caller retries
 	// once; with a MaxRetryAfter of 0 it does not retry.
 	MinRetryAfter, MaxRetryAfter time.Duration
+	// WakeOnFreeSeat starts waiting items as soon as an agent reports a free seat.
+	WakeOnFreeSeat bool
+	// ReservedItems is the number of items of an entry that wait for reserved seats at a time,
+	// each at ReservedTargets agents; 0 leaves no reservations.
+	ReservedItems, ReservedTargets int
+	// Standings orders items by the rank and the share of their workspaces.
+	Standings bool
+	// MoveLate takes items that will be late to faster targets.
+	MoveLate bool
 	// IgnorePace hides from the balancer how fast the targets are.
 	IgnorePace bool
 	// IgnoreIdleConns hides idle connections from the balancer, as if none were kept
@@ -106,9 +125,31 @@
 	RefuseLate     = Policy{Name: "late ones come back", MaxWatched: 16, MinReportInterval: 50 * time.Millisecond, ReserveSlots: true, MaxWait: 120 * time.Millisecond, MinRetryAfter: 800 * time.Millisecond, MaxRetryAfter: 1600 * time.Millisecond}
 	PartialReports = Policy{Name: "part is told", MaxWatched: 16, MinReportInterval: 50 * time.Millisecond, ReserveSlots: true}
 	NoReports      = Policy{Name: "entries alone", NoLoadReports: true}
+	// OwnOrder orders the items of each entry for itself, and FleetOrder those of all.
+	OwnOrder   = Policy{Name: "own order", MaxWatched: 16, MinReportInterval: 50 * time.Millisecond, ReserveSlots: true, MaxWait: 120 * time.Millisecond, MinRetryAfter: 800 * time.Millisecond, MaxRetryAfter: 1600 * time.Millisecond, WakeOnFreeSeat: true}
+	FleetOrder = OwnOrder.with("fleet order", func(p *Policy) { p.ReservedItems, p.ReservedTargets, p.Standings = 4, 3, true })
+
 	NaiveForwarder = Policy{Name: "naive forwarder", NaiveForwarding: true}
 )
 
+// with returns a changed copy of a policy.
+func (p Policy) with(name string, change func(*Policy)) Policy {
+	p.Name = name
+	change(&p)
+	return p
+}
+
+// SourceOutcome is the result of the items of one Source.
+type SourceOutcome struct {
+	Items  int `json:"items"`
+	InTime int `json:"in_time"`
+}
+
+// Share returns the share of the items that were in time.
+func (o SourceOutcome) Share() float64 {
+	return float64(o.InTime) / float64(max(o.Items, 1))
+}
+
 // Outcome is the result of one simulation. Times to the first event count from the
 // arrival of the attempt.
 type Outcome struct {
@@ -137,6 +178,9 @@
 	Surging Shares `json:"surging"` // of the workspace that surges
 	Others  Shares `json:"others"`  // of all others
 
+	SeatReservations int             `json:"seat_reservations,omitempty"` // left by items at agents
+	ItemsMoved       int             `json:"items_moved,omitempty"`       // to faster targets
+	Sources          []SourceOutcome `json:"sources,omitempty"`
 	// FirstEventTimes are sorted in ascending order.
 	FirstEventTimes []time.Duration `json:"-"`
 }
--- a/bench/load/simulation.go
+++ b/bench/load/simulation.go
@@ -25,6 +25,9 @@
 	firstMoveCheck       = 100 * time.Millisecond
 	moveCheckInterval    = 30 * time.Millisecond
 	dispatchInterval     = 100 * time.Millisecond
+	minDispatchGap       = 20 * time.Millisecond
+	reservationTime      = time.Second // after which reservations are renewed
+	minReservationGap    = 250 * time.Millisecond
 	reportRepeatInterval = 250 * time.Millisecond // between reports of an unchanged load
 	reserveTime          = 4 * time.Millisecond   // round trip of a reservation
 	connIdleTimeout      = 8 * time.Second
@@ -50,6 +53,7 @@
 	held        []int         // requests sent to targets, by workspace
 	lastID      int           // of a request or an item
 	slotTime    time.Duration // sum of the times that slots were in use
+	usage       []usage       // by source
 }
 
 // target is a simulated target. It admits work in arrival order.
@@ -67,6 +71,7 @@
 	reservedSlots int // slots reserved for requests that have not arrived
 	arbiter       *seats.Arbiter
 	workBySeat    map[uint64]*work
+	reservations  map[uint64]waitingItem
 	listeners     []*listener
 }
 
@@ -111,6 +116,9 @@
 	table       *balance.Table
 	conns       map[string]*connCount // connections of this entry by target
 	batch       []*work               // items waiting for a seat
+	inSeats     []*work               // items in seats
+	reserving   int                   // items that wait for reserved seats
+	dispatched  time.Time             // time of the last dispatch
 	ownRequests map[string]int        // work of this entry in progress by target
 	room        *waitroom.Room
 	lateRetries *waitroom.Budget
@@ -146,6 +154,13 @@
 	seat      uint64
 	workspace int
 	ticket    waitroom.Ticket
+
+	source           int
+	waitingSince     time.Time
+	reserving        bool
+	reservation      int // incremented when reservations end, to ignore outdated grants
+	reserveNotBefore time.Time
+	moves            int
 }
 
 // Run simulates a scenario under a policy. The same seed gives the same arrivals under
@@ -156,6 +171,8 @@
 		choiceRand: rand.New(rand.NewPCG(seed, 1)), arrivalRand: rand.New(rand.NewPCG(seed, 2)), itemRand: rand.New(rand.NewPCG(seed, 3)), paceRand: rand.New(rand.NewPCG(seed, 4)),
 		out: Outcome{Scenario: scenario.Name, Policy: policy.Name, Batch: scenario.ItemRate > 0},
 	}
+	s.out.Sources = make([]SourceOutcome, len(scenario.Sources))
+	s.usage = make([]usage, max(len(scenario.Sources), 1))
 	s.start = time.Unix(1000, 0)
 	s.now = s.start
 	s.held = make([]int, scenario.Workspaces)
@@ -174,7 +191,8 @@
 	for i := range s.scenario.Targets {
 		t := &target{
 			id: fmt.Sprint("i", i), machinePace: s.scenario.pace(i), slowdown: 1, measured: seats.NewPace(),
-			arbiter: seats.NewArbiter(s.scenario.Slots, seats.ReservedSlots(fmt.Sprint("host", i))), workBySeat: make(map[uint64]*work),
+			reservations: make(map[uint64]waitingItem),
+			arbiter:      seats.NewArbiter(s.scenario.Slots, seats.ReservedSlots(fmt.Sprint("host", i))), workBySeat: make(map[uint64]*work),
 		}
 		s.targets = append(s.targets, t)
 		s.byID[t.id] = t
@@ -225,9 +243,10 @@
 		w := t.workBySeat[id]
 		s.after(networkDelay, func() { s.yield(w, id) })
 	}
+	s.grantReserved(t)
 	rep := balance.Report{
 		Active: load.Active, Queued: load.Queued, Batch: t.arbiter.Held(), Slots: s.scenario.Slots,
-		FreeSeats: max(t.arbiter.FreeSeats(s.now), 0), UrgentSeats: max(t.arbiter.UrgentSeats(s.now), 0),
+		FreeSeats: max(t.arbiter.FreeSeats(s.now)-t.arbiter.Waiting(), 0), UrgentSeats: max(t.arbiter.UrgentSeats(s.now), 0),
 	}
 	s.measure(t, &rep)
 	for _, l := range t.listeners {
@@ -249,6 +268,9 @@
 	s.after(networkDelay+time.Duration(s.choiceRand.IntN(8))*time.Millisecond, func() {
 		l.entry.table.UpdateLoad(s.now, t.id, rep)
 		s.serveWaiting(l.entry)
+		if s.policy.WakeOnFreeSeat && rep.FreeSeats+rep.UrgentSeats > 0 && s.now.Sub(l.entry.dispatched) >= minDispatchGap {
+			s.dispatchOnce(l.entry)
+		}
 	})
 }
 
@@ -266,24 +288,53 @@
 	s.after(next, s.arriveRequest)
 }
 
+// arriveItem adds the items of one job to an entry.
 func (s *simulation) arriveItem() {
-	s.lastID++
-	w := &work{
-		id: fmt.Sprint(s.lastID), pace: estimate.UsualPace, entry: s.entries[s.itemRand.IntN(len(s.entries))], batch: true, arrived: s.now,
-		due: s.now.Add(s.scenario.DueWithin), remaining: s.scenario.RunTime,
-	}
-	next := time.Duration(s.itemRand.ExpFloat64() / s.scenario.ItemRate * float64(time.Second))
-	if w.due.Before(s.start.Add(s.scenario.Duration)) {
-		s.out.Items++
-	}
-	if s.policy.NaiveForwarding {
-		s.send(w)
-	} else {
-		w.entry.batch = append(w.entry.batch, w)
+	source, items := 0, 1
+	if len(s.scenario.Sources) > 0 {
+		source = s.drawSource()
+		items = s.scenario.Sources[source].JobItems
+	}
+	e := s.entries[s.itemRand.IntN(len(s.entries))]
+	next := time.Duration(s.itemRand.ExpFloat64() / s.scenario.ItemRate * float64(items) * float64(time.Second))
+	for range items {
+		s.lastID++
+		w := &work{
+			id: fmt.Sprint(s.lastID), pace: estimate.UsualPace,
+			entry: e, batch: true, arrived: s.now, waitingSince: s.now,
+			due: s.now.Add(s.scenario.DueWithin), remaining: s.scenario.RunTime, source: source,
+		}
+		if w.due.Before(s.start.Add(s.scenario.Duration)) {
+			s.out.Items++
+			if len(s.out.Sources) > 0 {
+				s.out.Sources[source].Items++
+			}
+		}
+		if s.policy.NaiveForwarding {
+			s.send(w)
+		} else {
+			e.batch = append(e.batch, w)
+			s.usage[source].waiting++
+		}
 	}
 	s.after(next, s.arriveItem)
 }
 
+// drawSource draws the source of the next job, so that each source has its share of the items.
+func (s *simulation) drawSource() int {
+	sum := 0.0
+	for _, src := range s.scenario.Sources {
+		sum += src.Share / float64(src.JobItems)
+	}
+	left := s.itemRand.Float64() * sum
+	for i, src := range s.scenario.Sources {
+		if left -= src.Share / float64(src.JobItems); left < 0 {
+			return i
+		}
+	}
+	return len(s.scenario.Sources) - 1
+}
+
 // submit sends work to its target's queue over a connection. Work with a reservation
 // goes to the front.
 func (s *simulation) submit(w *work) {
@@ -410,9 +461,12 @@
 	}
 	s.release(w, true)
 	if w.batch {
-		t.releaseSeat(w)
+		s.leaveSeat(w)
 		if !s.now.After(w.due) && w.due.Before(s.start.Add(s.scenario.Duration)) {
 			s.out.InTime++
+			if len(s.out.Sources) > 0 {
+				s.out.Sources[w.source].InTime++
+			}
 		}
 	}
 	w.placement++
