jobroute: a process that declines in an outage of the store is not replaced by a backup

In an outage all decline, each process remembers others, and after it up to four processes loaded a partition in place of two.

A process now counts as cut off only if it declined while the caller itself reached the store.

--- a/jobroute/jobroute.go
+++ b/jobroute/jobroute.go
@@ -5,8 +5,8 @@
 // store. Since callers connect to any process, every process would then follow every
 // partition, and each result would be read once per process. A call is therefore forwarded
 // to the owner. If the owner does not reply, the call goes to the partition's backup, which
-// is one other process and the same for all callers. A process that declines, because it cannot
-// reach the store, is replaced by the next backup. Other processes refuse the call then,
+// is one other process and the same for all callers. A process that alone cannot reach the store
+// is replaced by the next backup. Other processes refuse the call then,
 // unless these processes are cut off: in a large fleet the loads of all processes together would
 // keep the store busy for minutes, and the owners' loads with them. Ownership comes from the
 // store's group and may be out of date, so the called process replies from the partition's
@@ -111,6 +111,7 @@
 	avoidUntil time.Time // calls to the process may resume then
 	notReached bool      // no connection to the process could be opened
 	declined   bool      // the process cannot reach the store
+	cutOff     bool      // it declined although this process reaches the store
 }
 
 // busy reports whether the process was reached and did not reply in time.
@@ -140,9 +141,10 @@
 }
 
 // servers returns the processes that may serve calls about a job, in order: the owner of its
-// partition and the backup. In place of one that has recently declined comes the next backup,
-// up to maxBackups; the declined ones come last, to be told apart from processes that are not
-// known. The caller holds r.mu.
+// partition and the backup. In place of one that is cut off from the store comes the next
+// backup, up to maxBackups; the ones cut off come last, to be told apart from processes that are
+// not known. A process that declines in an outage of the store is not replaced: after it all
+// would load the partition. The caller holds r.mu.
 func (r *Router) servers(job string) []string {
 	part := r.cfg.PartitionOf(job)
 	owner := r.owners[part]
@@ -152,15 +154,15 @@
 		chain = slices.Insert(chain, 0, owner)
 	}
 	now := time.Now()
-	var active, declined []string
+	var active, cutOff []string
 	for _, addr := range chain {
-		if f := r.failed[addr]; f.declined && now.Before(f.avoidUntil) {
-			declined = append(declined, addr)
+		if f := r.failed[addr]; f.cutOff && now.Before(f.avoidUntil) {
+			cutOff = append(cutOff, addr)
 		} else if len(active) < maxServers {
 			active = append(active, addr)
 		}
 	}
-	return append(active, declined...)
+	return append(active, cutOff...)
 }
 
 // nextCandidate returns the address to forward a call about a job to: the first server before
@@ -263,8 +265,12 @@
 		// The caller disconnected or timed out, which is no failure of the called process.
 		return nil, sent, false
 	}
+	storeReachable := !r.cfg.StoreUnavailable()
 	r.mu.Lock()
-	r.failed[addr] = callFailure{avoidUntil: time.Now().Add(avoidDuration), notReached: dialErr != nil, declined: errors.Is(err, errDeclined)}
+	declined := errors.Is(err, errDeclined)
+	r.failed[addr] = callFailure{
+		avoidUntil: time.Now().Add(avoidDuration), notReached: dialErr != nil, declined: declined, cutOff: declined && storeReachable,
+	}
 	r.mu.Unlock()
 	r.cfg.Metrics.Count("job_call_not_passed_on")
 	r.cfg.Log.Warn("job call to another process failed", logging.F("job", job),
