A full job store does not hide a write whose outcome is unknown

What callers saw: 503, "not run and never will be", for a job that may be stored and run. The store has no space left for a later write, while an earlier one of the same call had no answer and is carried out late: in the same partition, in the job's home while an alternate is full, or by another process whose reply was lost. Found by reading the ways that end in ErrOutcomeUnknown; the new tests, before:

jobstore TestFullStoreKeepsUnknownOutcome: 1 partitions: got shared store is full, want an unknown outcome jobstore (with the change to updateUntil only): 6 partitions: got shared store is full, want an unknown outcome jobroute TestFullStoreKeepsUnknownEffect: mode 3: shared store is full

Cause: ErrFull is certain for its own append, and was returned as the outcome of the whole call. It is now marked as ErrOutcomeUnknown where an append, an attempt or a forwarded call is still open. Ruled out: ErrStoreUnavailable, which was marked in all three places. A store that is full from the first write on still gives 503.

go test ./jobstore ./jobroute -count=1: ok.

--- a/jobroute/jobroute.go
+++ b/jobroute/jobroute.go
@@ -301,7 +301,8 @@
 // markIfSent marks an error that says nothing was written as jobstore.ErrOutcomeUnknown if
 // another process may have executed the call before.
 func markIfSent(err error, sent bool) error {
-	if err != nil && sent && errors.Is(err, jobstore.ErrStoreUnavailable) {
+	nothingWritten := errors.Is(err, jobstore.ErrStoreUnavailable) || errors.Is(err, store.ErrFull)
+	if sent && nothingWritten {
 		return errors.Mark(err, jobstore.ErrOutcomeUnknown)
 	}
 	return err
--- a/jobroute/jobroute_test.go
+++ b/jobroute/jobroute_test.go
@@ -227,6 +227,33 @@
 	}
 }
 
+// fullLog is a log without space left.
+type fullLog struct{ store.Log }
+
+func (fullLog) Append(context.Context, store.Partition, []store.Record, int64) (int64, error) {
+	return 0, store.ErrFull
+}
+
+// Guards against the same fault when the store has no space left for the write of this process.
+func TestFullStoreKeepsUnknownEffect(t *testing.T) {
+	for _, mode := range []callMode{unreachable, replyLost} {
+		runInBubble(t, func(ctx context.Context, t *testing.T, s *sharedstore.Store) {
+			all := startProcessesOver(ctx, 2, func(host string) store.Log {
+				if host == "p1" {
+					return fullLog{s.ClientFor(host)}
+				}
+				return s.ClientFor(host)
+			})
+			all[0].mode.Store(mode)
+			s.SetFault("p0", sharedstore.ApplyLate)
+			err := all[1].router.Accept(ctx, newSpec("job"))
+			if mayRun := mode == replyLost; err == nil || errors.Is(err, jobstore.ErrOutcomeUnknown) != mayRun {
+				t.Errorf("mode %d: %v", mode, err)
+			}
+		})
+	}
+}
+
 // Guards against the same fault when the backup replies. The owner accepts the job and its
 // reply is lost; the store refuses the backup, whose reply that it has written nothing
 // is true of the backup only, not of the whole call.
--- a/jobstore/accept.go
+++ b/jobstore/accept.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -132,6 +133,9 @@
 			a.ended = true
 			if isFinal(a.err) {
 				s.recordSuccess(attempts, a)
+				if errors.Is(a.err, store.ErrFull) && (unknown || anyPending(attempts)) {
+					return a.partition, errors.Mark(a.err, ErrOutcomeUnknown)
+				}
 				return a.partition, a.err
 			}
 			s.recordAttempt(a, false)
@@ -147,6 +151,12 @@
 	return home, errors.Mark(s.unavailableError(), ErrStoreUnavailable)
 }
 
+// anyPending reports whether an attempt that has started has no result yet. It may still
+// store the job.
+func anyPending(attempts []*attempt) bool {
+	return slices.ContainsFunc(attempts, func(a *attempt) bool { return !a.ended })
+}
+
 // isFinal reports whether an attempt's result is returned to the caller, because no other
 // partition would give a better one.
 func isFinal(err error) bool {
--- a/jobstore/jobstore.go
+++ b/jobstore/jobstore.go
@@ -286,6 +286,8 @@
 		switch {
 		case err == nil:
 			continue
+		case errors.Is(err, store.ErrFull) && pendingAt != noPendingAppend:
+			return errors.Mark(err, ErrOutcomeUnknown)
 		case errors.Is(err, store.ErrFull):
 			return err
 		case errors.Is(err, store.ErrUnavailable):
--- a/jobstore/jobstore_test.go
+++ b/jobstore/jobstore_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -119,6 +120,53 @@
 	return big
 }
 
+// lateThenFull is a log whose first append gets no response and is carried out late. From then
+// on it has no space left.
+type lateThenFull struct {
+	store.Log
+	faults  *sharedstore.Store
+	appends atomic.Int64
+}
+
+func (l *lateThenFull) Append(ctx context.Context, p store.Partition, recs []store.Record, at int64) (int64, error) {
+	if l.appends.Add(1) > 1 {
+		return 0, store.ErrFull
+	}
+	l.faults.SetFault("a", sharedstore.ApplyLate)
+	defer l.faults.SetFault("a", sharedstore.NoFault)
+	ctx, cancel := context.WithTimeout(ctx, 300*time.Millisecond)
+	defer cancel()
+	return l.Log.Append(ctx, p, recs, at)
+}
+
+// Guards against a job that runs although its client was told that nothing was written: an
+// append gets no response and is carried out late, and the next one, to the same partition or
+// to an alternate, finds the store full.
+func TestFullStoreKeepsUnknownOutcome(t *testing.T) {
+	for _, partitions := range []int{1, partitionCount} {
+		inBubble(t, func(ctx context.Context, t *testing.T) {
+			s := sharedstore.New(partitions)
+			openOn := func(log store.Log) *jobstore.Store {
+				if partitions == 1 {
+					return open(ctx, log)
+				}
+				return openMany(ctx, log)
+			}
+			st := openOn(&lateThenFull{Log: s.ClientFor("a"), faults: s})
+			_, _ = st.Results(ctx, "none", 0, 0) // load the partition
+			callCtx, cancel := context.WithTimeout(ctx, time.Second)
+			defer cancel()
+			if err := st.Accept(callCtx, specSentNow("job", 1)); !errors.Is(err, jobstore.ErrOutcomeUnknown) {
+				t.Errorf("%d partitions: got %v, want an unknown outcome", partitions, err)
+			}
+			time.Sleep(2 * sharedstore.LateDelay)
+			if _, err := openOn(s.ClientFor("b")).Results(ctx, "job", 0, 0); err != nil {
+				t.Errorf("%d partitions: the late append was not carried out: %v", partitions, err)
+			}
+		})
+	}
+}
+
 // Guards against an unknown outcome being reported although nothing was written: the store
 // refuses each call until the client's deadline.
 func TestRefusedAppendReportsNotRun(t *testing.T) {
