--- a/jobstore/jobstore_test.go
+++ b/jobstore/jobstore_test.go
@@ -167,6 +167,27 @@
 	}
 }
 
+// Guards against an unknown outcome being reported although nothing was written: the store is
+// full from the first append on.
+func TestFullStoreReportsNotRun(t *testing.T) {
+	for _, partitions := range []int{1, partitionCount} {
+		inBubble(t, func(ctx context.Context, t *testing.T) {
+			log := &lateThenFull{Log: sharedstore.New(partitions).ClientFor("a")}
+			log.appends.Add(1)
+			st := open(ctx, log)
+			if partitions > 1 {
+				st = openMany(ctx, log)
+			}
+			if err := st.Accept(ctx, specSentNow("job", 1)); !errors.Is(err, store.ErrFull) || errors.Is(err, jobstore.ErrOutcomeUnknown) {
+				t.Errorf("%d partitions: got %v, want the certain error that the store is full", partitions, err)
+			}
+			if _, err := st.Results(ctx, "job", 0, 0); !errors.Is(err, jobstore.ErrJobNotFound) {
+				t.Errorf("%d partitions: read of the refused job: %v", partitions, err)
+			}
+		})
+	}
+}
+
 // Guards against an unknown outcome being reported although nothing was written: the store
 // refuses each call until the client's deadline.
 func TestRefusedAppendReportsNotRun(t *testing.T) {
