link: sessions without goroutines that only wait

An entry has a session for each class and agent; of the seven goroutines of a dialled session three only waited: for the end of the peer, for the next check of heartbeats, and for streams that an accepting side never opens (Peer.Open is the only opener). Each held a stack of some 5 kB. The end of the peer and the check are now timers and callbacks; the dialling side accepts no streams.

--- a/link/peer.go
+++ b/link/peer.go
@@ -127,10 +127,12 @@
 		return nil, err
 	}
 	s := newSession(p.cfg, class, p.addr, mux)
-	go s.closeOnDone(p.ctx)
-	go s.watch(s.cfg.HeartbeatTimeout)
-	go s.sendHeartbeats()
-	go s.accept(p.ctx)
+	stop := context.AfterFunc(p.ctx, s.close)
+	s.watch(s.cfg.HeartbeatTimeout)
+	go func() {
+		defer stop()
+		s.sendHeartbeats()
+	}()
 	return s, nil
 }
 
--- a/link/session.go
+++ b/link/session.go
@@ -38,15 +38,6 @@
 	_ = s.mux.Close()
 }
 
-// closeOnDone closes the session when ctx ends.
-func (s *session) closeOnDone(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-		s.close()
-	case <-s.mux.CloseChan():
-	}
-}
-
 func (s *session) open(call *wire.Call) (*Stream, error) {
 	conn, err := s.mux.OpenStream()
 	if err != nil {
@@ -65,22 +56,20 @@
 }
 
 // watch closes the session when heartbeats fail for longer than timeout: on the dialling
-// side when one is unanswered, on the accepting side when none arrives.
+// side when one is unanswered, on the accepting side when none arrives. It returns at once
+// and checks in timers, because a process has many sessions and each goroutine holds a stack.
 func (s *session) watch(timeout time.Duration) {
-	tick := time.NewTicker(s.cfg.HeartbeatInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-s.mux.CloseChan():
+	time.AfterFunc(s.cfg.HeartbeatInterval, func() {
+		if s.mux.IsClosed() {
 			return
-		case <-tick.C:
 		}
 		since := s.waitingSince.Load()
 		if since != 0 && time.Since(time.Unix(0, since)) > timeout {
 			s.close()
 			return
 		}
-	}
+		s.watch(timeout)
+	})
 }
 
 // sendHeartbeats sends heartbeats on a dedicated stream until the session ends.
@@ -256,6 +245,6 @@
 	defer stop()
 	defer s.close()
 	s.waitingSince.Store(time.Now().UnixNano())
-	go s.watch(s.cfg.IdleHeartbeatInterval + s.cfg.HeartbeatTimeout)
+	s.watch(s.cfg.IdleHeartbeatInterval + s.cfg.HeartbeatTimeout)
 	s.accept(ctx)
 }
