--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -170,7 +170,7 @@
 func RunGateway(stop context.Context, reloads <-chan os.Signal, file string, set *settings.Gateway, deps GatewayDeps) error {
 	out := logging.NewAsync(os.Stdout)
 	defer out.Close(logFlushTimeout)
-	limitMemory(set.MemoryMB)
+	limitMemory(set.MemoryMB, set.GCPercent)
 	base := logging.New(logging.Settings{Level: set.Log.Level, Format: set.Log.Format, Writer: out})
 	redirectStdLog(base.WithPrefix("http"))
 	ctx, cancel := context.WithCancel(context.Background())
--- a/daemon/process.go
+++ b/daemon/process.go
@@ -21,11 +21,15 @@
 const memoryFraction = 0.8
 
 // limitMemory makes the garbage collector run before the process reaches the limit at
-// which the platform kills it. A value of 0 sets no limit.
-func limitMemory(megabytes int) {
+// which the platform kills it, and whenever the heap has grown by gcPercent. A value of 0
+// leaves the runtime's default.
+func limitMemory(megabytes, gcPercent int) {
 	if megabytes > 0 {
 		debug.SetMemoryLimit(int64(memoryFraction * float64(megabytes<<20)))
 	}
+	if gcPercent > 0 {
+		debug.SetGCPercent(gcPercent)
+	}
 }
 
 // redirectStdLog sends what libraries write to the standard log, such as reports of
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"fmt"
 	"net/netip"
 	"time"
 )
@@ -107,6 +108,9 @@
 	// StopWithin is the time from the platform's stop signal until it kills the process.
 	StopWithin Duration `json:"stop_within"`
 	MemoryMB   int      `json:"memory_mb"` // memory limit of this process in MiB
+	// GCPercent is the growth of the heap since the last collection, in percent, at which
+	// the runtime collects garbage. 0 is the runtime's default.
+	GCPercent int `json:"gc_percent"`
 	// Host decides which duties of the fleet the entry takes, compared to other entries.
 	// Without cpu_share it takes all.
 	Host Host `json:"host"`
@@ -132,6 +136,7 @@
 	out = append(out, g.Limits.check()...)
 	out = append(out, g.Host.check()...)
 	out = append(out, g.Store.check()...)
+	out = append(out, checkGCPercent(g.GCPercent)...)
 	const minStopWithin = Duration(2 * time.Second) // running streams take about 1 s to end
 	if g.StopWithin < minStopWithin {
 		out = append(out, Problem{"stop_within", "expected 2s or more"})
@@ -158,6 +163,7 @@
 	Metrics    string   `json:"metrics"` // ip:port for metrics
 	StopWithin Duration `json:"stop_within"`
 	MemoryMB   int      `json:"memory_mb"`
+	GCPercent  int      `json:"gc_percent"` // as in Gateway
 	PlainPeers bool     `json:"plain_peers"`
 	TLS        *TLS     `json:"tls"`
 	Log        Log      `json:"log"`
@@ -171,6 +177,7 @@
 		out = append(out, CheckAddr(field, addrs[field])...)
 	}
 	out = append(out, CheckDistinct(addrs)...)
+	out = append(out, checkGCPercent(a.GCPercent)...)
 	if !a.PlainPeers {
 		out = append(out, CheckLoopback("listen", a.Listen, a.TLS != nil)...)
 	}
@@ -178,6 +185,15 @@
 	return append(out, a.Log.check()...)
 }
 
+// checkGCPercent refuses values below which collections take a large part of the processor.
+func checkGCPercent(percent int) []Problem {
+	const minPercent, maxPercent = 20, 400
+	if percent != 0 && (percent < minPercent || percent > maxPercent) {
+		return []Problem{{"gc_percent", fmt.Sprintf("expected %d to %d, or 0 for the runtime's default", minPercent, maxPercent)}}
+	}
+	return nil
+}
+
 func checkPort(field string, port int) []Problem {
 	if port < 1 || port > 65535 {
 		return []Problem{{field, "expected a port number from 1 to 65535"}}
--- a/settings/gateway_test.go
+++ b/settings/gateway_test.go
@@ -94,3 +94,21 @@
 		t.Errorf("got %v, want a typed problem of cpu_share", err)
 	}
 }
+
+// Guards against a process that collects garbage all the time, or never, because of a wrong
+// setting, and against a deployment that cannot leave the setting out.
+func TestGCPercent(t *testing.T) {
+	for file, set := range map[string]Checker{"gateway": &Gateway{}, "seat-agent": &SeatAgent{}} {
+		good, err := os.ReadFile("../examples/" + file + ".hujson")
+		if err != nil {
+			t.Fatal(err)
+		}
+		for percent, valid := range map[string]bool{"0": true, "20": true, "50": true, "400": true, "-1": false, "1": false, "19": false, "401": false} {
+			text := strings.Replace(string(good), `"memory_mb"`, `"gc_percent": `+percent+`, "memory_mb"`, 1)
+			err := Parse("x", []byte(text), set)
+			if valid != (err == nil) || !valid && !strings.Contains(err.Error(), "gc_percent") {
+				t.Errorf("%s with gc_percent %s: error %v, want valid %v", file, percent, err, valid)
+			}
+		}
+	}
+}
