daemon: no more threads than the share of the processor keeps busy

On a host with many processors the runtime keeps caches for each, though an entry may use 0.1 to 0.8 of one core. An entry with host.cpu_share now runs at most that share rounded up, at least 2, which is the runtime's own rule for a quota of a control group; without a share nothing changes.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -171,6 +171,7 @@
 	out := logging.NewAsync(os.Stdout)
 	defer out.Close(logFlushTimeout)
 	limitMemory(set.MemoryMB, set.GCPercent)
+	limitProcs(set.Host.MaxProcs())
 	base := logging.New(logging.Settings{Level: set.Log.Level, Format: set.Log.Format, Writer: out})
 	redirectStdLog(base.WithPrefix("http"))
 	ctx, cancel := context.WithCancel(context.Background())
--- a/daemon/process.go
+++ b/daemon/process.go
@@ -5,6 +5,7 @@
 	stdlog "log"
 	"net"
 	"net/http"
+	"runtime"
 	"runtime/debug"
 
 	"github.com/cockroachdb/errors"
@@ -32,6 +33,14 @@
 	}
 }
 
+// limitProcs bounds the threads that run at once, because each has caches of its own in the
+// runtime. It never raises the runtime's number. A value of 0 sets no bound.
+func limitProcs(procs int) {
+	if procs > 0 && procs < runtime.GOMAXPROCS(0) {
+		runtime.GOMAXPROCS(procs)
+	}
+}
+
 // redirectStdLog sends what libraries write to the standard log, such as reports of
 // unsolicited responses, to log.
 func redirectStdLog(log logging.Logger) {
--- a/daemon/seatagent.go
+++ b/daemon/seatagent.go
@@ -31,6 +31,7 @@
 	out := logging.NewAsync(os.Stdout)
 	defer out.Close(logFlushTimeout)
 	limitMemory(set.MemoryMB, set.GCPercent)
+	limitProcs(set.MaxProcs)
 	log := logging.New(logging.Settings{Level: set.Log.Level, Format: set.Log.Format, Writer: out}).WithPrefix("agent")
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"time"
 )
@@ -76,6 +77,17 @@
 	return h.CPUShare * h.Cores
 }
 
+// MaxProcs returns the number of threads that may run at once: the share of a core rounded
+// up, at least 2, so that one long computation does not stop the others. It is 0, the
+// runtime's default, if the share is unknown.
+func (h *Host) MaxProcs() int {
+	const minProcs = 2
+	if h.CPUShare == 0 {
+		return 0
+	}
+	return max(minProcs, int(math.Ceil(h.CPUShare)))
+}
+
 // defaultLimitWindow is the default of RateLimits.Window.
 const defaultLimitWindow = Duration(5 * time.Second)
 
@@ -164,9 +176,12 @@
 	StopWithin Duration `json:"stop_within"`
 	MemoryMB   int      `json:"memory_mb"`
 	GCPercent  int      `json:"gc_percent"` // as in Gateway
-	PlainPeers bool     `json:"plain_peers"`
-	TLS        *TLS     `json:"tls"`
-	Log        Log      `json:"log"`
+	// MaxProcs bounds the threads that run at once. 0 is the runtime's default: the
+	// processors of the host.
+	MaxProcs   int  `json:"max_procs"`
+	PlainPeers bool `json:"plain_peers"`
+	TLS        *TLS `json:"tls"`
+	Log        Log  `json:"log"`
 }
 
 // Check implements Checker.
@@ -178,6 +193,9 @@
 	}
 	out = append(out, CheckDistinct(addrs)...)
 	out = append(out, checkGCPercent(a.GCPercent)...)
+	if a.MaxProcs < 0 {
+		out = append(out, Problem{"max_procs", "expected 0 or more"})
+	}
 	if !a.PlainPeers {
 		out = append(out, CheckLoopback("listen", a.Listen, a.TLS != nil)...)
 	}
--- a/settings/gateway_test.go
+++ b/settings/gateway_test.go
@@ -112,3 +112,24 @@
 		}
 	}
 }
+
+// Guards against an entry that runs one thread only, or fewer than its share of the processor
+// keeps busy, and against a bound where the share is unknown.
+func TestMaxProcs(t *testing.T) {
+	for share, want := range map[float64]int{0: 0, 0.109: 2, 0.8: 2, 2: 2, 2.5: 3} {
+		if got := (&Host{CPUShare: share}).MaxProcs(); got != want {
+			t.Errorf("share %v: got %d, want %d", share, got, want)
+		}
+	}
+	good, err := os.ReadFile("../examples/seat-agent.hujson")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for procs, valid := range map[string]bool{"0": true, "2": true, "-1": false} {
+		text := strings.Replace(string(good), `"memory_mb"`, `"max_procs": `+procs+`, "memory_mb"`, 1)
+		err := Parse("x", []byte(text), &SeatAgent{})
+		if valid != (err == nil) || !valid && !strings.Contains(err.Error(), "max_procs") {
+			t.Errorf("max_procs %s: error %v, want valid %v", procs, err, valid)
+		}
+	}
+}
