--- a/daemon/process.go
+++ b/daemon/process.go
@@ -5,6 +5,7 @@
 	stdlog "log"
 	"net"
 	"net/http"
+	"runtime"
 	"runtime/debug"
 
 	"github.com/cockroachdb/errors"
@@ -21,11 +22,23 @@
 const memoryFraction = 0.8
 
 // limitMemory makes the garbage collector run before the process reaches the limit at
-// which the platform kills it. A value of 0 sets no limit.
-func limitMemory(megabytes int) {
+// which the platform kills it, and whenever the heap has grown by gcPercent. A value of 0
+// leaves the runtime's default.
+func limitMemory(megabytes, gcPercent int) {
 	if megabytes > 0 {
 		debug.SetMemoryLimit(int64(memoryFraction * float64(megabytes<<20)))
 	}
+	if gcPercent > 0 {
+		debug.SetGCPercent(gcPercent)
+	}
+}
+
+// limitProcs bounds the threads that run at once, because each has caches of its own in the
+// runtime. It never raises the runtime's number. A value of 0 sets no bound.
+func limitProcs(procs int) {
+	if procs > 0 && procs < runtime.GOMAXPROCS(0) {
+		runtime.GOMAXPROCS(procs)
+	}
 }
 
 // redirectStdLog sends what libraries write to the standard log, such as reports of
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -1,6 +1,8 @@
 package settings
 
 import (
+	"fmt"
+	"math"
 	"net/netip"
 	"time"
 )
@@ -75,6 +77,17 @@
 	return h.CPUShare * h.Cores
 }
 
+// MaxProcs returns the number of threads that may run at once: the share of a core rounded
+// up, at least 2, so that one long computation does not stop the others. It is 0, the
+// runtime's default, if the share is unknown.
+func (h *Host) MaxProcs() int {
+	const minProcs = 2
+	if h.CPUShare == 0 {
+		return 0
+	}
+	return max(minProcs, int(math.Ceil(h.CPUShare)))
+}
+
 // defaultLimitWindow is the default of RateLimits.Window.
 const defaultLimitWindow = Duration(5 * time.Second)
 
@@ -107,6 +120,9 @@
 	// StopWithin is the time from the platform's stop signal until it kills the process.
 	StopWithin Duration `json:"stop_within"`
 	MemoryMB   int      `json:"memory_mb"` // memory limit of this process in MiB
+	// GCPercent is the growth of the heap since the last collection, in percent, at which
+	// the runtime collects garbage. 0 is the runtime's default.
+	GCPercent int `json:"gc_percent"`
 	// Host decides which duties of the fleet the entry takes, compared to other entries.
 	// Without cpu_share it takes all.
 	Host Host `json:"host"`
@@ -132,6 +148,7 @@
 	out = append(out, g.Limits.check()...)
 	out = append(out, g.Host.check()...)
 	out = append(out, g.Store.check()...)
+	out = append(out, checkGCPercent(g.GCPercent)...)
 	const minStopWithin = Duration(2 * time.Second) // running streams take about 1 s to end
 	if g.StopWithin < minStopWithin {
 		out = append(out, Problem{"stop_within", "expected 2s or more"})
@@ -158,9 +175,13 @@
 	Metrics    string   `json:"metrics"` // ip:port for metrics
 	StopWithin Duration `json:"stop_within"`
 	MemoryMB   int      `json:"memory_mb"`
-	PlainPeers bool     `json:"plain_peers"`
-	TLS        *TLS     `json:"tls"`
-	Log        Log      `json:"log"`
+	GCPercent  int      `json:"gc_percent"` // as in Gateway
+	// MaxProcs bounds the threads that run at once. 0 is the runtime's default: the
+	// processors of the host.
+	MaxProcs   int  `json:"max_procs"`
+	PlainPeers bool `json:"plain_peers"`
+	TLS        *TLS `json:"tls"`
+	Log        Log  `json:"log"`
 }
 
 // Check implements Checker.
@@ -171,6 +192,10 @@
 		out = append(out, CheckAddr(field, addrs[field])...)
 	}
 	out = append(out, CheckDistinct(addrs)...)
+	out = append(out, checkGCPercent(a.GCPercent)...)
+	if a.MaxProcs < 0 {
+		out = append(out, Problem{"max_procs", "expected 0 or more"})
+	}
 	if !a.PlainPeers {
 		out = append(out, CheckLoopback("listen", a.Listen, a.TLS != nil)...)
 	}
@@ -178,6 +203,15 @@
 	return append(out, a.Log.check()...)
 }
 
+// checkGCPercent refuses values below which collections take a large part of the processor.
+func checkGCPercent(percent int) []Problem {
+	const minPercent, maxPercent = 20, 400
+	if percent != 0 && (percent < minPercent || percent > maxPercent) {
+		return []Problem{{"gc_percent", fmt.Sprintf("expected %d to %d, or 0 for the runtime's default", minPercent, maxPercent)}}
+	}
+	return nil
+}
+
 func checkPort(field string, port int) []Problem {
 	if port < 1 || port > 65535 {
 		return []Problem{{field, "expected a port number from 1 to 65535"}}
