--- a/seats/client.go
+++ b/seats/client.go
@@ -50,7 +50,8 @@
 	Waited    time.Duration // time that the item has waited for a seat
 }
 
-// Acquire asks the agent at peer for a seat. It returns a nil Seat if none is free. The returned load is the one that the agent decided by.
+// Acquire asks the agent at peer for a seat. It returns a nil Seat if none is free. The
+// returned load is the one that the agent decided by.
 func Acquire(ctx context.Context, peer *link.Peer, in targets.Instance, req Request) (*Seat, *wire.Load, error) {
 	return ask(ctx, peer, in, req, 0)
 }
