opview: a report that leaves out entries is not complete; failed encodings are logged

Beyond 512 known entries the rest was dropped and the report said complete: true. Found in review. TestOmittedEntriesAreMissing fails without the change (complete: true, missing: []). An encoding that fails was shown as an entry of another version, without a line at the entry itself.

--- a/daemon/reports.go
+++ b/daemon/reports.go
@@ -10,6 +10,7 @@
 	"pumiceford/balance"
 	"pumiceford/catalog"
 	"pumiceford/fairshare"
+	"pumiceford/logging"
 	"pumiceford/opview"
 	"pumiceford/refusals"
 )
@@ -32,19 +33,21 @@
 	n.entries.Report = func(name string) []byte {
 		switch name {
 		case opview.ReportShares:
-			return encodeReport(n.ownShares())
+			return n.encodeReport(name, n.ownShares())
 		case opview.ReportTargets:
-			return encodeReport(n.ownTargets())
+			return n.encodeReport(name, n.ownTargets())
 		}
 		return nil
 	}
 }
 
-// encodeReport encodes a report as JSON.
-func encodeReport(report any) []byte {
+// encodeReport encodes a report as JSON. It returns nil if that fails; the entry that asks then
+// names this one as missing.
+func (n *entryNode) encodeReport(name string, report any) []byte {
 	raw, err := json.Marshal(report)
 	if err != nil {
-		return nil // the entry that asks counts this one as missing
+		n.log.Error("report not encoded", logging.F("report", name), logging.F("error", err.Error()))
+		return nil
 	}
 	return raw
 }
@@ -82,14 +85,14 @@
 func (n *entryNode) sharesHandler(w http.ResponseWriter, r *http.Request) {
 	var report SharesReport
 	report.Shares, report.Coverage = collect(r.Context(), n, n.ownShares(), opview.ReportShares, opview.MergeShares)
-	writeReport(w, report)
+	n.writeReport(w, report)
 }
 
 // targetsHandler serves the TargetsReport of the fleet as JSON.
 func (n *entryNode) targetsHandler(w http.ResponseWriter, r *http.Request) {
 	var report TargetsReport
 	report.Targets, report.Coverage = collect(r.Context(), n, n.ownTargets(), opview.ReportTargets, opview.MergeTargets)
-	writeReport(w, report)
+	n.writeReport(w, report)
 }
 
 // collect merges the reports of all entries that this one or another one knows. One
@@ -108,7 +111,9 @@
 	return opview.Collect(ctx, n.set.Peers, own, known, report, query, merge)
 }
 
-func writeReport(w http.ResponseWriter, report any) {
+func (n *entryNode) writeReport(w http.ResponseWriter, report any) {
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(report) // fails only when the client has disconnected
+	if err := json.NewEncoder(w).Encode(report); err != nil {
+		n.log.Warn("report not sent", logging.F("error", err.Error()))
+	}
 }
--- a/opview/collect.go
+++ b/opview/collect.go
@@ -54,6 +54,9 @@
 // errNotAsked is returned for an entry for which no time was left.
 var errNotAsked = errors.New("not asked; the time was over")
 
+// errTooManyEntries is returned for the entries beyond maxEntries.
+var errTooManyEntries = errors.New("not asked; more entries are known than one report asks")
+
 // errReportTooLarge is returned for a report of more than maxReportBytes.
 var errReportTooLarge = errors.New("its report is too large")
 
@@ -71,28 +74,37 @@
 		c.round(ctx, batch)
 	}
 	slices.SortFunc(c.cover.Missing, func(a, b Missing) int { return cmp.Compare(a.Entry, b.Entry) })
+	if c.omitted {
+		c.cover.Missing = append(c.cover.Missing, Missing{Entry: "others", Why: errTooManyEntries.Error()})
+	}
 	c.cover.Entries = c.cover.Answered + len(c.cover.Missing)
 	c.cover.Complete = len(c.cover.Missing) == 0
 	return c.merged, c.cover
 }
 
-// collection is the state of one Collect. mu guards seen, next, merged and cover.
+// collection is the state of one Collect. mu guards seen, next, omitted, merged and cover.
 type collection[T any] struct {
 	query  Query
 	report string
 	merge  func(a, b T) T
 
-	mu     sync.Mutex
-	seen   map[string]bool
-	next   []string // to be asked in the next round
-	merged T
-	cover  Coverage
+	mu   sync.Mutex
+	seen map[string]bool
+	next []string // to be asked in the next round
+	// omitted says that entries beyond maxEntries are known and not asked.
+	omitted bool
+	merged  T
+	cover   Coverage
 }
 
 // add schedules the entries that have not been asked.
 func (c *collection[T]) add(addrs []string) {
 	for _, a := range addrs {
-		if !c.seen[a] && len(c.seen) < maxEntries {
+		switch {
+		case c.seen[a]:
+		case len(c.seen) >= maxEntries:
+			c.omitted = true
+		default:
 			c.seen[a] = true
 			c.next = append(c.next, a)
 		}
--- a/opview/opview_test.go
+++ b/opview/opview_test.go
@@ -176,3 +176,19 @@
 		opview.MergeShares(merged, one)
 	}
 }
+
+// Guards against a report that claims to be complete although more entries are known than it
+// asks.
+func TestOmittedEntriesAreMissing(t *testing.T) {
+	var known []string
+	for n := range 600 {
+		known = append(known, fmt.Sprint("e", n))
+	}
+	query := func(context.Context, string, string) (opview.Reply, error) {
+		return opview.Reply{Report: []byte("{}")}, nil
+	}
+	_, cover := opview.Collect(t.Context(), "a", numbers{}, known, "r", query, mergeNumbers)
+	if cover.Complete || len(cover.Missing) != 1 {
+		t.Errorf("complete: %v, missing: %v, want one line for the entries that were not asked", cover.Complete, cover.Missing)
+	}
+}
