runner, gateway: one look-up of an item's route, one conversion of ages

work and holder matched the catalog again beside route; loadAgeMillis and paceAgeMillis were the same function of two fields. The room's comment named an Expire that does not exist. No behaviour changes; go test ./runner ./gateway ./waitroom passes.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -332,7 +332,7 @@
 		logging.F("workspace", s.req.Workspace), logging.F("instance", s.instance), logging.F("sends", s.sends), logging.F("events", s.lastEvent),
 		logging.F("returning", s.isRetry), logging.F("first_ms", firstMs), logging.F("aim_ms", s.route.FirstEventWithin.Milliseconds()), logging.F("took_ms", now.Sub(s.req.Arrived).Milliseconds()),
 		logging.F("load", s.choice.Load), logging.F("waiting", s.choice.Waiting), logging.F("among", s.choice.Candidates),
-		logging.F("load_age_ms", loadAgeMillis(s.choice)), logging.F("wait_estimate_ms", s.choice.Wait.Milliseconds()),
+		logging.F("load_age_ms", ageMillis(s.choice.LoadAge)), logging.F("wait_estimate_ms", s.choice.Wait.Milliseconds()),
 		logging.F("rank", s.standing.Rank), logging.F("excess", s.standing.Excess),
 		logging.F("room_ms", s.roomTime.Milliseconds()), logging.F("room_estimate_ms", s.admission.Wait.Milliseconds()),
 		logging.F("room_spread_ms", s.admission.Spread.Milliseconds()), logging.F("room_allowance_ms", s.admission.Allowance.Milliseconds()),
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -305,8 +305,8 @@
 	// The send is logged in addition to the end: a process that dies does not log the end.
 	s.g.log.Info("request sent", logging.F("request", s.req.ID), logging.F("key", s.req.Key.String()), logging.F("route", s.route.Name),
 		logging.F("instance", c.Instance.ID), logging.F("load", c.Load), logging.F("batch", c.Batch),
-		logging.F("waiting", c.Waiting), logging.F("load_age_ms", loadAgeMillis(c)),
-		logging.F("pace", c.Pace), logging.F("pace_age_ms", paceAgeMillis(c)), logging.F("reserved", s.req.ReservedSlot != ""),
+		logging.F("waiting", c.Waiting), logging.F("load_age_ms", ageMillis(c.LoadAge)),
+		logging.F("pace", c.Pace), logging.F("pace_age_ms", ageMillis(c.PaceAge)), logging.F("reserved", s.req.ReservedSlot != ""),
 		logging.F("among", c.Candidates), logging.F("catalog", s.g.version()))
 	return c, true
 }
@@ -328,22 +328,13 @@
 	return true
 }
 
-// loadAgeMillis returns the age in milliseconds of the load report behind a choice, -1 when
-// there was none.
-func loadAgeMillis(c balance.Choice) int64 {
-	if !c.Reported() {
+// ageMillis returns the age in milliseconds of what a choice is based on, -1 when there was
+// nothing, which the choice marks by a negative age.
+func ageMillis(age time.Duration) int64 {
+	if age < 0 {
 		return -1
 	}
-	return c.LoadAge.Milliseconds()
-}
-
-// paceAgeMillis returns the age in milliseconds of the pace behind a choice, -1 when none was
-// known.
-func paceAgeMillis(c balance.Choice) int64 {
-	if c.PaceAge < 0 {
-		return -1
-	}
-	return c.PaceAge.Milliseconds()
+	return age.Milliseconds()
 }
 
 // needs returns what the choice of a target considers of the request.
--- a/runner/run.go
+++ b/runner/run.go
@@ -36,18 +36,18 @@
 const statusImpossible = http.StatusUnprocessableEntity
 
 // route returns the current route of an item's path, or nil if there is none.
-func (r *Runner) route(c candidate) *catalog.Route {
+func (r *Runner) route(open jobstore.OpenItem) *catalog.Route {
 	cat := r.cfg.View.Catalog()
 	if cat == nil {
 		return nil
 	}
-	return cat.Match(c.open.Spec.GetHost(), c.open.Item.GetPath())
+	return cat.Match(open.Spec.GetHost(), open.Item.GetPath())
 }
 
 // service returns the service that runs an item. It reports false if the item has no
 // route.
 func (r *Runner) service(c candidate) (string, bool) {
-	route := r.route(c)
+	route := r.route(c.open)
 	if route == nil {
 		return "", false
 	}
@@ -57,10 +57,8 @@
 // work returns the size of an item, as far as it is known.
 func (r *Runner) work(open jobstore.OpenItem) estimate.Work {
 	w := r.cfg.Work(open.Item.GetHeaders())
-	if cat := r.cfg.View.Catalog(); cat != nil {
-		if route := cat.Match(open.Spec.GetHost(), open.Item.GetPath()); route != nil {
-			w.Class = route.Name
-		}
+	if route := r.route(open); route != nil {
+		w.Class = route.Name
 	}
 	return w
 }
@@ -97,7 +95,7 @@
 	h := fairshare.Holder{Workspace: open.Spec.GetWorkspace()}
 	if cat := r.cfg.View.Catalog(); cat != nil {
 		w := cat.Workspace(h.Workspace)
-		h.Rank, h.Weight = catalog.Rank(cat.Match(open.Spec.GetHost(), open.Item.GetPath()), w), cat.Weight(w)
+		h.Rank, h.Weight = catalog.Rank(r.route(open), w), cat.Weight(w)
 	}
 	return h
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -524,7 +524,7 @@
 	failed, impossible := st.failures, st.impossible
 	r.mu.Unlock()
 	now := time.Now()
-	route, routeless := r.route(c), r.routeless(now, c, st)
+	route, routeless := r.route(c.open), r.routeless(now, c, st)
 	attempts := 1
 	if route != nil {
 		attempts = max(route.Attempts, 1)
@@ -552,7 +552,7 @@
 // routeless reports whether an item has had no route for routelessTimeout. A route may
 // be missing briefly during successive configuration changes.
 func (r *Runner) routeless(now time.Time, c candidate, st *itemState) bool {
-	hasCatalog, route := r.cfg.View.Catalog() != nil, r.route(c)
+	hasCatalog, route := r.cfg.View.Catalog() != nil, r.route(c.open)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
--- a/waitroom/room.go
+++ b/waitroom/room.go
@@ -52,7 +52,7 @@
 }
 
 // Room holds the waiting requests of one service. A ticket leaves it exactly once: through
-// Next, Leave, Expire, or because a ticket that goes before it displaces it from a full room.
+// Next, Leave, or because a ticket that goes before it displaces it from a full room.
 // It is not safe for concurrent use.
 type Room struct {
 	limit      int
