runner: an item's headers are read once, not in each scan

Each scan converted and parsed the headers of every open item to estimate what remains, under Runner.mu, up to fifty times a second. The size is now kept with the item, beside its content key.

--- a/runner/move.go
+++ b/runner/move.go
@@ -56,7 +56,7 @@
 		if run == nil || run.next != nil || st.moves >= maxMoves || now.Sub(run.began) < minMoveRunTime || st.lastEvent <= run.from {
 			continue
 		}
-		work := r.work(run.candidate.open)
+		work := r.work(run.candidate.open, st)
 		usual := r.estimates.Remaining(work, estimate.UsualPace, st.lastEvent)
 		speed := schedule.Speed{Took: now.Sub(run.began), Did: r.estimates.Remaining(work, estimate.UsualPace, run.from) - usual, Left: usual}
 		if speed.Late(now, run.candidate.Due) {
--- a/runner/run.go
+++ b/runner/run.go
@@ -55,8 +55,8 @@
 }
 
 // work returns the size of an item, as far as it is known.
-func (r *Runner) work(open jobstore.OpenItem) estimate.Work {
-	w := r.cfg.Work(open.Item.GetHeaders())
+func (r *Runner) work(open jobstore.OpenItem, st *itemState) estimate.Work {
+	w := st.size
 	if route := r.route(open); route != nil {
 		w.Class = route.Name
 	}
@@ -121,11 +121,11 @@
 func (r *Runner) remainingAt(c candidate, pace float64) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var done uint64
-	if st := r.items[c.open.Key()]; st != nil {
-		done = st.lastEvent
+	st := r.items[c.open.Key()]
+	if st == nil { // the item has been closed meanwhile
+		return c.Remaining
 	}
-	return r.estimates.Remaining(r.work(c.open), pace, done)
+	return r.estimates.Remaining(r.work(c.open, st), pace, st.lastEvent)
 }
 
 // excludeFailed returns the targets at which an item may be retried. A target that fails
@@ -310,6 +310,7 @@
 func (r *Runner) endRun(ctx context.Context, c candidate, st *itemState, in targets.Instance, o *jobs.Outcome, err error, from uint64, began time.Time) (uint64, int, *grant) {
 	pace := estimate.UsualPace
 	r.cfg.View.WithTable(func(t *balance.Table) { pace = t.UsualPace(time.Now(), in.ID) })
+	work := r.work(c.open, st)
 	r.mu.Lock()
 	// Set done under the same lock as the end of the run. Otherwise the item looks open
 	// in between and is started again.
@@ -323,9 +324,9 @@
 	}
 	if o != nil {
 		st.backoff = 0
-		r.estimates.ObserveItem(r.work(c.open), st.lastEvent)
+		r.estimates.ObserveItem(work, st.lastEvent)
 	}
-	r.estimates.ObserveRun(r.work(c.open), pace, st.lastEvent-from, time.Since(began))
+	r.estimates.ObserveRun(work, pace, st.lastEvent-from, time.Since(began))
 	last, failed, ended := st.lastEvent, st.failures, st.ended
 	r.mu.Unlock()
 	switch {
@@ -369,7 +370,7 @@
 	r.mu.Unlock()
 	resp, err := r.cfg.Sender.Send(ctx, in, &exchange.Call{
 		ID: item.GetId(), Method: http.MethodPost, Host: c.open.Spec.GetHost(), URI: item.GetPath(),
-		Header: r.cfg.Headers(item.GetHeaders()), Body: item.GetBody(), Work: r.work(c.open), ResumeAfter: after, Workspace: c.open.Spec.GetWorkspace(),
+		Header: r.cfg.Headers(item.GetHeaders()), Body: item.GetBody(), Work: r.work(c.open, st), ResumeAfter: after, Workspace: c.open.Spec.GetWorkspace(),
 	})
 	if err != nil {
 		r.recordSendError(ctx, in, err)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -123,11 +123,12 @@
 }
 
 // itemState is the local state of an open item, beyond what the store holds: its
-// progress and when it may be retried. Runner.mu guards all fields but key and
-// contentKey, which do not change once set.
+// progress and when it may be retried. Runner.mu guards all fields but key, contentKey and
+// size, which do not change once set.
 type itemState struct {
 	key        jobstore.ItemKey
 	contentKey quarantine.Key // set before the first run in this process
+	size       estimate.Work  // without its class; set with contentKey
 	part       int
 	running    bool
 	ended      chan struct{} // closed when the run ends
@@ -294,7 +295,7 @@
 		c.Standing = r.standing(now, c.open, standings)
 		c.Item = schedule.Item{
 			Due:       time.UnixMilli(c.open.Spec.GetDueUnixMs()),
-			Remaining: r.estimates.Remaining(r.work(c.open), estimate.UsualPace, st.lastEvent),
+			Remaining: r.estimates.Remaining(r.work(c.open, st), estimate.UsualPace, st.lastEvent),
 			Started:   st.lastEvent > 0,
 		}
 	}
@@ -314,7 +315,7 @@
 	defer r.mu.Unlock()
 	st := r.itemLocked(it.Key(), part)
 	if st.contentKey == (quarantine.Key{}) {
-		st.contentKey = contentKeyOf(it)
+		st.contentKey, st.size = contentKeyOf(it), r.cfg.Work(it.Item.GetHeaders())
 	}
 	st.failures = max(st.failures, it.FailedAttempts)
 	st.impossible = st.impossible || it.Impossible
