--- a/balance/batchtargets.go
+++ b/balance/batchtargets.go
@@ -55,7 +55,7 @@
 	var out []BatchTarget
 	mayWait := item.inTime(now, estimate.UsualPace)
 	for _, v := range t.order {
-		if !v.eligible(now, service, nil, false) || !v.reported(now) || v.report.Unresponsive {
+		if !v.takesBatch(now, service) {
 			continue
 		}
 		if mayWait && !item.inTime(now, v.usualPace(now)) {
@@ -93,13 +93,18 @@
 	return out
 }
 
+// takesBatch reports whether a target may get batch work of a service now.
+func (v *View) takesBatch(now time.Time, service string) bool {
+	return v.eligible(now, service, nil, false) && v.reported(now) && !v.report.Unresponsive
+}
+
 // ReservationTargets returns the targets of a service at which an item may wait for a seat:
 // those with a current report that respond and are not suspect. Their order depends on draw
 // only, so that items that wait at the same time spread over the agents.
 func (t *Table) ReservationTargets(now time.Time, service string, draw uint64) []BatchTarget {
 	var out []BatchTarget
 	for _, v := range t.order {
-		if v.eligible(now, service, nil, false) && v.reported(now) && !v.report.Unresponsive && !v.suspect(now) {
+		if v.takesBatch(now, service) && !v.suspect(now) {
 			out = append(out, BatchTarget{Instance: v.Instance, Free: v.Free(now), Pace: v.usualPace(now)})
 		}
 	}
@@ -114,7 +119,7 @@
 func (t *Table) BestPace(now time.Time, service string) float64 {
 	best := 0.0
 	for _, v := range t.order {
-		if v.eligible(now, service, nil, false) && v.reported(now) && !v.report.Unresponsive && !v.suspect(now) {
+		if v.takesBatch(now, service) && !v.suspect(now) {
 			if p := v.usualPace(now); best == 0 || p < best {
 				best = p
 			}
