--- a/balance/batchtargets.go
+++ b/balance/batchtargets.go
@@ -34,13 +34,15 @@
 
 // BatchTargets returns the targets for an item of which nothing is known, see BatchTargetsFor.
 func (t *Table) BatchTargets(now time.Time, service string) []BatchTarget {
-	return t.BatchTargetsFor(now, service, Item{})
+	all, _ := t.BatchTargetsFor(now, service, Item{})
+	return all
 }
 
 // UrgentBatchTargets returns the targets for an item that is due soon and of which nothing
 // else is known, see BatchTargetsFor.
 func (t *Table) UrgentBatchTargets(now time.Time, service string) []BatchTarget {
-	return t.BatchTargetsFor(now, service, Item{Urgent: true})
+	all, _ := t.BatchTargetsFor(now, service, Item{Urgent: true})
+	return all
 }
 
 // BatchTargetsFor returns the targets of a service whose agents have free seats for batch
@@ -50,22 +52,24 @@
 //
 // Targets at which the item would be late are left to items with time to spare while it can
 // still complete in time at a target with the usual pace. An item stays where it started
-// until it has to yield, so it would be late there even if a faster target became free.
-func (t *Table) BatchTargetsFor(now time.Time, service string, item Item) []BatchTarget {
-	var out []BatchTarget
+// until it has to yield, so it would be late there even if a faster target became free. The
+// result tooSlow reports whether a target with free seats was left out for that.
+func (t *Table) BatchTargetsFor(now time.Time, service string, item Item) (out []BatchTarget, tooSlow bool) {
 	mayWait := item.inTime(now, estimate.UsualPace)
 	for _, v := range t.order {
 		if !v.takesBatch(now, service) {
 			continue
 		}
-		if mayWait && !item.inTime(now, v.usualPace(now)) {
-			continue
-		}
 		seats := v.report.FreeSeats
 		if item.Urgent {
 			seats += v.report.UrgentSeats
 		}
-		if free := min(v.Free(now), seats) - v.seatsTaken; free > 0 {
+		free := min(v.Free(now), seats) - v.seatsTaken
+		switch {
+		case free <= 0:
+		case mayWait && !item.inTime(now, v.usualPace(now)):
+			tooSlow = true
+		default:
 			out = append(out, BatchTarget{Instance: v.Instance, Free: free, Suspect: v.suspect(now), Pace: v.usualPace(now), idleConn: v.conns.idle(now)})
 		}
 	}
@@ -90,7 +94,7 @@
 		}
 		return 1
 	})
-	return out
+	return out, tooSlow
 }
 
 // takesBatch reports whether a target may get batch work of a service now.
--- a/balance/pace_test.go
+++ b/balance/pace_test.go
@@ -217,7 +217,8 @@
 func TestItemsStartWhereTheyCompleteInTime(t *testing.T) {
 	tab := pacedTable(start, 3)
 	has := func(remaining, due time.Duration) bool {
-		for _, c := range tab.BatchTargetsFor(ready, "s", balance.Item{Remaining: remaining, Due: ready.Add(due)}) {
+		all, _ := tab.BatchTargetsFor(ready, "s", balance.Item{Remaining: remaining, Due: ready.Add(due)})
+		for _, c := range all {
 			if c.Instance.ID == "i0" {
 				return true
 			}
--- a/bench/load/batch.go
+++ b/bench/load/batch.go
@@ -163,8 +163,9 @@
 	return s.claim(w).Accepts(s.now, atPace(w.remaining, s.pace(w.entry, t)), atPace(w.remaining, best))
 }
 
-// freeSeats returns the targets that may have a free seat for an item.
-func (s *simulation) freeSeats(w *work) []balance.BatchTarget {
+// freeSeats returns the targets that may have a free seat for an item, and whether it leaves out
+// one that is too slow.
+func (s *simulation) freeSeats(w *work) (free []balance.BatchTarget, tooSlow bool) {
 	due := s.claim(w).YieldDue(s.now)
 	return w.entry.table.BatchTargetsFor(s.now, "s", balance.Item{Remaining: w.remaining, Due: due, Urgent: seats.Urgent(s.now, due)})
 }
@@ -173,8 +174,7 @@
 // and starts the item at the first that grants one. It reports whether the item started, and
 // whether it left out a target that is too slow.
 func (s *simulation) acquireSeat(e *entry, w *work) (started, tooSlow bool) {
-	free, due := s.freeSeats(w), s.claim(w).YieldDue(s.now)
-	tooSlow = len(e.table.BatchTargetsFor(s.now, "s", balance.Item{Urgent: seats.Urgent(s.now, due)})) > len(free)
+	free, tooSlow := s.freeSeats(w)
 	for _, c := range free {
 		t := s.byID[c.Instance.ID]
 		seat, granted := t.arbiter.Acquire(s.now, s.seatRequest(w, t))
@@ -282,7 +282,8 @@
 
 func (s *simulation) move(e *entry, w *work, speed schedule.Speed) {
 	var best *target
-	for _, c := range s.freeSeats(w) {
+	free, _ := s.freeSeats(w)
+	for _, c := range free {
 		if t := s.byID[c.Instance.ID]; t != w.target && (best == nil || s.pace(w.entry, t) < s.pace(w.entry, best)) {
 			best = t
 		}
--- a/runner/move.go
+++ b/runner/move.go
@@ -107,7 +107,7 @@
 func (r *Runner) moveTarget(now time.Time, m lateRun) (targets.Instance, bool) {
 	var free []balance.BatchTarget
 	req := r.seatRequest(now, m.run.candidate)
-	r.cfg.View.WithTable(func(t *balance.Table) { free = seatCandidates(t, now, m.run.service, req) })
+	r.cfg.View.WithTable(func(t *balance.Table) { free, _ = seatCandidates(t, now, m.run.service, req) })
 	var best balance.BatchTarget
 	for _, t := range excludeFailed(free, r.targetsToAvoid(m.st)) {
 		if !t.Suspect && t.Instance.ID != m.run.in.ID && (best.Pace == 0 || t.Pace < best.Pace) {
--- a/runner/run.go
+++ b/runner/run.go
@@ -147,8 +147,9 @@
 	return out
 }
 
-// seatCandidates returns the targets of a service that may have a free seat, best first.
-func seatCandidates(t *balance.Table, now time.Time, service string, req seats.Request) []balance.BatchTarget {
+// seatCandidates returns the targets of a service that may have a free seat, best first, and
+// whether it left one out that is too slow.
+func seatCandidates(t *balance.Table, now time.Time, service string, req seats.Request) (free []balance.BatchTarget, tooSlow bool) {
 	return t.BatchTargetsFor(now, service, balance.Item{Remaining: req.Remaining, Due: req.Due, Urgent: seats.Urgent(now, req.Due)})
 }
 
@@ -209,9 +210,7 @@
 	var ranked []balance.BatchTarget
 	failedAtAll := false
 	r.cfg.View.WithTable(func(t *balance.Table) {
-		now := time.Now()
-		ranked = seatCandidates(t, now, service, req)
-		tooSlow = len(t.BatchTargetsFor(now, service, balance.Item{Urgent: seats.Urgent(now, req.Due)})) > len(ranked)
+		ranked, tooSlow = seatCandidates(t, time.Now(), service, req)
 		failedAtAll = t.CountInService(service) <= len(avoid)
 	})
 	if !failedAtAll {
