--- a/balance/balance.go
+++ b/balance/balance.go
@@ -168,12 +168,6 @@
 	return t.choose(now, r, t.candidates(now, r.Service, tried), draw)
 }
 
-// PickReported chooses like Pick among targets with a current load report, see
-// PickReportedFor.
-func (t *Table) PickReported(now time.Time, service string, tried map[string]bool, draw float64) (Choice, bool) {
-	return t.PickReportedFor(now, Request{Service: service}, tried, draw)
-}
-
 // PickReportedFor is like PickFor, but chooses only among targets with a current load report
 // if there are any. It is used after a target without a report turned out to be full: a short
 // queue of known length is then better than a queue of unknown length.
--- a/balance/batchtargets.go
+++ b/balance/batchtargets.go
@@ -38,13 +38,6 @@
 	return all
 }
 
-// UrgentBatchTargets returns the targets for an item that is due soon and of which nothing
-// else is known, see BatchTargetsFor.
-func (t *Table) UrgentBatchTargets(now time.Time, service string) []BatchTarget {
-	all, _ := t.BatchTargetsFor(now, service, Item{Urgent: true})
-	return all
-}
-
 // BatchTargetsFor returns the targets of a service whose agents have free seats for batch
 // work. Suspect targets come last; otherwise targets with an idle connection come first, then
 // those with the most free slots. Targets without a current report get no batch work, because
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -346,15 +346,7 @@
 		}
 		for n := range 4 {
 			checkFinished(ctx, t, b, fmt.Sprint("job", n), 1)
-			fromStart := 0
-			for _, after := range e.runs(fmt.Sprint("job", n, "-0")) {
-				if after == 0 {
-					fromStart++
-				}
-			}
-			if fromStart != 1 {
-				t.Errorf("job%d started from the first event %d times, want 1", n, fromStart)
-			}
+			checkStartedOnce(t, e, fmt.Sprint("job", n))
 		}
 		a.runner.SetStandby(false)
 		b.stop()
@@ -365,6 +357,20 @@
 	})
 }
 
+// checkStartedOnce checks that the first item of a job ran from its first event exactly once.
+func checkStartedOnce(t *testing.T, e *engine, job string) {
+	t.Helper()
+	fromStart := 0
+	for _, after := range e.runs(job + "-0") {
+		if after == 0 {
+			fromStart++
+		}
+	}
+	if fromStart != 1 {
+		t.Errorf("%s started from the first event %d times, want 1", job, fromStart)
+	}
+}
+
 // Guards against items that run twice at each restart of an entry: partitions move to a new
 // member while their items run, and the old runner continues as well.
 func TestReassignedPartitionIsNotRunTwice(t *testing.T) {
@@ -379,15 +385,7 @@
 		time.Sleep(4 * itemDuration)
 		for n := range 4 {
 			checkFinished(ctx, t, b, fmt.Sprint("job", n), 1)
-			fromStart := 0
-			for _, after := range e.runs(fmt.Sprint("job", n, "-0")) {
-				if after == 0 {
-					fromStart++
-				}
-			}
-			if fromStart != 1 {
-				t.Errorf("job%d started from the first event %d times, want 1", n, fromStart)
-			}
+			checkStartedOnce(t, e, fmt.Sprint("job", n))
 		}
 	})
 }
