--- a/runner/member.go
+++ b/runner/member.go
@@ -81,12 +81,20 @@
 // the membership expires after memberTTL.
 func (r *Runner) stepDown(ctx context.Context) {
 	r.assign(ctx, store.Membership{})
-	leaveCtx, cancel := context.WithTimeout(ctx, leaveTimeout)
-	defer cancel()
-	if err := r.cfg.Groups.Leave(leaveCtx, r.cfg.Group, r.cfg.Member); err != nil {
+	if !r.leaveGroup(ctx) {
 		r.cfg.Metrics.Count("group_failures")
+	}
+}
+
+// leaveGroup leaves the group. It reports whether that succeeded.
+func (r *Runner) leaveGroup(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	err := r.cfg.Groups.Leave(ctx, r.cfg.Group, r.cfg.Member)
+	if err != nil {
 		r.cfg.Log.Warn("leaving the group failed; the membership expires on its own", logging.F("error", err.Error()))
 	}
+	return err == nil
 }
 
 // HasPartition reports whether a partition is assigned to this process.
@@ -240,11 +248,7 @@
 		r.saveProgress(stopCtx, part)
 	}
 	r.listFinished(stopCtx)
-	leaveCtx, cancelLeave := context.WithTimeout(ctx, leaveTimeout)
-	defer cancelLeave()
-	if err := r.cfg.Groups.Leave(leaveCtx, r.cfg.Group, r.cfg.Member); err != nil {
-		r.cfg.Log.Warn("leaving the group failed; the membership expires on its own", logging.F("error", err.Error()))
-	}
+	r.leaveGroup(ctx) // a failure is logged, and the process ends anyway
 	r.cfg.Log.Info("items handed over", logging.F("partitions", len(parts)))
 }
 
