waitroom: the bound of the reported wait does not decide admission

Cause: wait and spread were each cut at an hour before they were subtracted; beyond that a longer queue left a smaller difference, and everybody was admitted. At such rates waiting does not pay and the room is not asked, so no caller met it.

The decision now compares uncut figures; those reported are cut as before.

--- a/waitroom/admit.go
+++ b/waitroom/admit.go
@@ -65,13 +65,16 @@
 // the rate says little of a single slot.
 func Admit(in Input) Decision {
 	d := Decision{Allowance: Allowance(in.Allowance, in.Standing), Wait: maxWait}
+	inTime := false
 	if in.Freed > 0 {
 		// Slots become free at random, so the time of the n-th has a deviation of sqrt(n).
 		n := float64(in.Before + 1)
-		d.Wait = seconds(min(n/in.Freed, maxWait.Seconds()))
-		d.Spread = seconds(min(spreadDeviations*math.Sqrt(n)/in.Freed, maxWait.Seconds()))
+		wait, spread := n/in.Freed, spreadDeviations*math.Sqrt(n)/in.Freed
+		// The bound of the reported times must not decide: their difference would shrink with n.
+		inTime = wait-spread <= d.Allowance.Seconds()
+		d.Wait, d.Spread = seconds(min(wait, maxWait.Seconds())), seconds(min(spread, maxWait.Seconds()))
 	}
-	d.Admitted = d.Allowance > 0 && (in.Before == 0 || d.Wait-d.Spread <= d.Allowance)
+	d.Admitted = d.Allowance > 0 && (in.Before == 0 || inTime)
 	return d
 }
 
