Logs tell a target's software version and what a stream resumes

The logs of the incident could not tell the hypotheses apart: no line had a target's version, from which event a request resumed or which attempt brought the first event.

--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -229,9 +229,9 @@
 func (v *View) logChange(was, in targets.Instance) {
 	switch {
 	case was.ID == "":
-		v.log.Info("target joined", logging.F("instance", in.ID), logging.F("addr", in.Addr), logging.F("service", in.Service))
+		v.log.Info("target joined", logging.F("instance", in.ID), logging.F("addr", in.Addr), logging.F("service", in.Service), logging.F("version", in.Version))
 	case in.StartedUnixMs != was.StartedUnixMs:
-		v.log.Info("target restarted", logging.F("instance", in.ID), logging.F("addr", in.Addr),
+		v.log.Info("target restarted", logging.F("instance", in.ID), logging.F("addr", in.Addr), logging.F("version", in.Version),
 			logging.F("born", in.StartedUnixMs), logging.F("before", was.StartedUnixMs))
 	case in.Superseded && !was.Superseded:
 		v.log.Info("target registration superseded or unreadable", logging.F("instance", in.ID), logging.F("addr", in.Addr))
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -213,7 +213,7 @@
 		return s.mayRetry()
 	})
 	defer gapWatchdog.stop()
-	rd := events.NewReader(resp.Body, max(s.lastEvent, s.req.ResumeAfter))
+	rd := events.NewReader(resp.Body, s.resumeAfter())
 	began := false
 	for {
 		ev, err := rd.Next()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -106,7 +106,10 @@
 	exchange.Call
 	Arrived time.Time      // before the body was read
 	Key     quarantine.Key // the same for each attempt of the caller
-	Holder  fairshare.Holder
+	// FirstAttempt is the ID of the attempt that brought the first event of the stream that the
+	// request resumes; "" if it resumes none or the caller does not name it.
+	FirstAttempt string
+	Holder       fairshare.Holder
 }
 
 // FailureNotifier notifies other processes of target failures.
@@ -304,7 +307,8 @@
 	s.choice, s.instance = c, c.Instance.ID
 	// The send is logged in addition to the end: a process that dies does not log the end.
 	s.g.log.Info("request sent", logging.F("request", s.req.ID), logging.F("key", s.req.Key.String()), logging.F("route", s.route.Name),
-		logging.F("instance", c.Instance.ID), logging.F("load", c.Load), logging.F("batch", c.Batch),
+		logging.F("instance", c.Instance.ID), logging.F("version", c.Instance.Version), logging.F("resume_after", s.resumeAfter()), logging.F("first_attempt", s.req.FirstAttempt),
+		logging.F("load", c.Load), logging.F("batch", c.Batch),
 		logging.F("waiting", c.Waiting), logging.F("load_age_ms", ageMillis(c.LoadAge)),
 		logging.F("pace", c.Pace), logging.F("pace_age_ms", ageMillis(c.PaceAge)), logging.F("reserved", s.req.ReservedSlot != ""),
 		logging.F("among", c.Candidates), logging.F("catalog", s.g.version()))
@@ -380,7 +384,7 @@
 	s.sentAt, s.attemptEvents = time.Now(), 0
 	s.possibleRuns++ // until the target reports that it did not run the request
 	call := s.req.Call
-	call.ResumeAfter = max(call.ResumeAfter, s.lastEvent)
+	call.ResumeAfter = s.resumeAfter()
 	ctx, cancel := context.WithCancel(s.ctx)
 	defer cancel()
 	queueWatchdog := newWatchdog(queuedThreshold, queuePollInterval, cancel, s.queueCheck(c))
@@ -414,6 +418,11 @@
 	return s.relayBody(resp, c)
 }
 
+// resumeAfter returns the ID of the last event that the caller has, 0 if it has none.
+func (s *requestState) resumeAfter() uint64 {
+	return max(s.req.ResumeAfter, s.lastEvent)
+}
+
 // mayRetry reports whether the request may be sent to one more target although it may
 // already have been run.
 func (s *requestState) mayRetry() bool {
@@ -462,6 +471,6 @@
 // logRetry logs that the request is sent once more. The messages that begin with "sent " or
 // "stream goes on" are parsed by package losses.
 func (s *requestState) logRetry(message string, in targets.Instance, key string, value any) {
-	s.g.log.Info(message, logging.F("request", s.req.ID), logging.F("instance", in.ID), logging.F("sends", s.sends),
+	s.g.log.Info(message, logging.F("request", s.req.ID), logging.F("instance", in.ID), logging.F("version", in.Version), logging.F("sends", s.sends),
 		logging.F("last_event", s.lastEvent), logging.F(key, value))
 }
--- a/runner/move.go
+++ b/runner/move.go
@@ -99,7 +99,7 @@
 	}
 	r.cfg.Metrics.Count("item_moved")
 	r.cfg.Log.Info("item moved", logging.F("job", c.open.Job), logging.F("index", c.open.Index), logging.F("from", m.run.in.ID),
-		logging.F("to", in.ID), logging.F("event", m.done), logging.F("due_in_ms", c.Due.Sub(now).Milliseconds()),
+		logging.F("from_version", m.run.in.Version), logging.F("to", in.ID), logging.F("to_version", in.Version), logging.F("event", m.done), logging.F("due_in_ms", c.Due.Sub(now).Milliseconds()),
 		logging.F("here_ms", m.speed.Here().Milliseconds()))
 }
 
--- a/targets/targets.go
+++ b/targets/targets.go
@@ -14,6 +14,7 @@
 	ID            string
 	StartedUnixMs int64 // start time in Unix milliseconds; 0 if unknown
 	Service       string
+	Version       string // of its software; "" if unknown
 	Addr          string // IP and port
 	DataCentre    string
 	Slots         int // maximum number of requests running at the same time
