A stream that loses its target goes on at its own software version only

What callers saw: one response with events of two software versions, after the target that began it broke off.

Cause: resumeStream sends the rest of a stream to any target of the service. Targets of two versions may serve side by side, and they do not check that what they continue was written by their own version.

A request now carries the software (service and version) that its caller's events come from, from the first relayed event on. Choices, reservations and the decision to leave a queue consider only targets of that software. If none is usable the response is cut off at once, as version_gone, so that it cannot look complete. A connection pool belongs to one version of an instance, so a registration that changes the version does not inherit connections.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -153,6 +153,13 @@
 	Work    estimate.Work
 	// FirstEventWithin and EventGapWithin are the objectives of its route, 0 for none.
 	FirstEventWithin, EventGapWithin time.Duration
+	// Continues is the software whose output the request continues; nil if it continues none.
+	Continues *targets.Software
+}
+
+// mayRunOn reports whether the request may run on the software of an instance.
+func (r Request) mayRunOn(in targets.Instance) bool {
+	return r.Continues == nil || *r.Continues == in.Software()
 }
 
 // Pick chooses the target of a service for a request of which nothing else is known, see
@@ -165,14 +172,14 @@
 // returns false if there is no eligible target. The argument draw is a random number in
 // [0, 1).
 func (t *Table) PickFor(now time.Time, r Request, tried map[string]bool, draw float64) (Choice, bool) {
-	return t.choose(now, r, t.candidates(now, r.Service, tried), draw)
+	return t.choose(now, r, t.candidates(now, r, tried), draw)
 }
 
 // PickReportedFor is like PickFor, but chooses only among targets with a current load report
 // if there are any. It is used after a target without a report turned out to be full: a short
 // queue of known length is then better than a queue of unknown length.
 func (t *Table) PickReportedFor(now time.Time, r Request, tried map[string]bool, draw float64) (Choice, bool) {
-	all := t.candidates(now, r.Service, tried)
+	all := t.candidates(now, r, tried)
 	reported := 0
 	for _, v := range all {
 		if v.reported(now) {
@@ -188,12 +195,12 @@
 
 // candidates returns the targets that may get a request, sorted by instance ID. If all of
 // them are ejected, it returns the ejected ones.
-func (t *Table) candidates(now time.Time, service string, tried map[string]bool) []*View {
-	if all := t.eligible(now, service, tried, false); len(all) > 0 {
+func (t *Table) candidates(now time.Time, r Request, tried map[string]bool) []*View {
+	if all := t.eligible(now, r, tried, false); len(all) > 0 {
 		return all
 	}
 	// All are ejected: a target that may fail is better than none.
-	return t.eligible(now, service, tried, true)
+	return t.eligible(now, r, tried, true)
 }
 
 // choose draws one of the candidates. It returns false if there are none.
@@ -215,10 +222,10 @@
 
 // eligible returns the targets that may get a request, sorted by instance ID. With
 // includeEjected it includes the ejected ones. The result is valid until the next call.
-func (t *Table) eligible(now time.Time, service string, tried map[string]bool, includeEjected bool) []*View {
+func (t *Table) eligible(now time.Time, r Request, tried map[string]bool, includeEjected bool) []*View {
 	out := t.eligibleViews[:0]
 	for _, v := range t.order {
-		if v.eligible(now, service, tried, includeEjected) {
+		if r.mayRunOn(v.Instance) && v.eligible(now, r.Service, tried, includeEjected) {
 			out = append(out, v)
 		}
 	}
@@ -264,10 +271,15 @@
 // up a place in a queue and costs a connection; so on average only as many requests move
 // as there are free slots. The argument draw is a random number in [0, 1).
 func (t *Table) ShouldMove(now time.Time, service, instance string, draw float64) bool {
+	return t.ShouldMoveFor(now, Request{Service: service}, instance, draw)
+}
+
+// ShouldMoveFor is like ShouldMove, but considers only the targets at which the request may run.
+func (t *Table) ShouldMoveFor(now time.Time, r Request, instance string, draw float64) bool {
 	const minFree = 2
 	free, waiting, otherFree := 0, 0, false
 	for id, v := range t.views {
-		if !v.eligible(now, service, nil, false) || !v.reported(now) {
+		if !r.mayRunOn(v.Instance) || !v.eligible(now, r.Service, nil, false) || !v.reported(now) {
 			continue
 		}
 		n := v.Free(now)
--- a/balance/late.go
+++ b/balance/late.go
@@ -12,7 +12,7 @@
 func (t *Table) PickFree(now time.Time, service string, draw float64) (Choice, bool) {
 	var free, suspect []*View
 	allSuspect := true
-	for _, v := range t.candidates(now, service, nil) {
+	for _, v := range t.candidates(now, Request{Service: service}, nil) {
 		isSuspect := v.suspect(now)
 		allSuspect = allSuspect && isSuspect
 		switch {
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -185,6 +185,8 @@
 	return s.relayEvents(resp, c, cancel, func() {
 		s.firstResponseAt = time.Now()
 		s.headerSent = true
+		software := c.Instance.Software()
+		s.continues = &software
 		s.responder.Start(resp.Status, resp.Header, -1)
 	})
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -52,6 +52,7 @@
 	StoreUnavailable Reason = "unsure"           // the shared store does not respond
 	JobNotFound      Reason = "unknown"          // there is no such job
 	JobConflict      Reason = "conflict"         // another job has the same ID
+	VersionGone      Reason = "version_gone"     // no target of the version that began its stream is usable
 	SlowCallers      Reason = "slow_callers"     // responses that callers do not read hold too much memory
 	Quarantined      Reason = "quarantined"      // it crashes the targets that run it
 
@@ -250,12 +251,13 @@
 
 	tried           map[string]bool // targets to which the request is not sent again
 	sends           int
-	possibleRuns    int       // sends that the target may have run
-	sentAt          time.Time // time of the last send
-	headerSent      bool      // status and header were sent to the caller
-	lastEvent       uint64    // ID of the last event sent to the caller
-	attemptEvents   uint64    // events received in the last send
-	firstResponseAt time.Time // time of the first event or response
+	possibleRuns    int               // sends that the target may have run
+	sentAt          time.Time         // time of the last send
+	headerSent      bool              // status and header were sent to the caller
+	lastEvent       uint64            // ID of the last event sent to the caller
+	attemptEvents   uint64            // events received in the last send
+	firstResponseAt time.Time         // time of the first event or response
+	continues       *targets.Software // that the caller's events come from; nil while it has none
 	outcome         string
 	instance        string
 	choice          balance.Choice
@@ -297,6 +299,10 @@
 		}
 	}
 	switch {
+	case !ok && s.continues != nil:
+		// A target of a version that is being replaced is not expected back.
+		s.fail(VersionGone, 0)
+		return c, false
 	case !ok:
 		s.fail(NoTarget, retryAfterUnavailable)
 		return c, false
@@ -345,6 +351,7 @@
 func (s *requestState) needs() balance.Request {
 	return balance.Request{
 		Service: s.service, Work: s.req.Work, FirstEventWithin: s.route.FirstEventWithin, EventGapWithin: s.route.EventGapWithin,
+		Continues: s.continues,
 	}
 }
 
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -221,9 +221,9 @@
 }
 
 // mayWait reports whether the request may wait at this process: it was not sent yet, did not
-// wait before, and a slot can be reserved for it later.
+// wait before, may use any slot that becomes free, and a slot can be reserved for it later.
 func (s *requestState) mayWait() bool {
-	return s.sends == 0 && !s.waited && s.hasDeadline && s.route.FirstEventWithin > 0 && s.canReserve()
+	return s.sends == 0 && s.continues == nil && !s.waited && s.hasDeadline && s.route.FirstEventWithin > 0 && s.canReserve()
 }
 
 // waitPays reports whether the request should wait at this process instead of in the queue of
--- a/losses/losses.go
+++ b/losses/losses.go
@@ -21,6 +21,7 @@
 	NotReady           Cause = "no catalog known"           // the process had just started
 	NoRoute            Cause = "no such route"              // no route in the catalog has the host and path
 	NoTarget           Cause = "no target"                  // no registered target may serve it
+	VersionGone        Cause = "version gone"               // no target of the version that began its stream may serve it
 	Quarantined        Cause = "held"                       // it is in quarantine: targets crashed while running it
 	UnknownKey         Cause = "unknown key"                // no workspace has its key
 	KeyUnconfirmed     Cause = "key not confirmed"          // the host could not confirm that its key is still valid
--- a/targets/targets.go
+++ b/targets/targets.go
@@ -26,15 +26,29 @@
 }
 
 // Incarnation identifies one incarnation of an instance. Connections, failures and draining of an
-// earlier incarnation do not apply to a later one.
+// earlier incarnation do not apply to a later one. The version tells two incarnations apart
+// whose start time is unknown.
 type Incarnation struct {
 	ID            string
 	StartedUnixMs int64
+	Version       string
 }
 
 // Incarnation returns the incarnation of the instance.
 func (in Instance) Incarnation() Incarnation {
-	return Incarnation{in.ID, in.StartedUnixMs}
+	return Incarnation{in.ID, in.StartedUnixMs, in.Version}
+}
+
+// Software is what a target runs. The outputs of two runs can be joined only if their
+// software is equal; targets do not check it.
+type Software struct {
+	Service string
+	Version string
+}
+
+// Software returns the software that the instance runs.
+func (in Instance) Software() Software {
+	return Software{in.Service, in.Version}
 }
 
 // outageGrace is how long an instance is kept whose registration expired around a registry
