An item continues its output at its own software version only

What callers saw: results whose text holds events of two software versions: an item whose target died, one that lost its seat, one that another process took over with its saved progress, one that moved to a faster target.

Cause: an item's progress is a text and an event number; each of these four places handed both to any target of the service.

Progress now names the software that wrote it, in memory and on the store. An item that starts at other software discards it and starts from the first event, which is allowed for items. Records from before this change name none and are not continued. An item with output prefers seats at its software; while a target of that software serves it waits there as long as the repetition would take, but not so long that the repetition would be late. Moves consider only targets of the same software.

--- a/balance/batchtargets.go
+++ b/balance/batchtargets.go
@@ -128,6 +128,16 @@
 	return best
 }
 
+// Serves reports whether a target with the given software may get work now.
+func (t *Table) Serves(now time.Time, software targets.Software) bool {
+	for _, v := range t.order {
+		if v.Instance.Software() == software && v.eligible(now, software.Service, nil, true) {
+			return true
+		}
+	}
+	return false
+}
+
 // Eligible reports whether a target belongs to a service and may get work now.
 func (t *Table) Eligible(now time.Time, service, id string) bool {
 	v := t.views[id]
--- a/jobstore/progress.go
+++ b/jobstore/progress.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"pumiceford/store"
+	"pumiceford/targets"
 	"pumiceford/wire"
 )
 
@@ -18,12 +19,13 @@
 }
 
 // Progress records how far an unfinished item has run. Text is a prefix of the item's
-// output, and any target can resume after the last complete event.
+// output, and targets with the same software can resume after the last complete event.
 type Progress struct {
 	Key       ItemKey
 	LastEvent uint64 // last complete event
 	Text      []byte
-	Listed    bool // the result is listed, so the saved progress is deleted
+	Software  targets.Software // that wrote Text; the zero value if it is not known
+	Listed    bool             // the result is listed, so the saved progress is deleted
 }
 
 // maxProgressBytes is the maximum size of the saved text of an item. It fits into one
@@ -42,7 +44,9 @@
 		}
 		r := store.Record{Key: p.Key.Job + "/" + strconv.Itoa(p.Key.Item)}
 		if !p.Listed {
-			value, err := proto.Marshal(&wire.ItemProgress{LastEvent: p.LastEvent, Text: p.Text})
+			value, err := proto.Marshal(&wire.ItemProgress{
+				LastEvent: p.LastEvent, Text: p.Text, Service: p.Software.Service, Version: p.Software.Version,
+			})
 			if err != nil {
 				return err
 			}
@@ -75,7 +79,10 @@
 			s.logger.Warn("progress record cannot be decoded; the item restarts from the beginning")
 			continue
 		}
-		out = append(out, Progress{Key: ItemKey{job, index}, LastEvent: p.GetLastEvent(), Text: p.GetText()})
+		out = append(out, Progress{
+			Key: ItemKey{job, index}, LastEvent: p.GetLastEvent(), Text: p.GetText(),
+			Software: targets.Software{Service: p.GetService(), Version: p.GetVersion()},
+		})
 	}
 	return out, nil
 }
--- a/runner/move.go
+++ b/runner/move.go
@@ -110,7 +110,8 @@
 	r.cfg.View.WithTable(func(t *balance.Table) { free, _ = seatCandidates(t, now, m.run.service, req) })
 	var best balance.BatchTarget
 	for _, t := range excludeFailed(free, r.targetsToAvoid(m.st)) {
-		if !t.Suspect && t.Instance.ID != m.run.in.ID && (best.Pace == 0 || t.Pace < best.Pace) {
+		// At other software the item would start anew.
+		if !t.Suspect && t.Instance.ID != m.run.in.ID && t.Instance.Software() == m.run.in.Software() && (best.Pace == 0 || t.Pace < best.Pace) {
 			best = t
 		}
 	}
--- a/runner/reserve.go
+++ b/runner/reserve.go
@@ -127,7 +127,7 @@
 		all = excludeFailed(all, avoid)
 	}
 	var out []balance.BatchTarget
-	for _, t := range all {
+	for _, t := range r.suitable(now, c, all) {
 		if len(out) < reservedTargets && r.accepts(c, t.Pace, best) {
 			out = append(out, t)
 		}
--- a/runner/run.go
+++ b/runner/run.go
@@ -147,6 +147,47 @@
 	return out
 }
 
+// suitable returns the targets at which an item may run now. Those that can continue its output
+// come first; the others are left out while the item waits for one of them.
+func (r *Runner) suitable(now time.Time, c candidate, all []balance.BatchTarget) []balance.BatchTarget {
+	software, repeated, waited := r.outputOf(now, c)
+	if repeated == 0 {
+		return all
+	}
+	var same, others []balance.BatchTarget
+	for _, t := range all {
+		if t.Instance.Software() == software {
+			same = append(same, t)
+		} else {
+			others = append(others, t)
+		}
+	}
+	serves := false
+	r.cfg.View.WithTable(func(t *balance.Table) { serves = t.Serves(now, software) })
+	if serves && !c.StartsAnew(now, waited, repeated) {
+		return same
+	}
+	return append(same, others...)
+}
+
+// outputOf returns the software that wrote an item's output so far, the time in which a target
+// of the usual pace would repeat that output, 0 if there is none, and how long the item has
+// waited for a seat.
+func (r *Runner) outputOf(now time.Time, c candidate) (software targets.Software, repeated, waited time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	st := r.items[c.open.Key()]
+	if st == nil || st.lastEvent == 0 {
+		return targets.Software{}, 0, 0
+	}
+	work := r.work(c.open, st)
+	repeated = r.estimates.Remaining(work, estimate.UsualPace, 0) - r.estimates.Remaining(work, estimate.UsualPace, st.lastEvent)
+	if !st.waitingSince.IsZero() {
+		waited = now.Sub(st.waitingSince)
+	}
+	return st.software, max(repeated, 1), waited
+}
+
 // seatCandidates returns the targets of a service that may have a free seat, best first, and
 // whether it left one out that is too slow.
 func seatCandidates(t *balance.Table, now time.Time, service string, req seats.Request) (free []balance.BatchTarget, tooSlow bool) {
@@ -160,16 +201,16 @@
 // acquireSeat requests a seat from the agents, the best candidate first. It reads the state
 // of the targets again before each request and once more after it: a target may start
 // draining in the meantime, and must then get no item. It returns no seat if none is free, and
-// whether the item left out a target that is too slow for it.
-func (r *Runner) acquireSeat(ctx context.Context, service string, avoid []string, c candidate) (g grant, tooSlow bool) {
+// whether the item left out a target with a free seat.
+func (r *Runner) acquireSeat(ctx context.Context, service string, avoid []string, c candidate) (g grant, leftOut bool) {
 	ctx, cancel := context.WithTimeout(ctx, seatTimeout)
 	defer cancel()
 	req := r.seatRequest(time.Now(), c)
 	tried := make(map[string]bool)
 	for ctx.Err() == nil {
-		t, slow, ok := r.nextTarget(service, avoid, req, tried)
+		t, slow, ok := r.nextTarget(service, avoid, c, req, tried)
 		in := t.Instance
-		tooSlow = tooSlow || slow
+		leftOut = leftOut || slow
 		if !ok {
 			break
 		}
@@ -184,7 +225,7 @@
 			seat.Close()
 		}
 	}
-	return grant{}, tooSlow
+	return grant{}, leftOut
 }
 
 // recordSeatReply records an agent's answer and reports whether the seat may be used.
@@ -204,24 +245,27 @@
 }
 
 // nextTarget returns the best target for an item that has not been tried yet. It reports
-// false if there is none, and whether it left one out that is too slow. If the item has failed
-// at every target of the service, it excludes none.
-func (r *Runner) nextTarget(service string, avoid []string, req seats.Request, tried map[string]bool) (target balance.BatchTarget, tooSlow, ok bool) {
+// false if there is none, and whether it left one out that is too slow or where the item
+// would start anew. If the item has failed at every target of the service, it excludes none
+// for that.
+func (r *Runner) nextTarget(service string, avoid []string, c candidate, req seats.Request, tried map[string]bool) (target balance.BatchTarget, leftOut, ok bool) {
 	var ranked []balance.BatchTarget
 	failedAtAll := false
 	r.cfg.View.WithTable(func(t *balance.Table) {
-		ranked, tooSlow = seatCandidates(t, time.Now(), service, req)
+		ranked, leftOut = seatCandidates(t, time.Now(), service, req)
 		failedAtAll = t.CountInService(service) <= len(avoid)
 	})
 	if !failedAtAll {
 		ranked = excludeFailed(ranked, avoid)
 	}
-	for _, t := range ranked {
+	usable := r.suitable(time.Now(), c, ranked)
+	leftOut = leftOut || len(usable) < len(ranked)
+	for _, t := range usable {
 		if !tried[t.Instance.ID] {
-			return t, tooSlow, true
+			return t, leftOut, true
 		}
 	}
-	return balance.BatchTarget{}, tooSlow, false
+	return balance.BatchTarget{}, leftOut, false
 }
 
 // accepts reports whether an item waits for a seat at a target with the given pace, see
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -171,6 +171,7 @@
 type progress struct {
 	lastEvent uint64 // ID of the last complete event
 	text      []byte
+	software  targets.Software // that wrote text
 }
 
 // New returns a Runner.
@@ -232,7 +233,7 @@
 		case <-tick.C:
 		case <-r.wake:
 		}
-		sc := scan{full: make(map[string]bool), tooSlow: make(map[string]int)}
+		sc := scan{full: make(map[string]bool), leftOut: make(map[string]int)}
 		candidates := r.candidates(time.Now())
 		for _, c := range candidates {
 			if ctx.Err() != nil {
@@ -372,12 +373,12 @@
 // scan is what one scan of the open items has found so far, by service.
 type scan struct {
 	full    map[string]bool // there is no free seat
-	tooSlow map[string]int  // items that left out a free seat at a slow target
+	leftOut map[string]int  // items that left out a free seat
 }
 
-// maxTooSlow is the number of items in one scan that may leave out a slow target. It bounds the
+// maxLeftOut is the number of items in one scan that may leave out a free seat. It bounds the
 // time that a scan of a long backlog takes.
-const maxTooSlow = 32
+const maxLeftOut = 32
 
 // start runs one item if a seat is free, and else leaves reservations for it.
 func (r *Runner) start(ctx context.Context, c candidate, sc scan) {
@@ -403,17 +404,18 @@
 	}
 	avoid := r.targetsToAvoid(st)
 	if !sc.full[service] {
-		g, tooSlow := r.acquireSeat(ctx, service, avoid, c)
+		g, leftOut := r.acquireSeat(ctx, service, avoid, c)
 		if g.seat != nil {
 			r.launch(ctx, c, st, service, g)
 			return
 		}
-		// An item that failed before avoids some targets, and one that would be late at a
-		// slow target leaves it to others; others may still find a seat.
-		if tooSlow {
-			sc.tooSlow[service]++
+		// An item that failed before avoids some targets, one that would be late at a slow
+		// target leaves it to others, and one with output waits for its software version; others
+		// may still find a seat.
+		if leftOut {
+			sc.leftOut[service]++
 		}
-		sc.full[service] = len(avoid) == 0 && !tooSlow || sc.tooSlow[service] >= maxTooSlow
+		sc.full[service] = len(avoid) == 0 && !leftOut || sc.leftOut[service] >= maxLeftOut
 	}
 	r.reserve(ctx, c, st, service, avoid)
 }
@@ -426,7 +428,9 @@
 	r.mu.Lock()
 	allowed := !r.leaving && r.assigned[c.part] && r.items[c.open.Key()] == st && st.readyAt(now) && r.running < r.cfg.MaxRunning
 	var waited time.Duration
+	var discarded progress
 	if allowed {
+		discarded = st.continueWith(g.in.Software())
 		st.running, st.cancel, st.ended = true, cancel, make(chan struct{})
 		st.current = &runState{candidate: c, service: service, in: g.in, began: now, from: st.lastEvent}
 		if !st.waitingSince.IsZero() {
@@ -443,6 +447,12 @@
 		g.seat.Close()
 		return false
 	}
+	if discarded.lastEvent > 0 {
+		r.cfg.Metrics.Count("item_started_anew")
+		r.cfg.Log.Info("item starts anew; its output is of other software", logging.F("job", c.open.Job), logging.F("item", c.open.Item.GetId()),
+			logging.F("events", discarded.lastEvent), logging.F("service_before", discarded.software.Service), logging.F("version_before", discarded.software.Version),
+			logging.F("instance", g.in.ID), logging.F("version", g.in.Version), logging.F("waited_ms", waited.Milliseconds()))
+	}
 	r.cfg.Metrics.Observe("seat_wait", c.open.Spec.GetWorkspace(), waited)
 	go func() {
 		defer cancel(nil)
@@ -455,6 +465,17 @@
 	return true
 }
 
+// continueWith prepares an item for a run with the given software. It discards and returns
+// the output so far if that was written by other software. The caller holds Runner.mu.
+func (st *itemState) continueWith(software targets.Software) (discarded progress) {
+	if st.lastEvent > 0 && st.software == software {
+		return progress{}
+	}
+	discarded = st.progress
+	st.progress, st.savedEvent = progress{software: software}, 0
+	return discarded
+}
+
 // targetsToAvoid returns the targets at which an item failed, until avoidFailedFor has
 // passed since its last failure.
 func (r *Runner) targetsToAvoid(st *itemState) []string {
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -53,8 +53,9 @@
 	return catalog.New(1, catalog.Limits{}, nil, []catalog.Route{r}), nil
 }
 
-func (decoder) Instance(id string, _ []byte) (targets.Instance, error) {
-	return targets.Instance{ID: id, Addr: id, Service: "s", Slots: 8}, nil
+// Instance returns a target whose software version is the value.
+func (decoder) Instance(id string, value []byte) (targets.Instance, error) {
+	return targets.Instance{ID: id, Addr: id, Service: "s", Version: string(value), Slots: 8}, nil
 }
 
 // engine runs items: one event each eventInterval. It records every run.
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -57,6 +57,13 @@
 	return i.Feasible(now) || !atBest.Feasible(now.Add(seatWait))
 }
 
+// StartsAnew reports whether an item that has no seat where it can continue should run again
+// from its start elsewhere, given how long it has waited and how long the repeated part takes.
+// It waits as long as the repetition would take, but not so long that it would then be late.
+func (i Item) StartsAnew(now time.Time, waited, repeated time.Duration) bool {
+	return waited >= repeated || now.Add(seatWait+repeated+i.Remaining).After(i.Due)
+}
+
 // YieldDue returns the due time that an agent uses to decide whose seat it asks back. The
 // item with the latest one yields first.
 func (i Item) YieldDue(now time.Time) time.Time {
