A stream that its caller takes up goes on at the version that began it, or not at all

Cause: an entry treats Last-Event-Id as a request to any target. Nobody knew which version had begun the stream, and the entry that knew may be gone.

package origins: while one version of a service has been registered for the time in which streams can be taken up, that is the answer, from a read of the registry; nothing is sent for a stream that begins. Otherwise the entry records (request key, attempt, software) at two agents, chosen by the key, before the first event is relayed, and an entry that resumes a stream asks them. Just after a second version appeared, a stream without a record began before; the streams open then are recorded at once. An entry that reaches no agent does not begin a stream at a version that others may not count yet. Entries that start learn the history of versions from others. What is not known is refused at once as not run (origin_unknown), and so is a stream whose version has no target left (version_gone); leaving targets get none.

Ruled out: asking only the entry that began the stream (it is the one that was killed), a version computed from the id (entries know of versions at different times), the store (a write for each stream, none while it is away).

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -74,6 +74,11 @@
 	return r.Shares[0].Service
 }
 
+// HasService reports whether the route may send requests to a service.
+func (r *Route) HasService(name string) bool {
+	return slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == name })
+}
+
 // Service is a set of targets that run the same program.
 type Service struct {
 	Name       string
--- a/daemon/agentlinks.go
+++ b/daemon/agentlinks.go
@@ -36,8 +36,20 @@
 
 	mu    sync.Mutex
 	links map[string]*agentLink // by instance
+	// unwatched are the sessions with agents whose targets are not followed, by address of the
+	// target. They are used for origins of streams.
+	unwatched map[string]*unwatchedAgent
 }
 
+// unwatchedAgent is a session with an agent whose target is not followed.
+type unwatchedAgent struct {
+	peer     *link.Peer
+	lastUsed time.Time
+}
+
+// maxUnwatchedIdle is how long the session with an agent is kept that is not used.
+const maxUnwatchedIdle = 30 * time.Second
+
 type agentLink struct {
 	target     string // address of the target beside the agent
 	peer       *link.Peer
@@ -47,7 +59,7 @@
 
 func newAgentLinks(cfg link.Config, addr func(string) string, view *fleet.View, tracker *quarantine.Tracker, shares *fairshare.Ledger, log logging.Logger) *agentLinks {
 	return &agentLinks{
-		cfg: cfg, addr: addr, view: view, tracker: tracker, shares: shares, log: log, onFreeSlot: func() {}, links: make(map[string]*agentLink),
+		cfg: cfg, addr: addr, view: view, tracker: tracker, shares: shares, log: log, onFreeSlot: func() {}, links: make(map[string]*agentLink), unwatched: make(map[string]*unwatchedAgent),
 	}
 }
 
@@ -146,6 +158,52 @@
 	go seats.ReportFailure(l.peer, a.cfg.Node)
 }
 
+// Origins implements origins.Agents.
+func (a *agentLinks) Origins(ctx context.Context, target string, call *wire.OriginCall) (*wire.OriginReply, error) {
+	reply := &wire.OriginReply{}
+	if err := a.peer(target).Call(ctx, link.Control, &wire.Call{Kind: &wire.Call_Origins{Origins: call}}, reply); err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
+
+// peer returns the session with the agent beside the target at an address.
+func (a *agentLinks) peer(target string) *link.Peer {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, l := range a.links {
+		if l.target == target {
+			return l.peer
+		}
+	}
+	u := a.unwatched[target]
+	if u == nil {
+		a.closeIdleLocked(now)
+		u = &unwatchedAgent{peer: link.NewPeer(a.cfg, a.addr(target))}
+		a.unwatched[target] = u
+	}
+	u.lastUsed = now
+	return u.peer
+}
+
+// closeIdleLocked closes the sessions that were not used recently. The caller holds a.mu.
+func (a *agentLinks) closeIdleLocked(now time.Time) {
+	for target, u := range a.unwatched {
+		if now.Sub(u.lastUsed) > maxUnwatchedIdle {
+			u.peer.Close()
+			delete(a.unwatched, target)
+		}
+	}
+}
+
+// closeIdle closes the sessions that were not used recently.
+func (a *agentLinks) closeIdle(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.closeIdleLocked(now)
+}
+
 // loadReport converts an agent's load message to a balance.Report.
 func loadReport(l *wire.Load) balance.Report {
 	return balance.Report{Active: int(l.GetActive()), Queued: int(l.GetQueued()), Batch: int(l.GetBatch()), Slots: int(l.GetSlots()),
--- a/daemon/background.go
+++ b/daemon/background.go
@@ -12,7 +12,7 @@
 
 // followStore follows the configuration and the registry until ctx ends.
 func (n *entryNode) followStore(ctx context.Context) {
-	go n.view.FollowRegistry(ctx, n.store, n.deps.Registry, storeReadWait)
+	go n.registry.Run(ctx)
 	n.config.Run(ctx)
 }
 
@@ -98,6 +98,7 @@
 	for wait.For(ctx, expireInterval) == nil {
 		now := time.Now()
 		n.view.ExpireTargets(now)
+		n.agentLinks.closeIdle(now)
 		n.metrics.SetGauge("partitions_followed", float64(n.jobs.FollowedPartitions()))
 		n.metrics.SetGauge("caller_reads_per_second", n.jobs.CallerReadRate())
 		n.metrics.SetGauge("catalog_seconds", n.view.CatalogAge(now).Seconds())
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -30,6 +30,7 @@
 	"pumiceford/metrics"
 	"pumiceford/netx"
 	"pumiceford/oplog"
+	"pumiceford/origins"
 	"pumiceford/peers"
 	"pumiceford/quarantine"
 	"pumiceford/ratelimit"
@@ -148,6 +149,8 @@
 	agentLinks *agentLinks
 	gateway    *gateway.Gateway
 	config     *store.Follower // of the configuration
+	registry   *store.Follower // of the targets
+	origins    *origins.Directory
 	access     *access.Authenticator
 	shards     *shards.Manager
 	granter    *ratelimit.Granter
@@ -204,6 +207,7 @@
 		OnFailure:  func(err error) { n.storeFailed("configuration", err) },
 		OnRecovery: func(d time.Duration) { n.storeRecovered("configuration", d) },
 	})
+	n.registry = n.view.RegistryFollower(n.store, deps.Registry, storeReadWait, boottime.Now)
 	n.access = access.NewAuthenticator(access.Config{
 		Catalog: n.view.Catalog, Source: n.config, KeyLease: time.Duration(set.KeyLease), Clock: boottime.Now,
 	})
@@ -233,13 +237,18 @@
 		strengthOf: n.entries.Strength, responds: n.entries.Responds, setStandby: n.runner.SetStandby, log: base.WithPrefix("duties"), metrics: ms,
 	}
 	n.setUpRateLimits(linkCfg, base.WithPrefix("limits"))
+	n.origins = origins.NewDirectory(origins.Config{
+		Registry: n.registry, Agents: n.agentLinks, Entries: n.peerPool, Clock: boottime.Now, Log: base.WithPrefix("origins"), Metrics: n.metrics,
+	})
 	n.gateway = gateway.New(gateway.Config{
-		View: n.view, Sender: deps.Sender, Reserver: deps.Sender, FailureNotifier: n.agentLinks, Quarantine: n.quarantine, Refusals: n.refusals, Shares: n.shares,
+		View: n.view, Sender: deps.Sender, Reserver: deps.Sender, FailureNotifier: n.agentLinks, Quarantine: n.quarantine, Refusals: n.refusals, Shares: n.shares, Origins: n.origins,
 		Log: base.WithPrefix("online"), Metrics: n.metrics,
 	})
 	n.view.OnLoadChange(n.gateway.SlotsChanged)
+	n.view.OnRegistrations(n.origins.SawRegistrations)
 	n.view.OnTargetChange(func(all []targets.Instance) {
 		deps.Sender.Retain(all)
+		n.origins.SetTargets(all)
 		n.agentLinks.update(ctx, all)
 	})
 	return n, nil
@@ -266,7 +275,7 @@
 	g.Go(func() error { return serve(ctx, n.httpServer(n.deps.ReadyHandler(n.ready)), listeners[1]) })
 	peerServer := &peers.Server{
 		Store: n.deps.Store, View: n.view, Jobs: &jobroute.Server{Local: n.jobs, StoreUnavailable: n.store.Unreachable, HasDirectStore: n.store.DirectReachable},
-		Granter: n.granter, ActingSince: n.shards.Active, Entries: n.entries,
+		Granter: n.granter, ActingSince: n.shards.Active, Entries: n.entries, Versions: n.origins.History,
 	}
 	g.Go(func() error {
 		return link.Serve(ctx, listeners[2], link.Config{Node: n.set.Name, Handle: peerServer.Handle, TLS: n.tlsConf})
@@ -276,7 +285,7 @@
 	ops.HandleFunc("GET /shares", n.sharesHandler)
 	ops.HandleFunc("GET /targets", n.targetsHandler)
 	g.Go(func() error { return serve(ctx, n.httpServer(ops), listeners[3]) })
-	for _, loop := range []func(context.Context){n.followStore, n.watchPeers, n.maintainCopies, n.expireTargets, n.keepKeyLease, n.introduce, n.observeUse, n.shards.Run, n.runJobs, n.quarantine.Run, n.archive.Run, fairshare.NewMonitor(n.shares, n.log.WithPrefix("shares"), n.metrics).Run} {
+	for _, loop := range []func(context.Context){n.followStore, n.watchPeers, n.maintainCopies, n.expireTargets, n.keepKeyLease, n.introduce, n.observeUse, n.origins.Run, n.shards.Run, n.runJobs, n.quarantine.Run, n.archive.Run, fairshare.NewMonitor(n.shares, n.log.WithPrefix("shares"), n.metrics).Run} {
 		g.Go(func() error { loop(ctx); return nil })
 	}
 	g.Go(func() error { onReload(ctx, reloads, n.log, func() error { return n.reload(file) }); return nil })
--- a/daemon/seatagent.go
+++ b/daemon/seatagent.go
@@ -8,10 +8,12 @@
 	"golang.org/x/sync/errgroup"
 
 	"pumiceford/fairshare"
+	"pumiceford/internal/boottime"
 	"pumiceford/internal/wait"
 	"pumiceford/link"
 	"pumiceford/logging"
 	"pumiceford/metrics"
+	"pumiceford/origins"
 	"pumiceford/quarantine"
 	"pumiceford/seats"
 	"pumiceford/settings"
@@ -40,12 +42,16 @@
 	a := seats.NewAgent(seats.AgentConfig{Name: set.Name, LoadSource: source, Log: log, Metrics: ms})
 	tracker := quarantine.NewTracker(quarantine.Config{Log: log.WithPrefix("quarantine"), Metrics: ms})
 	sums := fairshare.NewSums()
+	holder := origins.NewHolder(boottime.Now, ms)
 	handle := func(ctx context.Context, class link.Class, call *wire.Call, st *link.Stream) {
 		switch {
 		case call.GetMarks() != nil:
 			tracker.Exchange(ctx, st)
 		case call.GetShares() != nil:
 			fairshare.Relay(ctx, call.GetShares(), st, sums)
+		case call.GetOrigins() != nil:
+			// A send fails only if the entry has disconnected.
+			_ = st.Send(holder.Serve(call.GetOrigins()))
 		default:
 			a.Handle(ctx, class, call, st)
 		}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -48,6 +48,7 @@
 	changes       uint64
 	catalogSince  time.Time // when the catalog in force was applied
 	onChange      func([]targets.Instance)
+	onRegistered  func([]targets.Instance)
 	onLoad        func(service string)
 }
 
@@ -58,8 +59,8 @@
 		ready: make(chan struct{}),
 		set:   targets.NewSet(), rawTargets: make(map[string]store.Record),
 		table:    balance.NewTable(salt),
-		onChange: func([]targets.Instance) {},
-		onLoad:   func(string) {},
+		onChange: func([]targets.Instance) {}, onRegistered: func([]targets.Instance) {},
+		onLoad: func(string) {},
 	}
 }
 
@@ -71,6 +72,14 @@
 	v.onChange = fn
 }
 
+// OnRegistrations sets the function that is called with registrations that are not heartbeats,
+// before OnTargetChange, also if they have ended since. It is called without locks held.
+func (v *View) OnRegistrations(fn func([]targets.Instance)) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.onRegistered = fn
+}
+
 // OnLoadChange sets the function that is called with the service of a target after its load was
 // reported. It is called without locks held and must not block.
 func (v *View) OnLoadChange(fn func(service string)) {
--- a/fleet/outage_test.go
+++ b/fleet/outage_test.go
@@ -46,7 +46,7 @@
 					fx.register("a")
 					fx.register("b")
 					storeLog := store.NewFailover(fx.store.ClientFor("host"), fx.peers)
-					go fx.view.FollowRegistry(ctx, storeLog, registry, registryReadWait)
+					go fx.view.RegistryFollower(storeLog, registry, registryReadWait, nil).Run(ctx)
 					go func() {
 						for tick := time.NewTicker(expireInterval); ctx.Err() == nil; <-tick.C {
 							fx.view.ExpireTargets(time.Now())
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"context"
 	"slices"
 	"time"
 
@@ -15,13 +14,13 @@
 // read returns several heartbeats.
 const registryPause = 250 * time.Millisecond
 
-// FollowRegistry keeps the targets up to date with the registry until ctx ends. Each read
-// waits up to readWait for records.
-func (v *View) FollowRegistry(ctx context.Context, log store.Log, registry store.Partition, readWait time.Duration) {
-	store.NewFollower(log, registry, v.TargetSink(), store.FollowerConfig{
-		Wait: readWait, Pause: registryPause, ProbeInterval: store.ProbeInterval,
+// RegistryFollower returns a follower of the registry that keeps the targets up to date while
+// it runs. Each read waits up to readWait for records.
+func (v *View) RegistryFollower(log store.Log, registry store.Partition, readWait time.Duration, clock func() time.Duration) *store.Follower {
+	return store.NewFollower(log, registry, v.TargetSink(), store.FollowerConfig{
+		Wait: readWait, Pause: registryPause, ProbeInterval: store.ProbeInterval, Clock: clock,
 		OnFailure: v.registryUnavailable, OnRecovery: v.registryRecovered,
-	}).Run(ctx)
+	})
 }
 
 // TargetSink returns the sink of the registry's topic.
@@ -48,6 +47,7 @@
 	if v.applyHeartbeats(updates) {
 		return
 	}
+	v.reportRegistrations(updates)
 	now := time.Now()
 	var kept []string
 	v.updateTargets(func() {
@@ -96,6 +96,20 @@
 	return true
 }
 
+// reportRegistrations calls the function set by OnRegistrations.
+func (v *View) reportRegistrations(updates []registryUpdate) {
+	var registered []targets.Instance
+	for _, u := range updates {
+		if !u.ended && !u.unreadable {
+			registered = append(registered, u.instance)
+		}
+	}
+	v.mu.Lock()
+	report := v.onRegistered
+	v.mu.Unlock()
+	report(registered)
+}
+
 // applyLocked applies one update. It reports whether the target is kept although its
 // registration has ended. The caller holds v.mu.
 func (v *View) applyLocked(now time.Time, u registryUpdate) (kept bool) {
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -182,12 +182,14 @@
 // relayStream relays an event stream from its start. Status and header are sent with the
 // first complete event: until then another target can still serve the whole stream.
 func (s *requestState) relayStream(resp *exchange.Response, c balance.Choice, cancel context.CancelFunc) step {
-	return s.relayEvents(resp, c, cancel, func() {
+	return s.relayEvents(resp, c, cancel, func() error {
+		if err := s.beginStream(c); err != nil {
+			return err
+		}
 		s.firstResponseAt = time.Now()
 		s.headerSent = true
-		software := c.Instance.Software()
-		s.continues = &software
 		s.responder.Start(resp.Status, resp.Header, -1)
+		return nil
 	})
 }
 
@@ -196,7 +198,7 @@
 	if !resp.EventStream || resp.Outcome != exchange.Done {
 		return s.handleBrokenStream(c.Instance, false, errNotEventStream)
 	}
-	return s.relayEvents(resp, c, cancel, func() {})
+	return s.relayEvents(resp, c, cancel, func() error { return nil })
 }
 
 // errNotEventStream reports that the response to a resumed request is not the rest of its
@@ -207,8 +209,8 @@
 var errEmptyStream = errors.New("event stream ended before its first event")
 
 // relayEvents relays events until the stream ends. It calls onFirst before it relays the first
-// event, unless the header has already been sent.
-func (s *requestState) relayEvents(resp *exchange.Response, c balance.Choice, cancel context.CancelFunc, onFirst func()) step {
+// event, unless the header has already been sent. If onFirst returns an error, nothing is relayed.
+func (s *requestState) relayEvents(resp *exchange.Response, c balance.Choice, cancel context.CancelFunc, onFirst func() error) step {
 	in := c.Instance
 	gapWatchdog := newWatchdog(s.gapTimeout(), s.gapTimeout(), cancel, func() bool {
 		s.handleUnresponsive(in)
@@ -234,7 +236,9 @@
 		if !began {
 			began = true
 			if !s.headerSent {
-				onFirst()
+				if err := onFirst(); err != nil {
+					return s.handleNotRecorded(c, err)
+				}
 			}
 		}
 		if s.responder.Write(ev.Raw) != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"pumiceford/fleet"
 	"pumiceford/logging"
 	"pumiceford/metrics"
+	"pumiceford/origins"
 	"pumiceford/quarantine"
 	"pumiceford/refusals"
 	"pumiceford/targets"
@@ -53,6 +54,8 @@
 	JobNotFound      Reason = "unknown"          // there is no such job
 	JobConflict      Reason = "conflict"         // another job has the same ID
 	VersionGone      Reason = "version_gone"     // no target of the version that began its stream is usable
+	NotRecorded      Reason = "not_recorded"     // the version that begins its stream cannot be recorded
+	OriginUnknown    Reason = "origin_unknown"   // the version that began its stream is not known
 	SlowCallers      Reason = "slow_callers"     // responses that callers do not read hold too much memory
 	Quarantined      Reason = "quarantined"      // it crashes the targets that run it
 
@@ -127,6 +130,8 @@
 	FailureNotifier FailureNotifier
 	Quarantine      *quarantine.Tracker
 	Shares          *fairshare.Ledger // account of the slots held; nil for one of its own
+	// Origins knows the software that began a stream; nil if streams are never taken up.
+	Origins *origins.Directory
 	// Refusals counts refused and failed requests; nil counts none.
 	Refusals *refusals.Table
 	Log      logging.Logger
@@ -141,6 +146,7 @@
 	notifier   FailureNotifier
 	quarantine *quarantine.Tracker
 	shares     *fairshare.Ledger
+	origins    *origins.Directory
 	refusals   *refusals.Table
 	log        logging.Logger
 	refusalLog *refusalLog
@@ -158,7 +164,7 @@
 	}
 	return &Gateway{
 		view: cfg.View, sender: cfg.Sender, reserver: cfg.Reserver, notifier: cfg.FailureNotifier, quarantine: cfg.Quarantine,
-		refusals: cfg.Refusals, refusalLog: &refusalLog{log: cfg.Log}, shares: cfg.Shares, rooms: newRooms(),
+		refusals: cfg.Refusals, refusalLog: &refusalLog{log: cfg.Log}, shares: cfg.Shares, origins: cfg.Origins, rooms: newRooms(),
 		log: cfg.Log, metrics: cfg.Metrics, started: time.Now(), timeouts: newTimeoutTracker(),
 	}
 }
@@ -226,7 +232,12 @@
 	s.service = route.Service(req.ID)
 	s.standing = g.shares.Standing(time.Now(), req.Holder)
 	req.Work.Class = route.Name
-	s.run()
+	if s.resolveOrigin() {
+		s.run()
+	}
+	if s.g.origins != nil {
+		s.g.origins.End(req.ID)
+	}
 	s.report()
 }
 
@@ -444,7 +455,7 @@
 
 // takeResend reports whether the budget has a further send for the request.
 func (s *requestState) takeResend() bool {
-	if s.headerSent || s.resendTaken.Swap(false) {
+	if s.continues != nil || s.resendTaken.Swap(false) {
 		return true
 	}
 	return s.g.takeResend()
--- a/gateway/overload.go
+++ b/gateway/overload.go
@@ -32,13 +32,13 @@
 
 // admissible reports whether waiting at the chosen target is still useful. A request that
 // may already have been run is always admitted. A retry may wait in any queue that is useful at
-// all, where first attempts are refused; so may a request without a deadline, and any request
-// on a route without an objective for the first event.
+// all, where first attempts are refused; so may the rest of a stream that has begun, a request
+// without a deadline, and any request on a route without an objective for the first event.
 func (s *requestState) admissible(c balance.Choice) bool {
 	switch {
 	case s.possibleRuns > 0:
 		return true
-	case s.isRetry || !s.hasDeadline || s.route.FirstEventWithin <= 0:
+	case s.isRetry || s.continues != nil || !s.hasDeadline || s.route.FirstEventWithin <= 0:
 		return c.QueueBelowLimit()
 	}
 	full := time.Duration(maxWaitShare * float64(s.route.FirstEventWithin))
--- /dev/null
+++ b/gateway/resume.go
@@ -0,0 +1,85 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pumiceford/balance"
+	"pumiceford/catalog"
+	"pumiceford/logging"
+	"pumiceford/origins"
+)
+
+// timeoutsPerWindow is how many times the timeout of its route a stream may be taken up after it
+// began: the caller's attempts share one timeout, and clocks and pauses add to it.
+const timeoutsPerWindow = 3
+
+// takeUpWindow returns how long after its beginning a stream of a route may be taken up.
+func takeUpWindow(r *catalog.Route) time.Duration {
+	return max(timeoutsPerWindow*r.Timeout, origins.MinWindow)
+}
+
+// resolveOrigin finds the software that began the stream whose rest the caller wants, and binds
+// the request to it. It reports false when it has refused the request instead.
+func (s *requestState) resolveOrigin() bool {
+	if s.req.ResumeAfter == 0 || s.g.origins == nil {
+		return true
+	}
+	began := time.Now()
+	software, basis, err := s.g.origins.Resolve(s.ctx, origins.Query{
+		Key: s.req.Key, FirstAttempt: s.req.FirstAttempt, Service: s.serviceOfFirstAttempt(), Window: takeUpWindow(s.route),
+	})
+	s.g.log.Info("stream taken up", logging.F("request", s.req.ID), logging.F("first_attempt", s.req.FirstAttempt), logging.F("resume_after", s.req.ResumeAfter),
+		logging.F("service", software.Service), logging.F("version", software.Version), logging.F("known_from", basis),
+		logging.F("took_ms", time.Since(began).Milliseconds()))
+	s.g.metrics.Count("taken_up_" + string(basis))
+	var unknown *origins.UnknownError
+	switch {
+	case errors.As(err, &unknown):
+		s.fail(OriginUnknown, unknown.RetryAfter())
+		return false
+	case !s.route.HasService(software.Service):
+		s.fail(VersionGone, 0)
+		return false
+	}
+	s.service, s.continues = software.Service, &software
+	return true
+}
+
+// serviceOfFirstAttempt returns the service to which the route sent the attempt that began the
+// stream, "" if that depends on the attempt and the caller does not name it.
+func (s *requestState) serviceOfFirstAttempt() string {
+	if s.req.FirstAttempt == "" && len(s.route.Shares) > 1 {
+		return ""
+	}
+	return s.route.Service(s.req.FirstAttempt)
+}
+
+// beginStream binds the request to the software of the target that sends the first event, and
+// notes the origin of a stream that the caller may take up. The error is an
+// *origins.NotRecordedError if the stream must not begin there.
+func (s *requestState) beginStream(c balance.Choice) error {
+	software := c.Instance.Software()
+	if s.g.origins != nil && s.route.Kind == catalog.Streaming && s.route.Resumable {
+		err := s.g.origins.Begin(s.ctx, origins.Stream{Key: s.req.Key, Attempt: s.req.ID, Software: software, Window: takeUpWindow(s.route)})
+		if err != nil {
+			return err
+		}
+	}
+	s.continues = &software
+	return nil
+}
+
+// handleNotRecorded decides what to do with a stream that must not begin at its target.
+func (s *requestState) handleNotRecorded(c balance.Choice, err error) step {
+	s.tried[c.Instance.ID] = true
+	var notRecorded *origins.NotRecordedError
+	if s.continues == nil && errors.As(err, &notRecorded) && notRecorded.Instead != nil && s.mayResend() {
+		s.continues = notRecorded.Instead
+		s.logRetry("sent elsewhere; its origin is not recorded", c.Instance, "instead", notRecorded.Instead.Version)
+		return tryNext
+	}
+	s.fail(NotRecorded, 0)
+	return finished
+}
--- a/losses/losses.go
+++ b/losses/losses.go
@@ -21,6 +21,8 @@
 	NotReady           Cause = "no catalog known"           // the process had just started
 	NoRoute            Cause = "no such route"              // no route in the catalog has the host and path
 	NoTarget           Cause = "no target"                  // no registered target may serve it
+	NotRecorded        Cause = "origin not recorded"        // the version that began its stream could not be recorded
+	OriginUnknown      Cause = "origin unknown"             // the version that began its stream is not known
 	VersionGone        Cause = "version gone"               // no target of the version that began its stream may serve it
 	Quarantined        Cause = "held"                       // it is in quarantine: targets crashed while running it
 	UnknownKey         Cause = "unknown key"                // no workspace has its key
--- a/losses/online.go
+++ b/losses/online.go
@@ -95,7 +95,7 @@
 
 // causeByOutcome maps the outcome in a request's last line to its cause.
 var causeByOutcome = map[string]Cause{
-	"not_ready": NotReady, "no_route": NoRoute, "no_target": NoTarget, "version_gone": VersionGone, "cut_version_gone": VersionGone, "overload": Overload,
+	"not_ready": NotReady, "no_route": NoRoute, "no_target": NoTarget, "version_gone": VersionGone, "origin_unknown": OriginUnknown, "not_recorded": NotRecorded, "cut_version_gone": VersionGone, "overload": Overload,
 	"unknown_key": UnknownKey, "stale_configuration": KeyUnconfirmed, "over_limit": OverLimit, "limit_unknown": LimitUnknown,
 	"quarantined": Quarantined, "cut_quarantined": Quarantined,
 	"lost": ResponseLost, "cut_lost": ResponseLost, "timed_out": DeadlineExceeded, "cut_timed_out": DeadlineExceeded,
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -31,6 +31,8 @@
 	ActingSince func(shard int) (since time.Duration, ok bool)
 	// Entries is what this entry knows of others.
 	Entries *Entries
+	// Versions returns which software versions were registered when.
+	Versions func() *wire.VersionHistory
 }
 
 // JobServer executes calls about jobs.
@@ -56,6 +58,9 @@
 	case call.GetEntry() != nil:
 		// A send fails only if the peer has disconnected.
 		_ = st.Send(s.Entries.Serve(call.GetEntry()))
+	case call.GetVersions() != nil:
+		// A send fails only if the peer has disconnected.
+		_ = st.Send(s.Versions())
 	case call.GetCatalog() != nil:
 		raw, recs := s.View.Export()
 		_ = st.Send(&wire.CatalogReply{Catalog: raw, Targets: store.ToWire(recs)})
@@ -307,6 +312,28 @@
 	return out
 }
 
+// VersionHistories implements origins.Entries.
+func (pool *Pool) VersionHistories(ctx context.Context) []*wire.VersionHistory {
+	sessions := pool.sessions()
+	replies := make(chan *wire.VersionHistory, len(sessions))
+	for _, p := range sessions {
+		go func() {
+			reply := &wire.VersionHistory{}
+			if p.Call(ctx, link.Control, &wire.Call{Kind: &wire.Call_Versions{Versions: &wire.VersionHistoryQuery{}}}, reply) != nil {
+				reply = nil // others may answer, and the question is repeated
+			}
+			replies <- reply
+		}()
+	}
+	var out []*wire.VersionHistory
+	for range sessions {
+		if r := <-replies; r != nil {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // fetchTimeout bounds one request for a catalog.
 const fetchTimeout = 500 * time.Millisecond
 
