A stream does not follow its route to another service

What a caller would see: the rest of a stream from another service, after a new configuration had moved its route or changed the shares of its services while the stream was broken off.

With one version of that service registered, the registry answered for the wrong one.

The view notes when the shares of a route changed; requests of a removed or added route count for the route that they fall to. Within the window of a stream such a change takes the registry's answer away, new streams are recorded, and the streams open at the change are recorded at once. What began elsewhere is refused.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -79,6 +79,37 @@
 	return slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == name })
 }
 
+// RouteID identifies a route by the requests that it matches.
+type RouteID struct {
+	Host, PathPrefix string
+}
+
+// ID returns the identity of the route.
+func (r *Route) ID() RouteID {
+	return RouteID{r.Host, r.PathPrefix}
+}
+
+// ChangedShares returns the routes of c with requests that another catalog sends to other
+// services, or in other proportions.
+func (c *Catalog) ChangedShares(before *Catalog) (out []RouteID) {
+	for _, rs := range c.hosts {
+		for i := range rs {
+			if old := before.Match(rs[i].Host, rs[i].PathPrefix); old != nil && !slices.Equal(old.Shares, rs[i].Shares) {
+				out = append(out, rs[i].ID())
+			}
+		}
+	}
+	// The requests of a route that is gone match a shorter prefix.
+	for _, rs := range before.hosts {
+		for i := range rs {
+			if now := c.Match(rs[i].Host, rs[i].PathPrefix); now != nil && !slices.Equal(now.Shares, rs[i].Shares) && !slices.Contains(out, now.ID()) {
+				out = append(out, now.ID())
+			}
+		}
+	}
+	return out
+}
+
 // Service is a set of targets that run the same program.
 type Service struct {
 	Name       string
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -89,3 +89,34 @@
 		t.Fatalf("retryable: got %v, want idempotent and resumable", retryable)
 	}
 }
+
+// Guards against a stream that is taken for one of the service that its route has now: routes
+// move to other services, and requests fall to other routes when one is added or removed.
+func TestChangedSharesFindsRequestsThatMoved(t *testing.T) {
+	t.Parallel()
+	to := func(prefix, service string) catalog.Route {
+		r := route("h", prefix)
+		r.Shares = []catalog.Share{{Service: service, Weight: 1}}
+		return r
+	}
+	build := func(routes ...catalog.Route) *catalog.Catalog { return catalog.New(1, catalog.Limits{}, nil, routes) }
+	before := build(to("/", "a"), to("/x/", "b"), to("/y/", "a"))
+	for name, tc := range map[string]struct {
+		now  *catalog.Catalog
+		want []string // prefixes
+	}{
+		"unchanged":        {now: build(to("/", "a"), to("/x/", "b"), to("/y/", "a"))},
+		"moved":            {now: build(to("/", "a"), to("/x/", "a"), to("/y/", "a")), want: []string{"/x/"}},
+		"removed":          {now: build(to("/", "a"), to("/y/", "a")), want: []string{"/"}},
+		"removed, no move": {now: build(to("/", "a"), to("/x/", "b"))},
+		"added":            {now: build(to("/", "a"), to("/x/", "b"), to("/y/", "a"), to("/y/z/", "b")), want: []string{"/y/z/"}},
+	} {
+		var got []string
+		for _, id := range tc.now.ChangedShares(before) {
+			got = append(got, id.PathPrefix)
+		}
+		if !slices.Equal(got, tc.want) {
+			t.Errorf("%s: %v, want %v", name, got, tc.want)
+		}
+	}
+}
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -246,6 +246,7 @@
 	})
 	n.view.OnLoadChange(n.gateway.SlotsChanged)
 	n.view.OnRegistrations(n.origins.SawRegistrations)
+	n.view.OnSharesChange(n.origins.RecordOpen)
 	n.view.OnTargetChange(func(all []targets.Instance) {
 		deps.Sender.Retain(all)
 		n.origins.SetTargets(all)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -47,6 +47,9 @@
 	ready         chan struct{} // closed once catalog and registry are known
 	changes       uint64
 	catalogSince  time.Time // when the catalog in force was applied
+	// sharesChanged is when the services of a route, or their shares, last changed.
+	sharesChanged map[catalog.RouteID]time.Time
+	onShares      func()
 	onChange      func([]targets.Instance)
 	onRegistered  func([]targets.Instance)
 	onLoad        func(service string)
@@ -60,6 +63,7 @@
 		set:   targets.NewSet(), rawTargets: make(map[string]store.Record),
 		table:    balance.NewTable(salt),
 		onChange: func([]targets.Instance) {}, onRegistered: func([]targets.Instance) {},
+		sharesChanged: make(map[catalog.RouteID]time.Time), onShares: func() {},
 		onLoad: func(string) {},
 	}
 }
@@ -147,14 +151,20 @@
 		return
 	}
 	v.mu.Lock()
+	before := v.current.Get()
 	newer := v.current.SetIfNewer(c)
+	onShares := func() {}
 	if newer {
+		if before != nil && v.noteChangedSharesLocked(time.Now(), c.ChangedShares(before)) {
+			onShares = v.onShares
+		}
 		v.rawCatalog = value
 		v.changes++
 		v.catalogSince = time.Now()
 		v.closeReadyLocked()
 	}
 	v.mu.Unlock()
+	onShares()
 	if newer {
 		v.metrics.SetGauge("catalog_version", float64(c.Version))
 		v.metrics.Count("catalog_changes")
@@ -162,6 +172,40 @@
 	}
 }
 
+// sharesChangeKept is how long a change of a route's shares is remembered.
+const sharesChangeKept = 10 * time.Minute
+
+// noteChangedSharesLocked notes that the shares of some routes have changed. It reports whether
+// there are any. The caller holds v.mu.
+func (v *View) noteChangedSharesLocked(now time.Time, changed []catalog.RouteID) bool {
+	for id, at := range v.sharesChanged {
+		if now.Sub(at) > sharesChangeKept {
+			delete(v.sharesChanged, id)
+		}
+	}
+	for _, id := range changed {
+		v.sharesChanged[id] = now
+	}
+	return len(changed) > 0
+}
+
+// SharesChangedWithin reports whether the services of a route, or their shares, changed in the
+// time before now.
+func (v *View) SharesChangedWithin(now time.Time, id catalog.RouteID, window time.Duration) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	at, ok := v.sharesChanged[id]
+	return ok && now.Sub(at) <= window
+}
+
+// OnSharesChange sets the function that is called when the shares of a route have changed. It is
+// called without locks held.
+func (v *View) OnSharesChange(fn func()) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.onShares = fn
+}
+
 // CatalogSink returns the sink of the configuration's topic.
 func (v *View) CatalogSink() store.Sink {
 	return catalogSink{v}
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -47,10 +47,16 @@
 	return true
 }
 
+// rerouted reports whether the services of the route changed in the time in which a stream that
+// may be taken up has begun.
+func (s *requestState) rerouted() bool {
+	return s.g.view.SharesChangedWithin(time.Now(), s.route.ID(), takeUpWindow(s.route))
+}
+
 // serviceOfFirstAttempt returns the service to which the route sent the attempt that began the
-// stream, "" if that depends on the attempt and the caller does not name it.
+// stream, "" if the route may have sent it to another one.
 func (s *requestState) serviceOfFirstAttempt() string {
-	if s.req.FirstAttempt == "" && len(s.route.Shares) > 1 {
+	if s.req.FirstAttempt == "" && len(s.route.Shares) > 1 || s.rerouted() {
 		return ""
 	}
 	return s.route.Service(s.req.FirstAttempt)
@@ -62,7 +68,7 @@
 func (s *requestState) beginStream(c balance.Choice) error {
 	software := c.Instance.Software()
 	if s.g.origins != nil && s.route.Kind == catalog.Streaming && s.route.Resumable {
-		err := s.g.origins.Begin(s.ctx, origins.Stream{Key: s.req.Key, Attempt: s.req.ID, Software: software, Window: takeUpWindow(s.route)})
+		err := s.g.origins.Begin(s.ctx, origins.Stream{Key: s.req.Key, Attempt: s.req.ID, Software: software, Window: takeUpWindow(s.route), Rerouted: s.rerouted()})
 		if err != nil {
 			return err
 		}
--- a/origins/directory.go
+++ b/origins/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -295,6 +296,17 @@
 	}
 }
 
+// RecordOpen records the origins of all open streams. It does not block.
+func (d *Directory) RecordOpen() {
+	d.mu.Lock()
+	streams := slices.Collect(maps.Values(d.open))
+	holders := d.holdersLocked()
+	d.mu.Unlock()
+	if len(streams) > 0 {
+		go d.recordAll(holders, streams)
+	}
+}
+
 // recordAll records the origins of streams, in one call to each agent.
 func (d *Directory) recordAll(holders []string, streams []Stream) {
 	calls := make(map[string]*wire.OriginCall)
@@ -356,7 +368,7 @@
 	sole, only := d.history.Sole(now, s.Software.Service, span(s.Window))
 	holders := d.holdersLocked()
 	d.mu.Unlock()
-	if only && sole == s.Software.Version && confirmed && now-at <= freshRegistry {
+	if !s.Rerouted && only && sole == s.Software.Version && confirmed && now-at <= freshRegistry {
 		return nil
 	}
 	d.cfg.Metrics.Count("origin_to_record")
@@ -448,7 +460,8 @@
 type Query struct {
 	Key          quarantine.Key
 	FirstAttempt string // ID of the attempt that brought the first event; "" if it is not known
-	// Service is the service of the first attempt; "" if that is not known.
+	// Service is the service of the first attempt; "" if that is not known, so that only a
+	// record tells the origin.
 	Service string
 	Window  time.Duration
 }
--- a/origins/directory_test.go
+++ b/origins/directory_test.go
@@ -38,10 +38,10 @@
 // entry is one entry's view of the world. It implements the dependencies of a Directory.
 type entry struct {
 	w      *world
-	dir    *origins.Directory
 	cancel context.CancelFunc
 
 	mu            sync.Mutex
+	dir           *origins.Directory
 	lag           time.Duration // between reads of the registry
 	noRegistry    bool
 	noAgents      bool
@@ -99,14 +99,13 @@
 		e.cancel()
 	}
 	ctx, e.cancel = context.WithCancel(ctx)
-	e.mu.Lock()
-	e.known, e.everConfirmed = nil, false
-	e.mu.Unlock()
-	e.dir = origins.NewDirectory(origins.Config{
+	dir := origins.NewDirectory(origins.Config{
 		Registry: e, Agents: e, Entries: e, Clock: e.w.clock, Log: logging.Logger{}, Metrics: metrics.New("entry"),
 	})
-	go e.dir.Run(ctx)
-	dir := e.dir
+	e.mu.Lock()
+	e.dir, e.known, e.everConfirmed = dir, nil, false
+	e.mu.Unlock()
+	go dir.Run(ctx)
 	go func() {
 		for ctx.Err() == nil {
 			e.read(dir)
@@ -115,6 +114,12 @@
 	}()
 }
 
+func (e *entry) directory() *origins.Directory {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.dir
+}
+
 func (e *entry) interval() time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -125,7 +130,7 @@
 func (e *entry) read(dir *origins.Directory) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.noRegistry {
+	if e.noRegistry || dir != e.dir {
 		return false
 	}
 	at := e.w.clock()
@@ -149,7 +154,7 @@
 }
 
 func (e *entry) Confirm(ctx context.Context, _ time.Duration) error {
-	if !e.read(e.dir) {
+	if !e.read(e.directory()) {
 		<-ctx.Done()
 		return errCut
 	}
@@ -174,7 +179,7 @@
 func (e *entry) VersionHistories(context.Context) (out []*wire.VersionHistory) {
 	for _, other := range e.w.entries {
 		if other != e {
-			out = append(out, other.dir.History())
+			out = append(out, other.directory().History())
 		}
 	}
 	return out
@@ -278,7 +283,7 @@
 						continue
 					}
 					s := streamOf(n, in.Software())
-					if e.dir.Begin(ctx, s) == nil {
+					if e.directory().Begin(ctx, s) == nil {
 						streams = append(streams, begun{s, time.Now()})
 					}
 				case takeUp:
@@ -289,7 +294,7 @@
 					if time.Since(b.at) > b.stream.Window {
 						continue
 					}
-					got, basis, err := e.dir.Resolve(ctx, queryOf(b.stream))
+					got, basis, err := e.directory().Resolve(ctx, queryOf(b.stream))
 					if err == nil {
 						known++
 					}
--- a/origins/table.go
+++ b/origins/table.go
@@ -14,6 +14,9 @@
 	Software targets.Software
 	// Window is how long after its beginning a caller may take it up.
 	Window time.Duration
+	// Rerouted says that the services of its route changed within the window, so that the route
+	// does not tell its service.
+	Rerouted bool
 }
 
 // maxStreams bounds the streams of one Table: what an agent holds while two versions serve at the
