An entry that has just started learns at once how old a version is

The entry now asks others for their histories before it gives up, others read the registry before they answer, so that their history reaches the beginning of the asker's, and a history tells when a version was first seen.

Found by reading on the way: an attempt whose stream could not be recorded was sent to another version, while its first record might still arrive. It fails now. A stream of a route that has just moved is not begun without a record.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -236,8 +236,9 @@
 		if !began {
 			began = true
 			if !s.headerSent {
-				if err := onFirst(); err != nil {
-					return s.handleNotRecorded(c, err)
+				if onFirst() != nil {
+					s.fail(NotRecorded, 0)
+					return finished
 				}
 			}
 		}
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -63,8 +63,8 @@
 }
 
 // beginStream binds the request to the software of the target that sends the first event, and
-// notes the origin of a stream that the caller may take up. The error is an
-// *origins.NotRecordedError if the stream must not begin there.
+// notes the origin of a stream that the caller may take up. The error is origins.ErrNotRecorded if
+// the stream must not begin.
 func (s *requestState) beginStream(c balance.Choice) error {
 	software := c.Instance.Software()
 	if s.g.origins != nil && s.route.Kind == catalog.Streaming && s.route.Resumable {
@@ -76,16 +76,3 @@
 	s.continues = &software
 	return nil
 }
-
-// handleNotRecorded decides what to do with a stream that must not begin at its target.
-func (s *requestState) handleNotRecorded(c balance.Choice, err error) step {
-	s.tried[c.Instance.ID] = true
-	var notRecorded *origins.NotRecordedError
-	if s.continues == nil && errors.As(err, &notRecorded) && notRecorded.Instead != nil && s.mayResend() {
-		s.continues = notRecorded.Instead
-		s.logRetry("sent elsewhere; its origin is not recorded", c.Instance, "instead", notRecorded.Instead.Version)
-		return tryNext
-	}
-	s.fail(NotRecorded, 0)
-	return finished
-}
--- a/origins/directory.go
+++ b/origins/directory.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 
 	"pumiceford/internal/wait"
 	"pumiceford/logging"
@@ -206,7 +207,7 @@
 		for _, p := range h.GetPresences() {
 			all = append(all, Presence{
 				Software: targets.Software{Service: p.GetService(), Version: p.GetVersion()},
-				First:    millis(p.GetFirstMs()), Last: millis(p.GetLastMs()),
+				First:    millis(p.GetFirstMs()), Seen: millis(p.GetSeenMs()), Last: millis(p.GetLastMs()),
 			})
 		}
 		d.mu.Lock()
@@ -220,8 +221,13 @@
 
 func millis(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
 
-// History returns the history for other entries.
-func (d *Directory) History() *wire.VersionHistory {
+// History returns the history for other entries. It reads the registry first, so that the history
+// reaches the beginning of that of an entry that has just started.
+func (d *Directory) History(ctx context.Context) *wire.VersionHistory {
+	ctx, cancel := context.WithTimeout(ctx, historyTimeout/2)
+	defer cancel()
+	// Without a read the history is told as it was confirmed last.
+	_ = d.cfg.Registry.Confirm(ctx, 0)
 	at, ok := d.cfg.Registry.ConfirmedAt()
 	now := d.cfg.Clock()
 	d.mu.Lock()
@@ -236,7 +242,7 @@
 	for _, p := range d.history.Export(now) {
 		out.Presences = append(out.Presences, &wire.VersionPresence{
 			Service: p.Software.Service, Version: p.Software.Version,
-			FirstMs: uint32(p.First.Milliseconds()), LastMs: uint32(p.Last.Milliseconds()),
+			FirstMs: uint32(p.First.Milliseconds()), SeenMs: uint32(p.Seen.Milliseconds()), LastMs: uint32(p.Last.Milliseconds()),
 		})
 	}
 	return out
@@ -343,22 +349,15 @@
 	return xxhash.Sum64(k[:])
 }
 
-// NotRecordedError is returned for a stream that must not begin: it has no record, and other
-// entries would take it for a stream of another version.
-type NotRecordedError struct {
-	// Instead is software at which the stream may begin without a record; nil if there is none.
-	Instead *targets.Software
-}
-
-// Error implements error.
-func (e *NotRecordedError) Error() string {
-	return "the origin of the stream cannot be recorded"
-}
+// ErrNotRecorded is returned for a stream that must not begin: it has no record, and other entries
+// would take it for a stream of another version.
+var ErrNotRecorded = errors.New("the origin of the stream cannot be recorded")
 
 // Begin notes the beginning of a stream before its first event is relayed. It waits until a copy
 // of its origin is recorded, unless only one version of the service has been registered for the
-// stream's window. If no agent records it, the error is a *NotRecordedError while other entries
-// may not know of its version; after that the stream may begin and cannot be resumed elsewhere.
+// stream's window. If no agent records it, the error is ErrNotRecorded while other entries may not
+// know of its version; after that the stream may begin and cannot be resumed elsewhere. An attempt
+// whose stream must not begin must not begin another one: its record may still arrive.
 func (d *Directory) Begin(ctx context.Context, s Stream) error {
 	now := d.cfg.Clock()
 	at, confirmed := d.cfg.Registry.ConfirmedAt()
@@ -375,18 +374,23 @@
 	if d.record(ctx, holders, s) {
 		return nil
 	}
+	if ctx.Err() != nil {
+		return ErrNotRecorded // nobody waits for the stream any more
+	}
 	d.cfg.Metrics.Count("origin_not_recorded")
 	old := d.versionsKnownToAll(s.Software.Service)
+	if !slices.Contains(old, s.Software.Version) {
+		// An entry that has just started learns from others how old a version is.
+		d.mergeHistories(ctx)
+		old = d.versionsKnownToAll(s.Software.Service)
+	}
 	d.cfg.Log.Warn("origin of a stream is not recorded", logging.F("request", s.Attempt), logging.F("version", s.Software.Version),
 		logging.F("agents", len(holders)), logging.F("known_to_all", old))
-	if slices.Contains(old, s.Software.Version) {
-		return nil
-	}
-	err := &NotRecordedError{}
-	if len(old) > 0 {
-		err.Instead = &targets.Software{Service: s.Software.Service, Version: old[0]}
+	// Entries that do not know of a new route may take the stream for one of its old service.
+	if s.Rerouted || !slices.Contains(old, s.Software.Version) {
+		return ErrNotRecorded
 	}
-	return err
+	return nil
 }
 
 // versionsKnownToAll returns the registered versions of a service that every entry takes into
--- a/origins/directory_test.go
+++ b/origins/directory_test.go
@@ -23,6 +23,8 @@
 
 const service = "s"
 
+var instanceSoftware = targets.Software{Service: service, Version: "v1.1"}
+
 // world is a registry of targets, the agents beside them and the entries, each of which may be
 // cut off from the registry or from the agents.
 type world struct {
@@ -133,7 +135,7 @@
 	if e.noRegistry || dir != e.dir {
 		return false
 	}
-	at := e.w.clock()
+	at := e.w.clock() // of the start of the read
 	e.w.mu.Lock()
 	e.known = slices.Collect(maps.Values(e.w.targets))
 	registered := e.w.log[e.next:]
@@ -176,10 +178,10 @@
 	return h.Serve(call), nil
 }
 
-func (e *entry) VersionHistories(context.Context) (out []*wire.VersionHistory) {
+func (e *entry) VersionHistories(ctx context.Context) (out []*wire.VersionHistory) {
 	for _, other := range e.w.entries {
 		if other != e {
-			out = append(out, other.directory().History())
+			out = append(out, other.directory().History(ctx))
 		}
 	}
 	return out
@@ -233,6 +235,34 @@
 	return origins.Query{Key: s.Key, FirstAttempt: s.Attempt, Service: service, Window: s.Window}
 }
 
+// Guards against an entry that refuses streams because it has just started and cannot record
+// them, although others know that their version is not new.
+func TestJustStartedEntryServesAKnownVersionWithoutRecords(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		w := newWorld(ctx, 2)
+		w.join("t0", "v0")
+		time.Sleep(20 * time.Second)
+		e := w.entries[0]
+		e.setCut(false, true)
+		e.start(ctx)
+		time.Sleep(50 * time.Millisecond)
+		if err := e.directory().Begin(ctx, streamOf(1, targets.Software{Service: service, Version: "v0"})); err != nil {
+			t.Errorf("stream at a version that is not new: %v", err)
+		}
+		w.join("t1", "v1")
+		time.Sleep(time.Second)
+		if err := e.directory().Begin(ctx, streamOf(2, targets.Software{Service: service, Version: "v1"})); !errors.Is(err, origins.ErrNotRecorded) {
+			t.Errorf("stream at a new version: %v, want ErrNotRecorded", err)
+		}
+		stop()
+		e.setCut(false, false)
+		time.Sleep(time.Minute)
+		synctest.Wait()
+	})
+}
+
 // operation is one step of a random history.
 type operation struct {
 	kind, a, b int
--- a/origins/history.go
+++ b/origins/history.go
@@ -173,8 +173,8 @@
 
 // Presence is a part of a history relative to the time at which it was exported.
 type Presence struct {
-	Software    targets.Software
-	First, Last time.Duration // time since then; Last is 0 if it is still registered
+	Software          targets.Software
+	First, Seen, Last time.Duration // time since then; Last is 0 if it is still registered
 }
 
 // Export returns the history relative to now.
@@ -182,7 +182,7 @@
 	var out []Presence
 	for service, versions := range h.services {
 		for version, p := range versions {
-			e := Presence{Software: targets.Software{Service: service, Version: version}, First: now - p.first}
+			e := Presence{Software: targets.Software{Service: service, Version: version}, First: now - p.first, Seen: now - p.seen}
 			if !p.registered {
 				e.Last = max(now-p.last, time.Millisecond)
 			}
@@ -206,12 +206,12 @@
 			h.services[e.Software.Service] = versions
 		}
 		if p := versions[e.Software.Version]; p != nil {
-			p.first = min(p.first, now-e.First)
+			p.first, p.seen = min(p.first, now-e.First), min(p.seen, now-e.Seen)
 			p.last = max(p.last, now-e.Last)
 			continue
 		}
 		// Registered there and not here: it has left meanwhile, or is not known here yet.
-		versions[e.Software.Version] = &presence{first: now - e.First, seen: now, last: now - e.Last}
+		versions[e.Software.Version] = &presence{first: now - e.First, seen: now - e.Seen, last: now - e.Last}
 	}
 	h.since = since
 	return true
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -32,7 +32,7 @@
 	// Entries is what this entry knows of others.
 	Entries *Entries
 	// Versions returns which software versions were registered when.
-	Versions func() *wire.VersionHistory
+	Versions func(ctx context.Context) *wire.VersionHistory
 }
 
 // JobServer executes calls about jobs.
@@ -60,7 +60,7 @@
 		_ = st.Send(s.Entries.Serve(call.GetEntry()))
 	case call.GetVersions() != nil:
 		// A send fails only if the peer has disconnected.
-		_ = st.Send(s.Versions())
+		_ = st.Send(s.Versions(ctx))
 	case call.GetCatalog() != nil:
 		raw, recs := s.View.Export()
 		_ = st.Send(&wire.CatalogReply{Catalog: raw, Targets: store.ToWire(recs)})
