A stream waits for its record while the agents restart

Recording is now repeated for up to 2 s before the stream fails: a response that is ready is delivered, also late. The watchdog on gaps does not run meanwhile, since the target does not cause that time.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -212,11 +212,14 @@
 // event, unless the header has already been sent. If onFirst returns an error, nothing is relayed.
 func (s *requestState) relayEvents(resp *exchange.Response, c balance.Choice, cancel context.CancelFunc, onFirst func() error) step {
 	in := c.Instance
-	gapWatchdog := newWatchdog(s.gapTimeout(), s.gapTimeout(), cancel, func() bool {
-		s.handleUnresponsive(in)
-		return s.mayRetry()
-	})
-	defer gapWatchdog.stop()
+	startWatchdog := func() *watchdog {
+		return newWatchdog(s.gapTimeout(), s.gapTimeout(), cancel, func() bool {
+			s.handleUnresponsive(in)
+			return s.mayRetry()
+		})
+	}
+	gapWatchdog := startWatchdog()
+	defer func() { gapWatchdog.stop() }()
 	rd := events.NewReader(resp.Body, s.resumeAfter())
 	began := false
 	for {
@@ -236,10 +239,12 @@
 		if !began {
 			began = true
 			if !s.headerSent {
+				gapWatchdog.stop() // the target does not cause the time that onFirst takes
 				if onFirst() != nil {
 					s.fail(NotRecorded, 0)
 					return finished
 				}
+				gapWatchdog = startWatchdog()
 			}
 		}
 		if s.responder.Write(ev.Raw) != nil {
--- a/origins/directory.go
+++ b/origins/directory.go
@@ -37,6 +37,10 @@
 	// after recordHedge, two more agents get one.
 	recordWait  = 80 * time.Millisecond
 	recordHedge = 30 * time.Millisecond
+	// maxRecordTime is how long recording is repeated for a stream that must not begin without a
+	// record, with recordRetryPause between two tries. Agents that restart are back by then.
+	maxRecordTime    = 2 * time.Second
+	recordRetryPause = 50 * time.Millisecond
 	// recordTimeout bounds recording at one agent, and askTimeout asking one.
 	recordTimeout = 500 * time.Millisecond
 	askTimeout    = 200 * time.Millisecond
@@ -371,26 +375,31 @@
 		return nil
 	}
 	d.cfg.Metrics.Count("origin_to_record")
-	if d.record(ctx, holders, s) {
-		return nil
-	}
-	if ctx.Err() != nil {
-		return ErrNotRecorded // nobody waits for the stream any more
-	}
-	d.cfg.Metrics.Count("origin_not_recorded")
-	old := d.versionsKnownToAll(s.Software.Service)
-	if !slices.Contains(old, s.Software.Version) {
-		// An entry that has just started learns from others how old a version is.
-		d.mergeHistories(ctx)
-		old = d.versionsKnownToAll(s.Software.Service)
-	}
-	d.cfg.Log.Warn("origin of a stream is not recorded", logging.F("request", s.Attempt), logging.F("version", s.Software.Version),
-		logging.F("agents", len(holders)), logging.F("known_to_all", old))
-	// Entries that do not know of a new route may take the stream for one of its old service.
-	if s.Rerouted || !slices.Contains(old, s.Software.Version) {
-		return ErrNotRecorded
+	for try := 0; ; try++ {
+		if d.record(ctx, holders, s) {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return ErrNotRecorded // nobody waits for the stream any more
+		}
+		if try == 0 {
+			// An entry that has just started learns from others how old a version is.
+			d.mergeHistories(ctx)
+		}
+		// Entries that do not know of a new route may take the stream for one of its old service.
+		old := d.versionsKnownToAll(s.Software.Service)
+		mayBegin := !s.Rerouted && slices.Contains(old, s.Software.Version)
+		if mayBegin || d.cfg.Clock()-now > maxRecordTime {
+			d.cfg.Metrics.Count("origin_not_recorded")
+			d.cfg.Log.Warn("origin of a stream is not recorded", logging.F("request", s.Attempt), logging.F("version", s.Software.Version),
+				logging.F("agents", len(holders)), logging.F("known_to_all", old), logging.F("begins", mayBegin))
+			if mayBegin {
+				return nil
+			}
+			return ErrNotRecorded
+		}
+		_ = wait.For(ctx, recordRetryPause)
 	}
-	return nil
 }
 
 // versionsKnownToAll returns the registered versions of a service that every entry takes into
--- a/origins/directory_test.go
+++ b/origins/directory_test.go
@@ -253,9 +253,14 @@
 		}
 		w.join("t1", "v1")
 		time.Sleep(time.Second)
-		if err := e.directory().Begin(ctx, streamOf(2, targets.Software{Service: service, Version: "v1"})); !errors.Is(err, origins.ErrNotRecorded) {
+		v1 := targets.Software{Service: service, Version: "v1"}
+		if err := e.directory().Begin(ctx, streamOf(2, v1)); !errors.Is(err, origins.ErrNotRecorded) {
 			t.Errorf("stream at a new version: %v, want ErrNotRecorded", err)
 		}
+		time.AfterFunc(time.Second, func() { e.setCut(false, false) })
+		if err := e.directory().Begin(ctx, streamOf(3, v1)); err != nil {
+			t.Errorf("stream at a new version while the agents restart: %v", err)
+		}
 		stop()
 		e.setCut(false, false)
 		time.Sleep(time.Minute)
