shards: a process waits its whole pause after a shard lost its owner

Two causes: the pause was measured from any change of the records, so a shard that was released during it was taken at its end; and the loop that probes owners took unowned shards without a pause, after which the other loop slept for up to a second.

The manager notes since when each watched shard has had no owner, and takes it only once that is as long as its claim pause, in both loops; it wakes when the next one is due. Shards that are due and could not be written are tried again after a second, as before.

--- a/shards/manager.go
+++ b/shards/manager.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -83,6 +84,8 @@
 	mu      sync.Mutex
 	leaving bool
 	outages map[int]outage
+	// unownedSince is when watched shards without an owner were first seen without one.
+	unownedSince map[int]time.Duration
 }
 
 // outage records since when the owner of a shard has not been acting for it.
@@ -93,7 +96,7 @@
 
 // NewManager prepares the shards of a process. It reads and writes no records before Run.
 func NewManager(cfg Config) *Manager {
-	m := &Manager{cfg: cfg, table: NewTable(cfg.Self, cfg.Lease), outages: make(map[int]outage)}
+	m := &Manager{cfg: cfg, table: NewTable(cfg.Self, cfg.Lease), outages: make(map[int]outage), unownedSince: make(map[int]time.Duration)}
 	m.follower = store.NewFollower(cfg.Log, cfg.Partition, sink{m}, store.FollowerConfig{Wait: cfg.Lease / readsPerLease, Clock: cfg.Clock})
 	return m
 }
@@ -173,14 +176,60 @@
 	for {
 		changed := m.changed()
 		m.take(ctx, m.watchedOwners(), nil)
-		wait.ForChange(ctx, changed, unownedCheckInterval)
-		if wait.For(ctx, rand.N(maxWriteJitter)+m.claimPause()) != nil {
+		wait.ForChange(ctx, changed, m.untilClaim())
+		m.noteUnowned(m.watchedOwners())
+		if wait.For(ctx, rand.N(maxWriteJitter)) != nil {
 			return
 		}
 	}
 }
 
-// claimPause returns the wait before this process takes another shard.
+// noteUnowned notes when shards lose their owners, given the owner of each watched shard.
+func (m *Manager) noteUnowned(owners map[int]string) {
+	now := m.cfg.Clock()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	maps.DeleteFunc(m.unownedSince, func(n int, _ time.Duration) bool { _, watched := owners[n]; return !watched })
+	for n, owner := range owners {
+		if _, noted := m.unownedSince[n]; owner != "" {
+			delete(m.unownedSince, n)
+		} else if !noted {
+			m.unownedSince[n] = now
+		}
+	}
+}
+
+// unowned returns the shards that have had no owner for the claim pause, given the owner of each
+// watched shard.
+func (m *Manager) unowned(owners map[int]string) (out []int) {
+	m.noteUnowned(owners)
+	since := m.cfg.Clock() - m.claimPause()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for n, owner := range owners {
+		if owner == "" && m.unownedSince[n] <= since {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// untilClaim returns the time until this process may take the next shard without an owner. For
+// those that it may take already, and has just tried to, that is unownedCheckInterval.
+func (m *Manager) untilClaim() time.Duration {
+	due := m.cfg.Clock() - m.claimPause()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	next := unownedCheckInterval
+	for _, since := range m.unownedSince {
+		if since > due {
+			next = min(next, since-due)
+		}
+	}
+	return next
+}
+
+// claimPause returns how long a shard has to be without an owner before this process takes it.
 func (m *Manager) claimPause() time.Duration {
 	counted := len(m.owned())
 	if m.cfg.Handicap != nil {
@@ -227,16 +276,13 @@
 	return owners
 }
 
-// take takes the given orphaned shards and one shard without an owner. The other shards
+// take takes the given orphaned shards and one shard that has been without an owner for a while. The other shards
 // without an owner are left to processes that own fewer, so that the loss of one process takes
 // few shards. It skips shards whose owner has changed in the meantime.
 func (m *Manager) take(ctx context.Context, owners map[int]string, orphaned []int) {
 	due := slices.Clone(orphaned)
-	for n, owner := range owners { // map order, so processes that watch the same shards rarely try the same one
-		if owner == "" {
-			due = append(due, n)
-			break
-		}
+	if free := m.unowned(owners); len(free) > 0 {
+		due = append(due, free[0]) // in map order, so processes that watch the same shards rarely try the same one
 	}
 	if len(due) == 0 || m.isLeaving() {
 		return
