A crash told by another process counts once again

What callers would have seen: a request held after crashes of two targets instead of three.

Marks travel without the version, so a crash seen here and told by an agent counted as two targets.

--- a/quarantine/spread_test.go
+++ b/quarantine/spread_test.go
@@ -136,3 +136,27 @@
 		t.Error("held again by a stored record")
 	}
 }
+
+// Guards against one crash that counts as two, because another process tells of it without the
+// software version of its target.
+func TestCrashToldByOthersCountsOnce(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	addr := serveAgent(ctx, t, newTracker())
+	a, b := newTracker(), newTracker()
+	key, last := quarantine.NewKey("", "POST", "h", "/twice", nil), quarantine.NewKey("", "POST", "h", "/last", nil)
+	for _, tr := range []*quarantine.Tracker{a, b} {
+		for _, id := range []string{"i-1", "i-2"} {
+			tr.RecordBroken(ctx, quarantine.Run{Key: key, Target: targets.Instance{ID: id, Version: "v1"}})
+		}
+	}
+	reportCrashes(a, last, "x-1", "x-2", "x-3")
+	for _, tr := range []*quarantine.Tracker{a, b} {
+		go quarantine.Follow(ctx, link.NewPeer(link.Config{Node: "entry"}, addr), tr)
+	}
+	await(t, "exchange of the marks", func() bool { return isHeld(b, last) })
+	if isHeld(b, key) {
+		t.Error("a request is held after crashes of two targets")
+	}
+}
--- a/targets/targets.go
+++ b/targets/targets.go
@@ -26,17 +26,15 @@
 }
 
 // Incarnation identifies one incarnation of an instance. Connections, failures and draining of an
-// earlier incarnation do not apply to a later one. The version tells two incarnations apart
-// whose start time is unknown.
+// earlier incarnation do not apply to a later one.
 type Incarnation struct {
 	ID            string
 	StartedUnixMs int64
-	Version       string
 }
 
 // Incarnation returns the incarnation of the instance.
 func (in Instance) Incarnation() Incarnation {
-	return Incarnation{in.ID, in.StartedUnixMs, in.Version}
+	return Incarnation{in.ID, in.StartedUnixMs}
 }
 
 // Software is what a target runs. The outputs of two runs can be joined only if their
