gateway: a stopped watchdog checks nothing any more

What callers could see: at worst one check on half-changed state, that is a send cancelled or not by the wrong one of two conditions. No such response was found; the fault is the race itself.

Ruled out: a race in the test's own fixture (both stacks are in product code), a lock around the one field (the next field would race again).

Why it holds: a check runs with the watchdog's lock held, and stop takes it. Checks take only the table's lock, under which nobody stops or resets a watchdog; checks do not wait for anything else.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -22,7 +22,8 @@
 const maxBufferedBodyBytes = 1 << 20
 
 // watchdog polls a condition while a send waits for its target, and cancels the send when
-// the condition holds. It is safe for concurrent use; mu is not held during shouldCancel.
+// the condition holds. It is safe for concurrent use. mu is held during shouldCancel: once stop
+// has returned, the state that the condition reads may change.
 type watchdog struct {
 	initial      time.Duration // until the first check
 	interval     time.Duration // between later checks
@@ -44,13 +45,12 @@
 }
 
 func (w *watchdog) check() {
-	expired := w.shouldCancel()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.stopped {
 		return
 	}
-	if expired {
+	if w.shouldCancel() {
 		w.fired = true
 		w.cancel()
 		return
@@ -67,7 +67,8 @@
 	}
 }
 
-// stop stops the watchdog. It reports whether the watchdog cancelled the send.
+// stop stops the watchdog after a check that is in progress. It reports whether the watchdog
+// cancelled the send.
 func (w *watchdog) stop() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
