A stream that began at a target replaced under its ID is not resumed on a wrong belief

A target may start again under its ID with another software version. Until an entry has read its new registration, it takes what the target writes for the old version.

What callers could see: a stream that began at the new version in that time (some 250 ms in touch, longer at an entry that is cut off from the registry) goes on at the old one, and a stream of the old version goes on at the new one.

Change: an entry keeps the streams that began since the registry was last confirmed. If one of their targets is registered with other software, it makes the records of the stream ambiguous at every agent that may be asked. Before the rest of a stream is relayed, the registration of its target is read again, if the entry is in touch, for up to 150 ms.

Ruled out: the target's ID in each record (5 to 15 bytes of 50, at agents that are over their share already, for a case of milliseconds); a read of the registry before each stream.

Left: the entry that began the stream dies, or reaches no agent, before it has read the new registration.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -199,7 +199,7 @@
 	if !resp.EventStream || resp.Outcome != exchange.Done {
 		return s.handleBrokenStream(c.Instance, false, errNotEventStream)
 	}
-	return s.relayEvents(resp, c, cancel, func() error { return nil })
+	return s.relayEvents(resp, c, cancel, func() error { return s.checkRest(c) })
 }
 
 // errNotEventStream reports that the response to a resumed request is not the rest of its
@@ -210,7 +210,7 @@
 var errEmptyStream = errors.New("event stream ended before its first event")
 
 // relayEvents relays events until the stream ends. It calls onFirst before it relays the first
-// event, unless the header has already been sent. If onFirst returns an error, nothing is relayed.
+// event. If onFirst returns an error, nothing is relayed.
 func (s *requestState) relayEvents(resp *exchange.Response, c balance.Choice, cancel context.CancelFunc, onFirst func() error) step {
 	in := c.Instance
 	startWatchdog := func() *watchdog {
@@ -239,14 +239,11 @@
 		gapWatchdog.reset()
 		if !began {
 			began = true
-			if !s.headerSent {
-				gapWatchdog.stop() // the target does not cause the time that onFirst takes
-				if onFirst() != nil {
-					s.fail(NotRecorded, 0)
-					return finished
-				}
-				gapWatchdog = startWatchdog()
+			gapWatchdog.stop() // the target does not cause the time that onFirst takes
+			if err := onFirst(); err != nil {
+				return s.handleRejectedStream(c, err)
 			}
+			gapWatchdog = startWatchdog()
 		}
 		if s.responder.Write(ev.Raw) != nil {
 			s.callerDisconnected()
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -64,15 +64,51 @@
 
 // beginStream binds the request to the software of the target that sends the first event, and
 // notes the origin of a stream that the caller may take up. The error is origins.ErrNotRecorded if
-// the stream must not begin.
+// the stream must not begin, or one of checkRest.
 func (s *requestState) beginStream(c balance.Choice) error {
-	software := c.Instance.Software()
+	if err := s.checkRest(c); err != nil {
+		return err
+	}
 	if s.g.origins != nil && s.route.Kind == catalog.Streaming && s.route.Resumable {
-		err := s.g.origins.Begin(s.ctx, origins.Stream{Key: s.req.Key, Attempt: s.req.ID, Software: software, Window: takeUpWindow(s.route), Rerouted: s.rerouted()})
-		if err != nil {
+		if err := s.g.origins.Begin(s.ctx, s.streamAt(c)); err != nil {
 			return err
 		}
 	}
+	software := c.Instance.Software()
 	s.continues = &software
 	return nil
 }
+
+// checkRest checks that a target which sends the rest of a stream has the software that began
+// it. The errors are origins.ErrOtherSoftware and origins.ErrAmbiguous.
+func (s *requestState) checkRest(c balance.Choice) error {
+	if s.continues == nil || s.g.origins == nil {
+		return nil
+	}
+	return s.g.origins.CheckRest(s.ctx, s.streamAt(c), time.Since(s.sentAt))
+}
+
+func (s *requestState) streamAt(c balance.Choice) origins.Stream {
+	return origins.Stream{
+		Key: s.req.Key, Attempt: s.req.ID, Instance: c.Instance.ID, Software: c.Instance.Software(),
+		Window: takeUpWindow(s.route), Rerouted: s.rerouted(),
+	}
+}
+
+// handleRejectedStream decides what to do when a stream must not be relayed from its target.
+func (s *requestState) handleRejectedStream(c balance.Choice, err error) step {
+	switch {
+	case errors.Is(err, origins.ErrOtherSoftware):
+		s.tried[c.Instance.ID] = true
+		if s.mayRetry() {
+			s.logRetry("stream goes on elsewhere", c.Instance, "error", err.Error())
+			return tryNext
+		}
+		s.fail(VersionGone, 0)
+	case errors.Is(err, origins.ErrAmbiguous):
+		s.fail(OriginUnknown, 0)
+	default:
+		s.fail(NotRecorded, 0)
+	}
+	return finished
+}
--- a/origins/begin.go
+++ b/origins/begin.go
@@ -29,17 +29,56 @@
 	}
 }
 
-// recordAll records the origins of streams, in one call to each agent.
+// recordAll records the origins of streams.
 func (d *Directory) recordAll(holders []string, streams []Stream) {
-	calls := make(map[string]*wire.OriginCall)
+	calls := make(recordCalls)
 	for _, s := range streams {
 		for _, addr := range routing.Top(holders, keyScore(s.Key), copies) {
-			if calls[addr] == nil {
-				calls[addr] = &wire.OriginCall{}
-			}
-			calls[addr].Record = append(calls[addr].Record, encodeStream(s))
+			calls.add(addr, s)
+		}
+	}
+	failed := d.send(calls)
+	d.cfg.Log.Info("origins of open streams recorded", logging.F("streams", len(streams)),
+		logging.F("agents", len(calls)), logging.F("failed", failed))
+}
+
+// correct makes the records of streams ambiguous, at each agent that may be asked. It does not
+// block.
+func (d *Directory) correct(streams []mistaken) {
+	if len(streams) == 0 {
+		return
+	}
+	calls := make(recordCalls)
+	for _, m := range streams {
+		other := m.stream
+		other.Software = m.other
+		for _, addr := range m.holders {
+			calls.add(addr, m.stream)
+			calls.add(addr, other)
+		}
+		d.cfg.Metrics.Count("origin_corrected")
+		d.cfg.Log.Warn("target has started again with other software; origin of a stream is ambiguous", logging.F("request", m.stream.Attempt),
+			logging.F("instance", m.stream.Instance), logging.F("version", m.stream.Software.Version), logging.F("registered", m.other.Version))
+	}
+	go func() {
+		if failed := d.send(calls); failed > 0 {
+			d.cfg.Log.Warn("ambiguous origins not recorded everywhere", logging.F("agents", len(calls)), logging.F("failed", failed))
 		}
+	}()
+}
+
+// recordCalls are calls that record origins, by address of the target beside the agent.
+type recordCalls map[string]*wire.OriginCall
+
+func (c recordCalls) add(addr string, s Stream) {
+	if c[addr] == nil {
+		c[addr] = &wire.OriginCall{}
 	}
+	c[addr].Record = append(c[addr].Record, encodeStream(s))
+}
+
+// send makes calls to agents at the same time. It returns the number of those that failed.
+func (d *Directory) send(calls recordCalls) int64 {
 	var all sync.WaitGroup
 	var failed atomic.Int64
 	for addr, call := range calls {
@@ -52,8 +91,7 @@
 		})
 	}
 	all.Wait()
-	d.cfg.Log.Info("origins of open streams recorded", logging.F("streams", len(streams)),
-		logging.F("agents", len(calls)), logging.F("failed", failed.Load()))
+	return failed.Load()
 }
 
 func encodeStream(s Stream) *wire.StreamOrigin {
@@ -82,6 +120,10 @@
 	d.mu.Lock()
 	d.own.Record(now, s)
 	d.open[s.Attempt] = s
+	d.unconfirmed = append(d.unconfirmed, begunStream{s, now})
+	if len(d.unconfirmed) > maxUnconfirmed {
+		d.unconfirmed = d.unconfirmed[1:]
+	}
 	sole, only := d.history.Sole(now, s.Software.Service, span(s.Window))
 	holders := d.holdersLocked()
 	d.mu.Unlock()
--- a/origins/directory.go
+++ b/origins/directory.go
@@ -42,6 +42,8 @@
 	askTimeout    = 200 * time.Millisecond
 	// confirmTimeout bounds the read of the registry that precedes a resumption.
 	confirmTimeout = 600 * time.Millisecond
+	// checkTimeout bounds the read of the registry that precedes the rest of a stream.
+	checkTimeout = 150 * time.Millisecond
 	// freshRegistry is the age of the registry's last confirmation up to which an entry relies
 	// on it when it records no origin.
 	freshRegistry = 1500 * time.Millisecond
@@ -57,6 +59,11 @@
 	unrecordedAge = 30 * time.Second
 	// knownToAll is how long after a version appeared no entry takes it for recent any more.
 	knownToAll = recentVersion + 2*time.Second
+	// maxUnconfirmed bounds the streams that are remembered because the registry has not confirmed
+	// their software.
+	maxUnconfirmed = 1 << 14
+	// registrationLag is how much later than its process a target's registration may appear.
+	registrationLag = time.Second
 	// retryUnreachable is the retry-after when no agent answered: another entry may reach one.
 	retryUnreachable = 100 * time.Millisecond
 	// observeInterval is the interval of checks on the registry's confirmations, and
@@ -115,8 +122,19 @@
 	history *History
 	own     *Table            // streams that began at this entry
 	open    map[string]Stream // those of them that have not ended, by attempt
-	holders []holderSet       // oldest first, the last one is in use
-	lastAt  time.Duration     // the last confirmation seen
+	// unconfirmed are those that began when the registry had not yet confirmed the software of
+	// their targets, oldest first.
+	unconfirmed []begunStream
+	// softwareOf is the software of the registered instances, by ID.
+	softwareOf map[string]targets.Software
+	holders    []holderSet   // oldest first, the last one is in use
+	lastAt     time.Duration // the last confirmation seen
+}
+
+// begunStream is a stream and the time at which it began.
+type begunStream struct {
+	Stream
+	at time.Duration
 }
 
 // holderSet is a set of agents that hold origins, in use from a time on.
@@ -191,6 +209,11 @@
 		d.history.CompleteSince(at)
 	}
 	d.lastAt = at
+	n := 0
+	for n < len(d.unconfirmed) && d.unconfirmed[n].at < at-registrationLag {
+		n++
+	}
+	d.unconfirmed = d.unconfirmed[n:]
 	return now-since < span(MinWindow)
 }
 
@@ -253,8 +276,44 @@
 func (d *Directory) SawRegistrations(all []targets.Instance) {
 	now := d.cfg.Clock()
 	d.mu.Lock()
-	defer d.mu.Unlock()
 	d.history.Saw(d.absentAtLocked(now), now, all)
+	mistaken := d.mistakenLocked(now, all)
+	d.mu.Unlock()
+	d.correct(mistaken)
+}
+
+// mistaken is a stream whose target was registered with other software after the stream began,
+// and may have run it already. The record of it is made ambiguous.
+type mistaken struct {
+	stream  Stream
+	other   targets.Software
+	holders []string
+}
+
+// mistakenLocked returns and forgets the unconfirmed streams whose targets are registered with
+// other software. The caller holds d.mu.
+func (d *Directory) mistakenLocked(now time.Duration, all []targets.Instance) (out []mistaken) {
+	if len(d.unconfirmed) == 0 {
+		return nil
+	}
+	registered := make(map[string][]targets.Software)
+	for _, in := range all {
+		registered[in.ID] = append(registered[in.ID], in.Software())
+	}
+	d.unconfirmed = slices.DeleteFunc(d.unconfirmed, func(s begunStream) bool {
+		for _, other := range registered[s.Instance] {
+			if other == s.Software {
+				continue
+			}
+			out = append(out, mistaken{s.Stream, other, d.holdersSinceLocked(now, s.Key, s.Window)})
+			s.Software = other
+			d.own.Record(now, s.Stream)
+			delete(d.open, s.Attempt) // not recorded once more
+			return true
+		}
+		return false
+	})
+	return out
 }
 
 // absentAtLocked returns the latest time at which a version that is read now for the first time
@@ -277,6 +336,10 @@
 	}
 	now := d.cfg.Clock()
 	d.mu.Lock()
+	d.softwareOf = make(map[string]targets.Software, len(all))
+	for _, in := range all {
+		d.softwareOf[in.ID] = in.Software()
+	}
 	changed := d.history.Observe(d.absentAtLocked(now), now, all)
 	d.setHoldersLocked(now, routing.Top(addrs, 0, maxHolders))
 	var exposed []Stream
@@ -293,7 +356,9 @@
 		}
 	}
 	holders := d.holdersLocked()
+	mistaken := d.mistakenLocked(now, all)
 	d.mu.Unlock()
+	d.correct(mistaken)
 	for _, service := range changed {
 		d.cfg.Log.Info("software versions of a service changed", logging.F("service", service), logging.F("versions", versions[service]))
 	}
--- a/origins/resolve.go
+++ b/origins/resolve.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"pumiceford/quarantine"
 	"pumiceford/targets"
 	"pumiceford/wire"
@@ -160,6 +162,37 @@
 	return found, result, answered
 }
 
+// The rest of a stream must not be relayed.
+var (
+	// ErrOtherSoftware is returned for a target that has started again with other software.
+	ErrOtherSoftware = errors.New("the target has started again with other software")
+	// ErrAmbiguous is returned for a stream that may have begun at other software than believed.
+	ErrAmbiguous = errors.New("the stream may have begun at other software")
+)
+
+// CheckRest checks before the rest of a stream is relayed that its target, which was sent the
+// request at most age ago, has the software s.Software by its registration, and that s.Attempt
+// did not begin at a target that has turned out to have other software. An entry that has just
+// lost the registry relies on what it knew.
+func (d *Directory) CheckRest(ctx context.Context, s Stream, age time.Duration) error {
+	if at, ok := d.cfg.Registry.ConfirmedAt(); ok && d.cfg.Clock()-at <= freshRegistry {
+		ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+		defer cancel()
+		if err := d.cfg.Registry.Confirm(ctx, age); err != nil {
+			d.cfg.Metrics.Count("rest_not_confirmed")
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if software, ok := d.softwareOf[s.Instance]; ok && software != s.Software {
+		return ErrOtherSoftware
+	}
+	if _, result := d.own.Find(d.cfg.Clock(), s.Key, s.Attempt); result == Ambiguous {
+		return ErrAmbiguous
+	}
+	return nil
+}
+
 func resultOf(r *wire.OriginReply) Result {
 	switch r.GetOutcome() {
 	case wire.OriginReply_RECORDED:
--- a/origins/table.go
+++ b/origins/table.go
@@ -11,6 +11,7 @@
 type Stream struct {
 	Key      quarantine.Key // the same for each attempt of the caller
 	Attempt  string         // ID of the attempt that brought its first event
+	Instance string         // ID of the target
 	Software targets.Software
 	// Window is how long after its beginning a caller may take it up.
 	Window time.Duration
