An item's output is not continued when one of its targets was replaced under its ID

The item's next run, or its next process, then continues what another version wrote.

Change: the progress of an item names the targets that wrote it, also when it is saved or handed over. If one of them is registered with other software than the item's, the item starts anew, and output of several runs is not taken as complete. That costs a repetition when a target was replaced in place after it wrote; a time of the change, which the other process would need too, was left out for it. Progress saved before names no targets and is believed as before.

Left: a target that leaves the registry before its new registration is read.

--- a/balance/batchtargets.go
+++ b/balance/batchtargets.go
@@ -138,6 +138,12 @@
 	return false
 }
 
+// HasOtherSoftware reports whether a target is registered with other software than the given one.
+func (t *Table) HasOtherSoftware(id string, software targets.Software) bool {
+	v := t.views[id]
+	return v != nil && v.Instance.Software() != software
+}
+
 // Eligible reports whether a target belongs to a service and may get work now.
 func (t *Table) Eligible(now time.Time, service, id string) bool {
 	v := t.views[id]
--- a/jobstore/progress.go
+++ b/jobstore/progress.go
@@ -25,6 +25,7 @@
 	LastEvent uint64 // last complete event
 	Text      []byte
 	Software  targets.Software // that wrote Text; the zero value if it is not known
+	Instances []string         // IDs of the targets that wrote Text
 	Listed    bool             // the result is listed, so the saved progress is deleted
 }
 
@@ -46,6 +47,7 @@
 		if !p.Listed {
 			value, err := proto.Marshal(&wire.ItemProgress{
 				LastEvent: p.LastEvent, Text: p.Text, Service: p.Software.Service, Version: p.Software.Version,
+				Instances: p.Instances,
 			})
 			if err != nil {
 				return err
@@ -82,6 +84,7 @@
 		out = append(out, Progress{
 			Key: ItemKey{job, index}, LastEvent: p.GetLastEvent(), Text: p.GetText(),
 			Software: targets.Software{Service: p.GetService(), Version: p.GetVersion()},
+			Instances: p.GetInstances(),
 		})
 	}
 	return out, nil
--- a/runner/member.go
+++ b/runner/member.go
@@ -176,7 +176,7 @@
 	for _, p := range all {
 		st := r.itemLocked(p.Key, part)
 		if !st.running && p.LastEvent > st.lastEvent {
-			st.progress = progress{lastEvent: p.LastEvent, text: p.Text, software: p.Software}
+			st.progress = progress{lastEvent: p.LastEvent, text: p.Text, software: p.Software, instances: p.Instances}
 			st.savedEvent = p.LastEvent
 		}
 	}
@@ -259,7 +259,7 @@
 	r.mu.Lock()
 	for _, st := range r.items {
 		if st.part == part && !st.done && st.lastEvent > st.savedEvent {
-			all = append(all, jobstore.Progress{Key: st.key, LastEvent: st.lastEvent, Text: slices.Clone(st.text), Software: st.software})
+			all = append(all, jobstore.Progress{Key: st.key, LastEvent: st.lastEvent, Text: slices.Clone(st.text), Software: st.software, Instances: slices.Clone(st.instances)})
 		}
 	}
 	r.mu.Unlock()
--- a/runner/run.go
+++ b/runner/run.go
@@ -150,42 +150,42 @@
 // suitable returns the targets at which an item may run now. Those that can continue its output
 // come first; the others are left out while the item waits for one of them.
 func (r *Runner) suitable(now time.Time, c candidate, all []balance.BatchTarget) []balance.BatchTarget {
-	software, repeated, waited := r.outputOf(now, c)
-	if repeated == 0 {
+	written, repeated, waited := r.outputOf(now, c)
+	if repeated == 0 || r.mistaken(written) {
 		return all
 	}
 	var same, others []balance.BatchTarget
 	for _, t := range all {
-		if t.Instance.Software() == software {
+		if t.Instance.Software() == written.software {
 			same = append(same, t)
 		} else {
 			others = append(others, t)
 		}
 	}
 	serves := false
-	r.cfg.View.WithTable(func(t *balance.Table) { serves = t.Serves(now, software) })
+	r.cfg.View.WithTable(func(t *balance.Table) { serves = t.Serves(now, written.software) })
 	if serves && !c.StartsAnew(now, waited, repeated) {
 		return same
 	}
 	return append(same, others...)
 }
 
-// outputOf returns the software that wrote an item's output so far, the time in which a target
+// outputOf returns what wrote an item's output so far, without the output, the time in which a target
 // of the usual pace would repeat that output, 0 if there is none, and how long the item has
 // waited for a seat.
-func (r *Runner) outputOf(now time.Time, c candidate) (software targets.Software, repeated, waited time.Duration) {
+func (r *Runner) outputOf(now time.Time, c candidate) (written progress, repeated, waited time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	st := r.items[c.open.Key()]
 	if st == nil || st.lastEvent == 0 {
-		return targets.Software{}, 0, 0
+		return progress{}, 0, 0
 	}
 	work := r.work(c.open, st)
 	repeated = r.estimates.Remaining(work, estimate.UsualPace, 0) - r.estimates.Remaining(work, estimate.UsualPace, st.lastEvent)
 	if !st.waitingSince.IsZero() {
 		waited = now.Sub(st.waitingSince)
 	}
-	return st.software, max(repeated, 1), waited
+	return st.writers(), max(repeated, 1), waited
 }
 
 // seatCandidates returns the targets of a service that may have a free seat, best first, and
@@ -397,6 +397,10 @@
 // is retried after such an error.
 var errNoOutcome = errors.New("attempt ended without an outcome")
 
+// errMistakenOutput marks an output that software of two versions may have written. The item
+// starts anew after it.
+var errMistakenOutput = errors.New("two software versions may have written the output")
+
 // attempt runs an item from its last complete event on. It returns the outcome if the item
 // completes, and an error otherwise.
 func (r *Runner) attempt(ctx context.Context, c candidate, st *itemState, in targets.Instance) (*jobs.Outcome, error) {
@@ -503,6 +507,12 @@
 	for n := 0; ; n++ {
 		ev, err := rd.Next()
 		if errors.Is(err, io.EOF) && n+int(after) > 0 {
+			r.mu.Lock()
+			written := st.writers()
+			r.mu.Unlock()
+			if after > 0 && r.mistaken(written) {
+				return nil, errMistakenOutput
+			}
 			r.mu.Lock()
 			defer r.mu.Unlock()
 			return &jobs.Outcome{Job: c.open.Job, Item: c.open.Index, Text: st.text}, nil
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -17,6 +17,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"pumiceford/balance"
 	"pumiceford/estimate"
 	"pumiceford/exchange"
 	"pumiceford/fairshare"
@@ -172,6 +173,7 @@
 	lastEvent uint64 // ID of the last complete event
 	text      []byte
 	software  targets.Software // that wrote text
+	instances []string         // IDs of the targets that wrote text
 }
 
 // New returns a Runner.
@@ -426,11 +428,15 @@
 	now := time.Now()
 	runCtx, cancel := context.WithCancelCause(ctx)
 	r.mu.Lock()
+	written := st.writers()
+	r.mu.Unlock()
+	mistaken := r.mistaken(written)
+	r.mu.Lock()
 	allowed := !r.leaving && r.assigned[c.part] && r.items[c.open.Key()] == st && st.readyAt(now) && r.running < r.cfg.MaxRunning
 	var waited time.Duration
 	var discarded progress
 	if allowed {
-		discarded = st.continueWith(g.in.Software())
+		discarded = st.continueWith(g.in, mistaken)
 		st.running, st.cancel, st.ended = true, cancel, make(chan struct{})
 		st.current = &runState{candidate: c, service: service, in: g.in, began: now, from: st.lastEvent}
 		if !st.waitingSince.IsZero() {
@@ -465,17 +471,34 @@
 	return true
 }
 
-// continueWith prepares an item for a run with the given software. It discards and returns
-// the output so far if that was written by other software. The caller holds Runner.mu.
-func (st *itemState) continueWith(software targets.Software) (discarded progress) {
-	if st.lastEvent > 0 && st.software == software {
-		return progress{}
+// continueWith prepares an item for a run at a target. It discards and returns the output so far
+// if that was written by other software, or may have been. The caller holds Runner.mu.
+func (st *itemState) continueWith(in targets.Instance, mistaken bool) (discarded progress) {
+	if st.lastEvent == 0 || mistaken || st.software != in.Software() {
+		discarded = st.progress
+		st.progress, st.savedEvent = progress{software: in.Software()}, 0
+	}
+	if !slices.Contains(st.instances, in.ID) {
+		st.instances = append(st.instances, in.ID)
 	}
-	discarded = st.progress
-	st.progress, st.savedEvent = progress{software: software}, 0
 	return discarded
 }
 
+// writers returns the progress without its text.
+func (p *progress) writers() progress {
+	return progress{lastEvent: p.lastEvent, software: p.software, instances: slices.Clone(p.instances)}
+}
+
+// mistaken reports whether output may be of other software than the runner took it for: a target
+// that wrote some of it has started again with other software since, and the runner may have
+// learned that late. The caller does not hold Runner.mu.
+func (r *Runner) mistaken(written progress) (mistaken bool) {
+	r.cfg.View.WithTable(func(t *balance.Table) {
+		mistaken = slices.ContainsFunc(written.instances, func(id string) bool { return t.HasOtherSoftware(id, written.software) })
+	})
+	return mistaken
+}
+
 // targetsToAvoid returns the targets at which an item failed, until avoidFailedFor has
 // passed since its last failure.
 func (r *Runner) targetsToAvoid(st *itemState) []string {
--- a/runner/software_test.go
+++ b/runner/software_test.go
@@ -90,3 +90,36 @@
 		})
 	}
 }
+
+// Guards against output that is continued although its target has started again under its ID
+// with another version, and may have written it as that version.
+func TestOutputOfAReplacedVersionIsNotContinued(t *testing.T) {
+	inBubble(t, func(ctx context.Context, t *testing.T, s *sharedstore.Store, e *engine) {
+		n := startInterrupted(ctx, t, s, e, func(target string) bool { return target == "i2" })
+		n.view.TargetSink().Apply(store.Record{Key: "i0", Value: []byte("2")})
+		n.view.TargetSink().Apply(store.Record{Key: "i2", Value: []byte("1")})
+		time.Sleep(4 * itemDuration)
+		checkFinished(ctx, t, n, "job", 1)
+		if runs, at := e.runs("job-0"), e.sentTo("job-0"); !slices.Equal(runs, []uint64{0, 0}) || !slices.Equal(at, []string{"i0", "i2"}) {
+			t.Errorf("runs began after events %v at %v, want both from the start, at i0 and i2", runs, at)
+		}
+	})
+}
+
+// Guards against output that was continued at a target which turns out to have started again
+// under its ID with another version.
+func TestOutputContinuedAtAReplacedVersionIsDiscarded(t *testing.T) {
+	inBubble(t, func(ctx context.Context, t *testing.T, s *sharedstore.Store, e *engine) {
+		n := startInterrupted(ctx, t, s, e, func(target string) bool { return target == "i2" })
+		n.view.TargetSink().Apply(store.Record{Key: "i2", Value: []byte("1")})
+		for len(e.runs("job-0")) < 2 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		n.view.TargetSink().Apply(store.Record{Key: "i2", Value: []byte("2")})
+		time.Sleep(4 * itemDuration)
+		checkFinished(ctx, t, n, "job", 1)
+		if runs := e.runs("job-0"); len(runs) != 3 || runs[1] == 0 || runs[2] != 0 {
+			t.Errorf("runs began after events %v, want three, the last from the start", runs)
+		}
+	})
+}
