--- a/origins/history.go
+++ b/origins/history.go
@@ -50,14 +50,7 @@
 	}
 	names := make(map[string]bool)
 	for sw := range registered {
-		if h.services[sw.Service] == nil {
-			h.services[sw.Service] = make(map[string]*presence)
-		}
-		p := h.services[sw.Service][sw.Version]
-		if p == nil {
-			p = &presence{first: before, seen: now}
-			h.services[sw.Service][sw.Version] = p
-		}
+		p := h.presence(sw, before, now)
 		if !p.registered {
 			p.registered = true
 			names[sw.Service] = true
@@ -84,18 +77,24 @@
 // are not any more.
 func (h *History) Saw(before, now time.Duration, all []targets.Instance) {
 	for _, in := range all {
-		versions := h.services[in.Service]
-		if versions == nil {
-			versions = make(map[string]*presence)
-			h.services[in.Service] = versions
-		}
-		p := versions[in.Version]
-		if p == nil {
-			p = &presence{first: before, seen: now}
-			versions[in.Version] = p
-		}
-		p.last = now
+		h.presence(in.Software(), before, now).last = now
+	}
+}
+
+// presence returns the presence of a version. One that is new was not registered at the time
+// before, and is seen first at now.
+func (h *History) presence(sw targets.Software, before, now time.Duration) *presence {
+	versions := h.services[sw.Service]
+	if versions == nil {
+		versions = make(map[string]*presence)
+		h.services[sw.Service] = versions
+	}
+	p := versions[sw.Version]
+	if p == nil {
+		p = &presence{first: before, seen: now}
+		versions[sw.Version] = p
 	}
+	return p
 }
 
 // CompleteSince sets the time from which the history is complete.
@@ -200,18 +199,10 @@
 		return false
 	}
 	for _, e := range all {
-		versions := h.services[e.Software.Service]
-		if versions == nil {
-			versions = make(map[string]*presence)
-			h.services[e.Software.Service] = versions
-		}
-		if p := versions[e.Software.Version]; p != nil {
-			p.first, p.seen = min(p.first, now-e.First), min(p.seen, now-e.Seen)
-			p.last = max(p.last, now-e.Last)
-			continue
-		}
-		// Registered there and not here: it has left meanwhile, or is not known here yet.
-		versions[e.Software.Version] = &presence{first: now - e.First, seen: now - e.Seen, last: now - e.Last}
+		// One that is registered there and not here has left meanwhile, or is not known here yet.
+		p := h.presence(e.Software, now-e.First, now-e.Seen)
+		p.first, p.seen = min(p.first, now-e.First), min(p.seen, now-e.Seen)
+		p.last = max(p.last, now-e.Last)
 	}
 	h.since = since
 	return true
