--- a/jobstore/progress.go
+++ b/jobstore/progress.go
@@ -83,7 +83,7 @@
 		}
 		out = append(out, Progress{
 			Key: ItemKey{job, index}, LastEvent: p.GetLastEvent(), Text: p.GetText(),
-			Software: targets.Software{Service: p.GetService(), Version: p.GetVersion()},
+			Software:  targets.Software{Service: p.GetService(), Version: p.GetVersion()},
 			Instances: p.GetInstances(),
 		})
 	}
