losses: a response cut off for any known reason is sorted by that reason

A stream cut off because its origin became ambiguous ("cut_origin_unknown") was sorted under "other": the table named four cut outcomes by hand. The prefix is taken off instead, so each reason is named once. The new row is red without it. Other cut outcomes that were not named (cut_overload) are now sorted by their reason too.

--- a/losses/losses_test.go
+++ b/losses/losses_test.go
@@ -49,6 +49,7 @@
 		{losses.Quarantined, []string{"01.0 e " + requestEnded("quarantined", -1)}},
 		{losses.Overload, []string{"01.0 e " + requestEnded("overload", -1)}},
 		{losses.ResponseLost, []string{"01.0 e " + requestSent(""), "01.1 e " + requestEnded("cut_lost", 20)}},
+		{losses.OriginUnknown, []string{"01.0 e " + requestSent(""), "01.1 e " + requestEnded("cut_origin_unknown", 20)}},
 		{losses.WaitedForSlot, []string{"01.0 e " + requestSent(`,"waiting":2`), "01.5 e " + requestEnded("served", 500)}},
 		{losses.WaitedForBatch, []string{"01.0 e " + requestSent(`,"batch":2`), "01.5 e " + requestEnded("served", 500)}},
 		{losses.SlowTarget, []string{"01.0 e " + requestSent(""), "01.5 e " + requestEnded("served", 500)}},
--- a/losses/online.go
+++ b/losses/online.go
@@ -95,15 +95,16 @@
 
 // causeByOutcome maps the outcome in a request's last line to its cause.
 var causeByOutcome = map[string]Cause{
-	"not_ready": NotReady, "no_route": NoRoute, "no_target": NoTarget, "version_gone": VersionGone, "origin_unknown": OriginUnknown, "not_recorded": NotRecorded, "cut_version_gone": VersionGone, "overload": Overload,
+	"not_ready": NotReady, "no_route": NoRoute, "no_target": NoTarget, "version_gone": VersionGone, "origin_unknown": OriginUnknown, "not_recorded": NotRecorded, "overload": Overload,
 	"unknown_key": UnknownKey, "stale_configuration": KeyUnconfirmed, "over_limit": OverLimit, "limit_unknown": LimitUnknown,
-	"quarantined": Quarantined, "cut_quarantined": Quarantined,
-	"lost": ResponseLost, "cut_lost": ResponseLost, "timed_out": DeadlineExceeded, "cut_timed_out": DeadlineExceeded,
+	"quarantined": Quarantined,
+	"lost":        ResponseLost, "timed_out": DeadlineExceeded,
 }
 
-// outcomeCause returns the cause of an outcome other than served.
+// outcomeCause returns the cause of an outcome other than served. The prefix "cut_" says that the
+// response had begun.
 func outcomeCause(outcome string) Cause {
-	if c, ok := causeByOutcome[outcome]; ok {
+	if c, ok := causeByOutcome[strings.TrimPrefix(outcome, "cut_")]; ok {
 		return c
 	}
 	return OtherOnline
