--- a/origins/holder.go
+++ b/origins/holder.go
@@ -30,7 +30,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, s := range call.GetRecord() {
-		if key, ok := decodeKey(s.GetKey()); ok {
+		if key, ok := quarantine.KeyFrom(s.GetKey()); ok {
 			h.table.Record(now, Stream{
 				Key: key, Attempt: s.GetAttempt(), Software: targets.Software{Service: s.GetService(), Version: s.GetVersion()},
 				Window: min(millis(s.GetWindowMs()), maxWindow),
@@ -38,7 +38,7 @@
 		}
 	}
 	h.metrics.SetGauge("origins_held", float64(h.table.Len()))
-	key, ok := decodeKey(call.GetKey())
+	key, ok := quarantine.KeyFrom(call.GetKey())
 	if !ok {
 		return &wire.OriginReply{}
 	}
@@ -52,12 +52,3 @@
 	}
 	return &wire.OriginReply{Outcome: wire.OriginReply_NOT_RECORDED}
 }
-
-func decodeKey(b []byte) (quarantine.Key, bool) {
-	var k quarantine.Key
-	if len(b) != len(k) {
-		return k, false
-	}
-	copy(k[:], b)
-	return k, true
-}
--- a/quarantine/key.go
+++ b/quarantine/key.go
@@ -31,6 +31,14 @@
 	return Key(h.Sum(nil)[:len(Key{})])
 }
 
+// KeyFrom returns the key with the given bytes. It reports false if their number is wrong.
+func KeyFrom(raw []byte) (Key, bool) {
+	if len(raw) != len(Key{}) {
+		return Key{}, false
+	}
+	return Key(raw), true
+}
+
 // String returns the key in hexadecimal digits.
 func (k Key) String() string {
 	return hex.EncodeToString(k[:])
@@ -42,8 +50,9 @@
 // ParseKey parses the output of String. It returns ErrInvalidKey for any other text.
 func ParseKey(s string) (Key, error) {
 	raw, err := hex.DecodeString(s)
-	if err != nil || len(raw) != len(Key{}) {
+	key, ok := KeyFrom(raw)
+	if err != nil || !ok {
 		return Key{}, errors.Wrapf(ErrInvalidKey, "%q", s)
 	}
-	return Key(raw), nil
+	return key, nil
 }
--- a/quarantine/spread.go
+++ b/quarantine/spread.go
@@ -85,11 +85,12 @@
 func fromWire(all *wire.CrashMarks) []Mark {
 	var out []Mark
 	for _, m := range all.GetMarks() {
-		if len(m.GetKey()) != len(Key{}) {
+		key, ok := KeyFrom(m.GetKey())
+		if !ok {
 			continue
 		}
 		out = append(out, Mark{
-			Key: Key(m.GetKey()), Target: targets.Incarnation{ID: m.GetInstance(), StartedUnixMs: m.GetBorn()},
+			Key: key, Target: targets.Incarnation{ID: m.GetInstance(), StartedUnixMs: m.GetBorn()},
 			At: time.UnixMilli(m.GetAtUnixMs()), ResponseBegan: m.GetAnswered(), Void: m.GetVoid(),
 		})
 	}
