--- a/runner/run.go
+++ b/runner/run.go
@@ -170,9 +170,9 @@
 	return append(same, others...)
 }
 
-// outputOf returns what wrote an item's output so far, without the output, the time in which a target
-// of the usual pace would repeat that output, 0 if there is none, and how long the item has
-// waited for a seat.
+// outputOf returns what wrote an item's output so far, without the output, the time in which a
+// target of the usual pace would repeat it, 0 if there is none, and how long the item has waited
+// for a seat.
 func (r *Runner) outputOf(now time.Time, c candidate) (written progress, repeated, waited time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -507,10 +507,7 @@
 	for n := 0; ; n++ {
 		ev, err := rd.Next()
 		if errors.Is(err, io.EOF) && n+int(after) > 0 {
-			r.mu.Lock()
-			written := st.writers()
-			r.mu.Unlock()
-			if after > 0 && r.mistaken(written) {
+			if after > 0 && r.mistaken(r.writersOf(st)) {
 				return nil, errMistakenOutput
 			}
 			r.mu.Lock()
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -427,10 +427,7 @@
 func (r *Runner) launch(ctx context.Context, c candidate, st *itemState, service string, g grant) bool {
 	now := time.Now()
 	runCtx, cancel := context.WithCancelCause(ctx)
-	r.mu.Lock()
-	written := st.writers()
-	r.mu.Unlock()
-	mistaken := r.mistaken(written)
+	mistaken := r.mistaken(r.writersOf(st))
 	r.mu.Lock()
 	allowed := !r.leaving && r.assigned[c.part] && r.items[c.open.Key()] == st && st.readyAt(now) && r.running < r.cfg.MaxRunning
 	var waited time.Duration
@@ -489,6 +486,13 @@
 	return progress{lastEvent: p.lastEvent, software: p.software, instances: slices.Clone(p.instances)}
 }
 
+// writersOf returns the progress of an item without its text.
+func (r *Runner) writersOf(st *itemState) progress {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return st.writers()
+}
+
 // mistaken reports whether output may be of other software than the runner took it for: a target
 // that wrote some of it has started again with other software since, and the runner may have
 // learned that late. The caller does not hold Runner.mu.
