--- a/daemon/agentlinks.go
+++ b/daemon/agentlinks.go
@@ -169,7 +169,6 @@
 
 // peer returns the session with the agent beside the target at an address.
 func (a *agentLinks) peer(target string) *link.Peer {
-	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, l := range a.links {
@@ -179,16 +178,17 @@
 	}
 	u := a.unwatched[target]
 	if u == nil {
-		a.closeIdleLocked(now)
 		u = &unwatchedAgent{peer: link.NewPeer(a.cfg, a.addr(target))}
 		a.unwatched[target] = u
 	}
-	u.lastUsed = now
+	u.lastUsed = time.Now()
 	return u.peer
 }
 
-// closeIdleLocked closes the sessions that were not used recently. The caller holds a.mu.
-func (a *agentLinks) closeIdleLocked(now time.Time) {
+// closeIdle closes the sessions that were not used recently.
+func (a *agentLinks) closeIdle(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	for target, u := range a.unwatched {
 		if now.Sub(u.lastUsed) > maxUnwatchedIdle {
 			u.peer.Close()
@@ -197,13 +197,6 @@
 	}
 }
 
-// closeIdle closes the sessions that were not used recently.
-func (a *agentLinks) closeIdle(now time.Time) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.closeIdleLocked(now)
-}
-
 // loadReport converts an agent's load message to a balance.Report.
 func loadReport(l *wire.Load) balance.Report {
 	return balance.Report{Active: int(l.GetActive()), Queued: int(l.GetQueued()), Batch: int(l.GetBatch()), Slots: int(l.GetSlots()),
