Logs: the parts of a prompt in the lines on sends, crashes and runs of items

The adapter decodes the parts; a request's send, an item's run and a crash under either are logged with them. No decision uses them yet.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -68,6 +68,8 @@
 	ItemHeader func(item map[string]string) map[string][]string
 	// ItemWork returns what the headers of a batch item say of its size.
 	ItemWork func(item map[string]string) estimate.Work
+	// ItemParts returns the parts of a batch item's prompt that others may share.
+	ItemParts func(item map[string]string) []quarantine.Part
 	// FrontHandler returns the handler of the callers' listener.
 	FrontHandler func(f FrontConfig) http.Handler
 	// ReadyHandler returns the handler of the readiness probe, which calls ready.
@@ -227,7 +229,7 @@
 	n.runner = runner.New(runner.Config{
 		Member: set.Peers, Group: jobGroup, Store: n.jobs, Groups: n.store, View: n.view, Sender: deps.Sender,
 		Seats: n.agentLinks, Quarantine: n.quarantine, Shares: n.shares, Log: base.WithPrefix("batch"), Metrics: n.metrics,
-		Headers: deps.ItemHeader, Work: deps.ItemWork, MaxRunning: maxRunningItems,
+		Headers: deps.ItemHeader, Work: deps.ItemWork, Parts: deps.ItemParts, MaxRunning: maxRunningItems,
 	})
 	n.agentLinks.onFreeSlot = n.runner.Wake
 	n.entries = peers.NewEntries(set.Peers, strengthOf(&set.Host), linkCfg)
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -284,7 +284,7 @@
 // the request.
 func (s *requestState) reportBrokenRun(in targets.Instance) {
 	s.g.quarantine.RecordBroken(s.ctx, quarantine.Run{
-		Key: s.req.Key, Request: s.req.ID, Target: in, Events: s.attemptEvents, Took: time.Since(s.sentAt),
+		Key: s.req.Key, Parts: s.req.Parts, Request: s.req.ID, Target: in, Events: s.attemptEvents, Took: time.Since(s.sentAt),
 	})
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -110,6 +110,8 @@
 	exchange.Call
 	Arrived time.Time      // before the body was read
 	Key     quarantine.Key // the same for each attempt of the caller
+	// Parts are the parts of the prompt that other requests may share.
+	Parts []quarantine.Part
 	// FirstAttempt is the ID of the attempt that brought the first event of the stream that the
 	// request resumes; "" if it resumes none or the caller does not name it.
 	FirstAttempt string
@@ -323,7 +325,7 @@
 	}
 	s.choice, s.instance = c, c.Instance.ID
 	// The send is logged in addition to the end: a process that dies does not log the end.
-	s.g.log.Info("request sent", logging.F("request", s.req.ID), logging.F("key", s.req.Key.String()), logging.F("route", s.route.Name),
+	s.g.log.Info("request sent", logging.F("request", s.req.ID), logging.F("key", s.req.Key.String()), logging.F("parts", quarantine.PartIDs(s.req.Parts)), logging.F("route", s.route.Name),
 		logging.F("instance", c.Instance.ID), logging.F("version", c.Instance.Version), logging.F("resume_after", s.resumeAfter()), logging.F("first_attempt", s.req.FirstAttempt),
 		logging.F("load", c.Load), logging.F("batch", c.Batch),
 		logging.F("waiting", c.Waiting), logging.F("load_age_ms", ageMillis(c.LoadAge)),
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -75,6 +75,7 @@
 // Run describes one run of a request at a target that ended without a complete response.
 type Run struct {
 	Key     Key
+	Parts   []Part // of its prompt that others may share
 	Request string // ID of the request or item
 	Target  targets.Instance
 	Events  uint64        // number received from this run before it ended
@@ -91,7 +92,7 @@
 		return false
 	}
 	tr.cfg.Metrics.Count("run_broken_target_crashed")
-	tr.cfg.Log.Info("target crashed under a request", logging.F("key", r.Key.String()), logging.F("request", r.Request),
+	tr.cfg.Log.Info("target crashed under a request", logging.F("key", r.Key.String()), logging.F("parts", PartIDs(r.Parts)), logging.F("request", r.Request),
 		logging.F("instance", r.Target.ID), logging.F("events", r.Events), logging.F("took_ms", r.Took.Milliseconds()))
 	tr.update("crashes attributed to another request", func(now time.Time) {
 		tr.table.AddCrash(now, Mark{Key: r.Key, Target: r.Target.Incarnation(), At: now, ResponseBegan: r.Events > 0})
--- a/runner/run.go
+++ b/runner/run.go
@@ -303,7 +303,7 @@
 	}
 	to, failed, next := r.endRun(ctx, c, st, in, outcome, err, from, began)
 	r.cfg.Log.Info("item run ended", logging.F("job", c.open.Job), logging.F("item", c.open.Item.GetId()),
-		logging.F("index", c.open.Index), logging.F("instance", in.ID), logging.F("version", in.Version), logging.F("why", why), logging.F("from_event", from), logging.F("to_event", to),
+		logging.F("index", c.open.Index), logging.F("parts", quarantine.PartIDs(st.parts)), logging.F("instance", in.ID), logging.F("version", in.Version), logging.F("why", why), logging.F("from_event", from), logging.F("to_event", to),
 		logging.F("took_ms", time.Since(began).Milliseconds()), logging.F("failed", failed),
 		logging.F("waited_ms", waited.Milliseconds()), logging.F("rank", c.Rank), logging.F("excess", c.Excess),
 		logging.F("due_in_ms", time.Until(c.Due).Milliseconds()))
@@ -344,7 +344,7 @@
 	events := st.lastEvent - from
 	r.mu.Unlock()
 	r.cfg.Quarantine.RecordBroken(ctx, quarantine.Run{
-		Key: st.contentKey, Request: c.open.Item.GetId(), Target: in, Events: events, Took: time.Since(began),
+		Key: st.contentKey, Parts: st.parts, Request: c.open.Item.GetId(), Target: in, Events: events, Took: time.Since(began),
 	})
 }
 
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -60,6 +60,8 @@
 	Headers func(item map[string]string) map[string][]string
 	// Work returns what an item's headers say of its size, without its class.
 	Work func(item map[string]string) estimate.Work
+	// Parts returns the parts of an item's prompt that others may share; nil if none are known.
+	Parts func(item map[string]string) []quarantine.Part
 	// MaxRunning limits how many items run at a time, which bounds memory.
 	MaxRunning int
 }
@@ -124,12 +126,13 @@
 }
 
 // itemState is the local state of an open item, beyond what the store holds: its
-// progress and when it may be retried. Runner.mu guards all fields but key, contentKey and
+// progress and when it may be retried. Runner.mu guards all fields but key, contentKey, parts and
 // size, which do not change once set.
 type itemState struct {
 	key        jobstore.ItemKey
-	contentKey quarantine.Key // set before the first run in this process
-	size       estimate.Work  // without its class; set with contentKey
+	contentKey quarantine.Key    // set before the first run in this process
+	parts      []quarantine.Part // of its prompt that others may share; set with contentKey
+	size       estimate.Work     // without its class; set with contentKey
 	part       int
 	running    bool
 	ended      chan struct{} // closed when the run ends
@@ -319,6 +322,9 @@
 	st := r.itemLocked(it.Key(), part)
 	if st.contentKey == (quarantine.Key{}) {
 		st.contentKey, st.size = contentKeyOf(it), r.cfg.Work(it.Item.GetHeaders())
+		if r.cfg.Parts != nil {
+			st.parts = r.cfg.Parts(it.Item.GetHeaders())
+		}
 	}
 	st.failures = max(st.failures, it.FailedAttempts)
 	st.impossible = st.impossible || it.Impossible
