quarantine: parts of prompts that crash targets are held

Cause: crashes were counted for whole requests.

Change: a crash is also counted against each part of the prompts that ran at the target, but the last. A part is held after five crashes of two requests or more, if three of them form a chain in which each run began with knowledge of the crash before (one event that ends many targets at once is no such chain) and no other part explains them. A complete response, or one that has gone on for a second, clears the parts of its prompt of the crashes that were known when its run began, so runs from before a part turned bad clear nothing. Parts that completed shortly before are blamed last and 2 s later at the earliest: the first part that all share is at every crash. Runs begin through Tracker.Begin, which checks holds right before each send: also after the waiting room, for repeats, resumed and moved work and items in reserved seats. When a hold ends, processes try at different times and one run at a time.

Why it holds: evidence is counted in causal order, without clocks; marks join in one direction and reach all processes, the agents and the store as before.

--- a/cmd/pumice/quarantine.go
+++ b/cmd/pumice/quarantine.go
@@ -48,9 +48,9 @@
 	if cmd.JSON {
 		return printJSON(all)
 	}
-	return printTable("KEY\tHELD\tUNTIL\tCRASHED", func(w *tabwriter.Writer) {
+	return printTable("KEY\tPART\tHELD\tUNTIL\tCRASHED", func(w *tabwriter.Writer) {
 		for _, r := range all {
-			printRow(w, r.Key, r.Held, r.Until.Format(time.RFC3339), strings.Join(r.Crashed, " "))
+			printRow(w, r.Key, r.Part, r.Held, r.Until.Format(time.RFC3339), strings.Join(r.Crashed, " "))
 		}
 	})
 }
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -222,7 +222,7 @@
 		Self: set.Peers, Local: n.jobs, StoreUnavailable: n.store.Unreachable, PartitionOf: n.jobs.PartitionOf, Remote: peers.NewJobClient(linkCfg),
 		Log: base.WithPrefix("jobs"), Metrics: n.metrics,
 	})
-	n.quarantine = quarantine.NewTracker(quarantine.Config{Prober: deps.Sender, Log: base.WithPrefix("quarantine"), Metrics: n.metrics})
+	n.quarantine = quarantine.NewTracker(quarantine.Config{Node: set.Name, Prober: deps.Sender, Log: base.WithPrefix("quarantine"), Metrics: n.metrics})
 	n.archive = quarantine.NewArchive(n.quarantine, n.store, deps.QuarantineTopic, set.Store.Partitions, base.WithPrefix("quarantine"))
 	n.shares = fairshare.NewLedger()
 	n.agentLinks = newAgentLinks(linkCfg, set.AgentAddr, n.view, n.quarantine, n.shares, base.WithPrefix("targets"))
--- a/daemon/quarantine.go
+++ b/daemon/quarantine.go
@@ -8,9 +8,10 @@
 	"pumiceford/quarantine"
 )
 
-// SuspectRequest describes to operators a request that crashes of targets are attributed to.
+// SuspectRequest describes to operators a request, or a part of prompts, that crashes of targets are attributed to.
 type SuspectRequest struct {
 	Key     string    `json:"key"`
+	Part    string    `json:"part,omitempty"` // ID of a part of prompts; "" for a request
 	Held    bool      `json:"held"`
 	Until   time.Time `json:"until"`   // end of the hold, if the request is held
 	Crashed []string  `json:"crashed"` // instances that crashed while running it, oldest first
@@ -22,7 +23,7 @@
 	mux.HandleFunc("GET /quarantine", func(w http.ResponseWriter, _ *http.Request) {
 		all := []SuspectRequest{}
 		for _, c := range tracker.Suspects() {
-			r := SuspectRequest{Key: c.Key.String(), Held: c.Held, Until: c.Until}
+			r := SuspectRequest{Key: c.Key.String(), Part: c.Part, Held: c.Held, Until: c.Until}
 			for _, m := range c.Crashes {
 				r.Crashed = append(r.Crashed, m.Target.ID)
 			}
--- a/daemon/quarantine_test.go
+++ b/daemon/quarantine_test.go
@@ -24,7 +24,7 @@
 	tracker := quarantine.NewTracker(quarantine.Config{Prober: crashedProber{}, Metrics: ms})
 	key := quarantine.NewKey("", "POST", "h", "/", nil)
 	for _, id := range []string{"a", "b", "c"} {
-		tracker.RecordBroken(t.Context(), quarantine.Run{Key: key, Target: targets.Instance{ID: id}})
+		tracker.RecordBroken(t.Context(), quarantine.BrokenRun{Attempt: &quarantine.Attempt{Content: quarantine.Content{Key: key}}, Target: targets.Instance{ID: id}})
 	}
 	h := opsHandler(ms, tracker)
 	call := func(method, path string) *httptest.ResponseRecorder {
@@ -51,7 +51,7 @@
 			t.Errorf("DELETE %s: status %d, want %d", c.path, w.Code, c.want)
 		}
 	}
-	if _, held := tracker.Held(key); held {
+	if tracker.Held(quarantine.Content{Key: key}) != nil {
 		t.Error("request is still held after it was cleared")
 	}
 }
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -222,10 +222,11 @@
 	gapWatchdog := startWatchdog()
 	defer func() { gapWatchdog.stop() }()
 	rd := events.NewReader(resp.Body, s.resumeAfter())
-	began := false
+	var began time.Time // of the response; zero before its first event
+	reported := false   // the response has gone on for so long that it clears the prompt's parts
 	for {
 		ev, err := rd.Next()
-		if errors.Is(err, io.EOF) && began {
+		if errors.Is(err, io.EOF) && !began.IsZero() {
 			s.updateHealth(in, balance.Succeeded, "")
 			s.outcome = outcomeServed
 			return finished
@@ -237,8 +238,12 @@
 			return s.handleBrokenStream(in, gapWatchdog.stop(), err)
 		}
 		gapWatchdog.reset()
-		if !began {
-			began = true
+		if !reported && !began.IsZero() && time.Since(began) >= quarantine.SoundAfter {
+			reported = true
+			s.g.quarantine.RecordProgress(s.current)
+		}
+		if began.IsZero() {
+			began = time.Now()
 			gapWatchdog.stop() // the target does not cause the time that onFirst takes
 			if err := onFirst(); err != nil {
 				return s.handleRejectedStream(c, err)
@@ -283,8 +288,8 @@
 // reportBrokenRun reports to the quarantine that a connection ended while the target had
 // the request.
 func (s *requestState) reportBrokenRun(in targets.Instance) {
-	s.g.quarantine.RecordBroken(s.ctx, quarantine.Run{
-		Key: s.req.Key, Parts: s.req.Parts, Request: s.req.ID, Target: in, Events: s.attemptEvents, Took: time.Since(s.sentAt),
+	s.g.quarantine.RecordBroken(s.ctx, quarantine.BrokenRun{
+		Attempt: s.current, Request: s.req.ID, Target: in, Events: s.attemptEvents, Took: time.Since(s.sentAt),
 	})
 }
 
@@ -327,7 +332,7 @@
 	switch s.outcome {
 	case outcomeServed:
 		s.g.rooms.succeeded()
-		s.g.quarantine.RecordSuccess(s.req.Key)
+		s.g.quarantine.RecordSuccess(s.current)
 	case outcomeCallerLeft:
 	default:
 		s.g.refusals.Count(now, s.req.Workspace, s.outcome)
@@ -352,5 +357,5 @@
 		logging.F("rank", s.standing.Rank), logging.F("excess", s.standing.Excess),
 		logging.F("room_ms", s.roomTime.Milliseconds()), logging.F("room_estimate_ms", s.admission.Wait.Milliseconds()),
 		logging.F("room_spread_ms", s.admission.Spread.Milliseconds()), logging.F("room_allowance_ms", s.admission.Allowance.Milliseconds()),
-		logging.F("freed_per_s", s.freedRate), logging.F("retry_after_ms", s.retryIn.Milliseconds()))
+		logging.F("freed_per_s", s.freedRate), logging.F("retry_after_ms", s.retryIn.Milliseconds()), logging.F("held_part", s.heldPart))
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -57,7 +57,7 @@
 	NotRecorded      Reason = "not_recorded"     // the version that begins its stream cannot be recorded
 	OriginUnknown    Reason = "origin_unknown"   // the version that began its stream is not known
 	SlowCallers      Reason = "slow_callers"     // responses that callers do not read hold too much memory
-	Quarantined      Reason = "quarantined"      // it crashes the targets that run it
+	Quarantined      Reason = "quarantined"      // it, or a part of its prompt, crashes the targets that run it
 
 	UnknownKey         Reason = "unknown_key"         // its key belongs to no workspace
 	StaleConfiguration Reason = "stale_configuration" // its key cannot be confirmed to be valid
@@ -262,7 +262,9 @@
 	freedRate   float64           // see balance.Table.FreedRate
 	admission   waitroom.Decision // to the room; zero if the request did not ask
 
-	tried           map[string]bool // targets to which the request is not sent again
+	tried           map[string]bool     // targets to which the request is not sent again
+	current         *quarantine.Attempt // the run in progress, or the last one; nil before the first
+	heldPart        string              // part of the prompt for which the request was refused
 	sends           int
 	possibleRuns    int               // sends that the target may have run
 	sentAt          time.Time         // time of the last send
@@ -323,7 +325,11 @@
 		s.refuseOverload(c)
 		return c, false
 	}
-	s.choice, s.instance = c, c.Instance.ID
+	return c, true
+}
+
+// logSend logs a send.
+func (s *requestState) logSend(c balance.Choice) {
 	// The send is logged in addition to the end: a process that dies does not log the end.
 	s.g.log.Info("request sent", logging.F("request", s.req.ID), logging.F("key", s.req.Key.String()), logging.F("parts", quarantine.PartIDs(s.req.Parts)), logging.F("route", s.route.Name),
 		logging.F("instance", c.Instance.ID), logging.F("version", c.Instance.Version), logging.F("resume_after", s.resumeAfter()), logging.F("first_attempt", s.req.FirstAttempt),
@@ -331,7 +337,6 @@
 		logging.F("waiting", c.Waiting), logging.F("load_age_ms", ageMillis(c.LoadAge)),
 		logging.F("pace", c.Pace), logging.F("pace_age_ms", ageMillis(c.PaceAge)), logging.F("reserved", s.req.ReservedSlot != ""),
 		logging.F("among", c.Candidates), logging.F("catalog", s.g.version()))
-	return c, true
 }
 
 // maySend reports whether the request may still be sent. It ends the request if not. The check
@@ -343,14 +348,39 @@
 		s.fail(TimedOut, 0)
 		return false
 	}
-	s.g.quarantine.WaitSettled(s.ctx, s.req.Key)
-	if left, held := s.g.quarantine.Held(s.req.Key); held {
-		s.fail(Quarantined, left)
+	s.g.quarantine.WaitSettled(s.ctx, s.content())
+	if hold := s.g.quarantine.Held(s.content()); hold != nil {
+		s.refuseHeld(hold)
 		return false
 	}
 	return true
 }
 
+// refuseHeld ends a request that is held.
+func (s *requestState) refuseHeld(hold *quarantine.Hold) {
+	s.heldPart = hold.Part
+	s.fail(Quarantined, hold.Left)
+}
+
+// content returns what crashes are counted against.
+func (s *requestState) content() quarantine.Content {
+	return quarantine.Content{Key: s.req.Key, Parts: s.req.Parts}
+}
+
+// beginRun begins a run of the request. It returns nil when it has ended the request instead: it
+// may have become held while it waited for its slot.
+func (s *requestState) beginRun() *quarantine.Attempt {
+	for {
+		run, hold := s.g.quarantine.Begin(s.content())
+		if hold == nil {
+			return run
+		}
+		if !s.maySend() {
+			return nil
+		}
+	}
+}
+
 // ageMillis returns the age in milliseconds of what a choice is based on, -1 when there was
 // nothing, which the choice marks by a negative age.
 func ageMillis(age time.Duration) int64 {
@@ -392,14 +422,22 @@
 
 // attempt sends the request to one target and relays the response.
 func (s *requestState) attempt(c balance.Choice) step {
+	run := s.beginRun()
 	defer func() {
 		// The connection cannot be reused when the response was not read to its end.
-		reusable := s.outcome == outcomeServed
+		reusable := run == nil || s.outcome == outcomeServed
 		s.g.view.WithTable(func(t *balance.Table) { t.OnlineEnded(time.Now(), c.Instance.ID, reusable) })
 		s.g.slotEnded(s.service, c.Instance.ID)
 	}()
+	if run == nil {
+		return finished
+	}
+	defer s.g.quarantine.End(run)
+	s.current = run
 	use := s.beginSlotUse(c)
 	defer use.end()
+	s.choice, s.instance = c, c.Instance.ID
+	s.logSend(c)
 	s.sends++
 	s.sentAt, s.attemptEvents = time.Now(), 0
 	s.possibleRuns++ // until the target reports that it did not run the request
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -20,7 +20,7 @@
 func (f *fixture) crashElsewhere(ids ...string) {
 	for _, id := range ids {
 		f.prober.crash(id)
-		f.quarantine.RecordBroken(context.Background(), quarantine.Run{Key: testKey, Target: targets.Instance{ID: id}})
+		f.quarantine.RecordBroken(context.Background(), quarantine.BrokenRun{Attempt: &quarantine.Attempt{Content: quarantine.Content{Key: testKey}}, Target: targets.Instance{ID: id}})
 	}
 }
 
@@ -91,7 +91,7 @@
 			t.Fatalf("got refusal %+v, want the response", c.refusal)
 		}
 		f.crashElsewhere("v", "w")
-		if _, held := f.quarantine.Held(testKey); held {
+		if f.quarantine.Held(quarantine.Content{Key: testKey}) != nil {
 			t.Error("held although it was served after the first two crashes")
 		}
 	})
@@ -119,7 +119,7 @@
 	inVirtualTime(t, func(t *testing.T) {
 		f := newFixture(idempotent, 3, respond(exchange.Done, 200, strings.NewReader("ok"), false))
 		f.crashElsewhere("x", "y", "z")
-		time.AfterFunc(50*time.Millisecond, func() { f.quarantine.RecordSuccess(testKey) })
+		time.AfterFunc(50*time.Millisecond, func() { f.quarantine.RecordSuccess(&quarantine.Attempt{Content: quarantine.Content{Key: testKey}}) })
 		if c := f.serve(t.Context()); c.body.String() != "ok" {
 			t.Fatalf("got refusal %+v, want the response", c.refusal)
 		}
--- a/quarantine/attribute.go
+++ b/quarantine/attribute.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"time"
 
 	"pumiceford/targets"
 )
@@ -24,9 +25,10 @@
 	clearedHoldThreshold = 2 * holdThreshold
 )
 
-// weight returns the weight of a crash that is not void.
+// weight returns the weight of a crash that is not void. Crashes of parts are told apart by other
+// evidence than whether a response had begun.
 func (m *trackedMark) weight() int {
-	if m.ResponseBegan {
+	if m.ResponseBegan && m.Part == "" {
 		return weightDuringResponse
 	}
 	return weightBeforeResponse
@@ -38,22 +40,31 @@
 // after another would be held as well. Requests that have completed after a crash are examined
 // last: a popular request is present on every target that crashes and would explain the crashes
 // of all others.
-func (t *Table) updateCulprits() {
+//
+// Parts are examined before requests: a part explains the crashes of all requests with it.
+func (t *Table) updateCulprits(now time.Time) {
+	if !t.recheckAt.IsZero() && !now.Before(t.recheckAt) {
+		t.dirty = true
+	}
 	if !t.dirty {
 		return
 	}
-	t.dirty = false
+	t.dirty, t.recheckAt = false, time.Time{}
 	clear(t.culprits)
+	explainedByParts := t.findPartCulprits(now)
 	uncleared, cleared := newAttribution(), newAttribution()
 	for _, r := range t.records {
 		switch {
-		case r.weight() < holdThreshold:
+		case r.part != "" || r.weight() < holdThreshold:
 		case r.cleared():
 			cleared.add(r)
 		default:
 			uncleared.add(r)
 		}
 	}
+	for target := range explainedByParts {
+		uncleared.explain(target)
+	}
 	uncleared.findCulprits(holdThreshold, t.culprits)
 	for target := range uncleared.explained {
 		cleared.explain(target)
--- a/quarantine/spread.go
+++ b/quarantine/spread.go
@@ -76,11 +76,20 @@
 	for _, m := range marks {
 		out.Marks = append(out.Marks, &wire.CrashMark{
 			Key: m.Key[:], Instance: m.Target.ID, Born: m.Target.StartedUnixMs, AtUnixMs: m.At.UnixMilli(), Answered: m.ResponseBegan, Void: m.Void,
+			Part: m.Part, Request: partOwner(m), Depth: uint32(m.Depth), Place: uint32(m.Place), Proven: m.Proven,
 		})
 	}
 	return out
 }
 
+// partOwner returns the key of the request that a mark's part belongs to, nil for a request.
+func partOwner(m Mark) []byte {
+	if m.Part == "" {
+		return nil
+	}
+	return m.Request[:]
+}
+
 // fromWire converts received marks. It drops marks without a valid key.
 func fromWire(all *wire.CrashMarks) []Mark {
 	var out []Mark
@@ -89,9 +98,14 @@
 		if !ok {
 			continue
 		}
+		request, ok := KeyFrom(m.GetRequest())
+		if m.GetPart() != "" && !ok {
+			continue
+		}
 		out = append(out, Mark{
 			Key: key, Target: targets.Incarnation{ID: m.GetInstance(), StartedUnixMs: m.GetBorn()},
 			At: time.UnixMilli(m.GetAtUnixMs()), ResponseBegan: m.GetAnswered(), Void: m.GetVoid(),
+			Part: m.GetPart(), Request: request, Depth: int(m.GetDepth()), Place: int(m.GetPlace()), Proven: m.GetProven(),
 		})
 	}
 	return out
--- a/quarantine/spread_test.go
+++ b/quarantine/spread_test.go
@@ -28,7 +28,7 @@
 // reportCrashes records a crash of each given instance under a request.
 func reportCrashes(tr *quarantine.Tracker, key quarantine.Key, at ...string) {
 	for _, id := range at {
-		tr.RecordBroken(context.Background(), quarantine.Run{Key: key, Target: targets.Instance{ID: id}})
+		tr.RecordBroken(context.Background(), quarantine.BrokenRun{Attempt: &quarantine.Attempt{Content: quarantine.Content{Key: key}}, Target: targets.Instance{ID: id}})
 	}
 }
 
@@ -46,8 +46,7 @@
 }
 
 func isHeld(tr *quarantine.Tracker, key quarantine.Key) bool {
-	_, held := tr.Held(key)
-	return held
+	return tr.Held(quarantine.Content{Key: key}) != nil
 }
 
 // serveAgent exchanges marks as an agent does, and returns its address.
@@ -126,7 +125,7 @@
 	await(t, "the hold in a new process", func() bool { return isHeld(next, key) })
 	s.SetPartitionDown(at[0], false)
 	s.SetPartitionDown(at[1], false)
-	next.RecordSuccess(key)
+	next.RecordSuccess(&quarantine.Attempt{Content: quarantine.Content{Key: key}})
 	await(t, "the deletion of all replicas", func() bool { return !stored(at[0]) && !stored(at[1]) && !stored(at[2]) })
 	after := newTracker()
 	defer run(after)()
@@ -148,7 +147,7 @@
 	key, last := quarantine.NewKey("", "POST", "h", "/twice", nil), quarantine.NewKey("", "POST", "h", "/last", nil)
 	for _, tr := range []*quarantine.Tracker{a, b} {
 		for _, id := range []string{"i-1", "i-2"} {
-			tr.RecordBroken(ctx, quarantine.Run{Key: key, Target: targets.Instance{ID: id, Version: "v1"}})
+			tr.RecordBroken(ctx, quarantine.BrokenRun{Attempt: &quarantine.Attempt{Content: quarantine.Content{Key: key}}, Target: targets.Instance{ID: id, Version: "v1"}})
 		}
 	}
 	reportCrashes(a, last, "x-1", "x-2", "x-3")
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -28,11 +28,12 @@
 	maxSuccessesPerSpan = 4096
 )
 
-// Mark records that a request was running on a target when the target crashed. Void and
-// ResponseBegan only ever change to true, so processes that exchange marks in any order converge
-// to the same state.
+// Mark records that a request, or a request with some part in its prompt, was running on a target
+// when the target crashed. Each field but Key, Target and At only ever changes in one direction, so
+// processes that exchange marks in any order converge to the same state.
 type Mark struct {
 	Key    Key
+	Part   string // ID of the part; "" if the mark is of a request
 	Target targets.Incarnation
 	At     time.Time
 	// ResponseBegan says that the response had begun before the crash. A request that crashes
@@ -40,20 +41,50 @@
 	// requests beside it have usually begun.
 	ResponseBegan bool
 	Void          bool // the request completed afterwards, or an operator cleared it
+
+	// The other fields are of parts only.
+
+	// Request is the request that the part belongs to, the one with the lowest key of several.
+	Request Key
+	// Depth is the length of the longest chain of crashes that ends with this one and in which
+	// each run began with knowledge of the crash before. Runs that were in flight at the same
+	// time are no independent evidence: a single event may end all of them.
+	Depth int
+	Place int // number of parts before it in the prompt, the largest of several
+	// Proven says that requests with the part had complete responses shortly before.
+	Proven bool
+}
+
+// join adds what n records of the same crash. It reports whether that changed m.
+func (m *Mark) join(n Mark) bool {
+	old := *m
+	m.Void = m.Void || n.Void
+	m.ResponseBegan = m.ResponseBegan || n.ResponseBegan
+	m.Proven = m.Proven || n.Proven
+	m.Depth = max(m.Depth, n.Depth)
+	m.Place = max(m.Place, n.Place)
+	if bytes.Compare(n.Request[:], m.Request[:]) < 0 {
+		m.Request = n.Request
+	}
+	return *m != old
 }
 
 // trackedMark is a Mark with its bookkeeping in a Table.
 type trackedMark struct {
 	Mark
-	change uint64 // value of Table.changes when the mark was last changed
-	local  bool   // this process observed the crash
-	source any    // source of the last change; nil for this process
+	change  uint64 // value of Table.changes when the mark was last changed
+	learned uint64 // value of Table.changes when the mark was added
+	local   bool   // this process observed the crash
+	source  any    // source of the last change; nil for this process
 }
 
-// record holds the marks of one request.
+// record holds the marks of one request or part.
 type record struct {
 	key   Key
+	part  string // ID of the part; "" for a request
 	marks map[targets.Incarnation]*trackedMark
+	// countsSince is how long crashes have counted against it without one being voided.
+	countsSince time.Time
 }
 
 // weight returns the sum of the weights of the marks that are not void.
@@ -99,20 +130,28 @@
 	// or ceased to be one, which affects the others too. Most marks are the first of their
 	// request and do not set it.
 	dirty bool
+	// recheckAt is when the culprits have to be recomputed although nothing has changed; zero if
+	// they need not.
+	recheckAt time.Time
 	// successes are the requests that completed in the current span and in the one before.
 	successes [2]map[Key]bool
-	rotatedAt time.Time // start of the current span
+	// partSuccesses are the parts of such requests.
+	partSuccesses [2]map[Key]bool
+	rotatedAt     time.Time // start of the current span
 }
 
 // NewTable returns an empty Table.
 func NewTable() *Table {
-	return &Table{records: make(map[Key]*record), culprits: make(map[Key]bool), successes: [2]map[Key]bool{{}, {}}}
+	return &Table{records: make(map[Key]*record), culprits: make(map[Key]bool), successes: [2]map[Key]bool{{}, {}}, partSuccesses: [2]map[Key]bool{{}, {}}}
 }
 
-// AddCrash records a crash that this process observed.
-func (t *Table) AddCrash(now time.Time, m Mark) {
-	t.mergeMark(now, m, nil, true)
-	t.updateCulprits()
+// AddCrash records crashes that this process observed.
+func (t *Table) AddCrash(now time.Time, marks ...Mark) {
+	for _, m := range marks {
+		m.Proven = m.Part != "" && t.provenRecently(now, m.Key)
+		t.mergeMark(now, m, nil, true)
+	}
+	t.updateCulprits(now)
 }
 
 // Merge applies marks received from another process or from the store.
@@ -120,7 +159,7 @@
 	for _, m := range marks {
 		t.mergeMark(now, m, source, false)
 	}
-	t.updateCulprits()
+	t.updateCulprits(now)
 }
 
 // mergeMark applies one mark.
@@ -134,7 +173,7 @@
 	}
 	rec := t.records[m.Key]
 	if rec == nil {
-		rec = &record{key: m.Key, marks: make(map[targets.Incarnation]*trackedMark)}
+		rec = &record{key: m.Key, part: m.Part, marks: make(map[targets.Incarnation]*trackedMark)}
 	}
 	old := rec.marks[m.Target]
 	if old != nil {
@@ -144,19 +183,23 @@
 	case old == nil && !rec.makeRoom(m):
 		return
 	case old == nil:
-		old = &trackedMark{Mark: m, local: local}
+		old = &trackedMark{Mark: m, local: local, learned: t.changes + 1}
+		if rec.weight() == 0 {
+			rec.countsSince = now
+		}
 		rec.marks[m.Target] = old
-	case (!m.Void || old.Void) && (!m.ResponseBegan || old.ResponseBegan):
+	case !old.join(m):
 		return // nothing new
 	}
-	old.Void = old.Void || m.Void
-	old.ResponseBegan = old.ResponseBegan || m.ResponseBegan
+	if old.Void {
+		rec.countsSince = now
+	}
 	if t.records[m.Key] == nil && !t.makeRoom(rec) {
 		return
 	}
 	t.records[m.Key] = rec
 	t.recordChange(old, source)
-	if !old.Void && t.succeededRecently(now, m.Key) {
+	if !old.Void && rec.part == "" && t.succeededRecently(now, m.Key) {
 		old.Void = true
 		t.recordChange(old, nil)
 	}
@@ -212,11 +255,12 @@
 	return true
 }
 
-// compare orders requests by importance: by weight, capped at holdThreshold, then by the time
-// of the last crash, then by key.
+// compare orders records by importance: by weight, capped at what holds any of them, then by the
+// time of the last crash, then by key.
 func (r *record) compare(o *record) int {
+	const limit = max(holdThreshold, partHoldCrashes*weightBeforeResponse)
 	return cmp.Or(
-		cmp.Compare(min(r.weight(), holdThreshold), min(o.weight(), holdThreshold)),
+		cmp.Compare(min(r.weight(), limit), min(o.weight(), limit)),
 		r.lastCrash().Compare(o.lastCrash()),
 		bytes.Compare(r.key[:], o.key[:]),
 	)
@@ -229,7 +273,19 @@
 	if len(t.successes[0]) < maxSuccessesPerSpan {
 		t.successes[0][key] = true
 	}
-	t.Clear(key)
+	t.clearRecord(now, key, t.changes)
+}
+
+// RecordPartSuccess records a run with a part in its prompt that its target survived. The run
+// began when the table had made the given number of changes, and clears the part of the crashes
+// that were known by then: a part that begins to crash targets is not cleared by the runs that
+// began before.
+func (t *Table) RecordPartSuccess(now time.Time, key Key, knownChanges uint64) {
+	t.rotate(now)
+	if len(t.partSuccesses[0]) < maxSuccessesPerSpan {
+		t.partSuccesses[0][key] = true
+	}
+	t.clearRecord(now, key, knownChanges)
 }
 
 // rotate starts a new span of successes if the current one is over.
@@ -237,36 +293,72 @@
 	if now.Sub(t.rotatedAt) < successSpan {
 		return
 	}
-	if now.Sub(t.rotatedAt) > 2*successSpan {
-		t.successes[0] = map[Key]bool{}
+	for _, s := range []*[2]map[Key]bool{&t.successes, &t.partSuccesses} {
+		if now.Sub(t.rotatedAt) > 2*successSpan {
+			s[0] = map[Key]bool{}
+		}
+		s[0], s[1] = map[Key]bool{}, s[0]
 	}
-	t.successes[0], t.successes[1] = map[Key]bool{}, t.successes[0]
 	t.rotatedAt = now
 }
 
+// provenRecently is like succeededRecently, for a part.
+func (t *Table) provenRecently(now time.Time, key Key) bool {
+	t.rotate(now)
+	return t.partSuccesses[0][key] || t.partSuccesses[1][key]
+}
+
 // succeededRecently reports whether the request completed in the current span or the one before.
 func (t *Table) succeededRecently(now time.Time, key Key) bool {
 	t.rotate(now)
 	return t.successes[0][key] || t.successes[1][key]
 }
 
-// Clear voids all marks of a request. It reports false if no crash counts against it.
-func (t *Table) Clear(key Key) bool {
+// Clear voids all marks of a request or part. It reports false if no crash counts against it.
+func (t *Table) Clear(now time.Time, key Key) bool {
+	return t.clearRecord(now, key, t.changes)
+}
+
+// clearRecord voids the marks of a request or part that were learned up to a change. It reports
+// false if there are none.
+func (t *Table) clearRecord(now time.Time, key Key, upTo uint64) (known bool) {
 	rec := t.records[key]
-	if rec == nil || rec.weight() == 0 {
+	if rec == nil {
 		return false
 	}
 	for _, m := range rec.marks {
-		if !m.Void {
+		if !m.Void && m.learned <= upTo {
+			known = true
 			m.Void = true
+			rec.countsSince = now
 			t.recordChange(m, nil)
 		}
 	}
-	t.updateCulprits()
-	return true
+	t.updateCulprits(now)
+	return known
+}
+
+// Depth returns the length of the longest known chain of crashes of a part, see Mark.
+func (t *Table) Depth(key Key) (depth int) {
+	rec := t.records[key]
+	if rec == nil {
+		return 0
+	}
+	for _, m := range rec.marks {
+		if !m.Void {
+			depth = max(depth, m.Depth)
+		}
+	}
+	return depth
+}
+
+// Suspected reports whether crashes are attributed to a request or part. It is held, or its hold
+// has ended without a run that told whether the cause persists.
+func (t *Table) Suspected(key Key) bool {
+	return t.culprits[key]
 }
 
-// Held reports whether a request must not run now, and until when.
+// Held reports whether a request or part must not run now, and until when.
 func (t *Table) Held(now time.Time, key Key) (until time.Time, held bool) {
 	if !t.culprits[key] {
 		return time.Time{}, false
@@ -288,7 +380,7 @@
 			delete(t.records, key)
 		}
 	}
-	t.updateCulprits()
+	t.updateCulprits(now)
 }
 
 // HeldKeys returns the requests that are held now.
@@ -326,10 +418,12 @@
 	return out
 }
 
-// Suspect is a request that crashes are counted against.
+// Suspect is a request or a part that crashes are counted against.
 type Suspect struct {
 	Key        Key
+	Part       string // ID of the part; "" for a request
 	Crashes    []Mark // that are not void, the oldest first
+	Cleared    int    // number of crashes that are void
 	Until      time.Time
 	Held       bool
 	Local      bool   // this process observed one of the crashes
@@ -340,10 +434,12 @@
 func (t *Table) Suspects(now time.Time) []Suspect {
 	var out []Suspect
 	for key, r := range t.records {
-		s := Suspect{Key: key}
+		s := Suspect{Key: key, Part: r.part}
 		for _, m := range r.marks {
 			s.LastChange = max(s.LastChange, m.change)
-			if !m.Void {
+			if m.Void {
+				s.Cleared++
+			} else {
 				s.Local = s.Local || m.local
 				s.Crashes = append(s.Crashes, m.Mark)
 			}
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -36,6 +36,12 @@
 			m.At = m.At.Add(time.Duration(len(m.Target.ID)) * time.Second) // the same time for each report of one crash
 			m.ResponseBegan = rapid.Bool().Draw(t, "answered")
 			m.Void = rapid.IntRange(0, 5).Draw(t, "void") == 0
+			if rapid.Bool().Draw(t, "of a part") {
+				p := quarantine.NewPart(fmt.Sprint("part", rapid.IntRange(0, 2).Draw(t, "part")))
+				m.Request, m.Key, m.Part = m.Key, p.Key, p.ID
+				m.Depth, m.Place = rapid.IntRange(1, 5).Draw(t, "depth"), rapid.IntRange(0, 3).Draw(t, "place")
+				m.Proven = rapid.IntRange(0, 5).Draw(t, "proven") == 0
+			}
 			return m
 		})
 		all := rapid.SliceOfN(one, 1, 60).Draw(t, "marks")
@@ -58,7 +64,7 @@
 	now := start.Add(time.Second)
 	for name, clearRequest := range map[string]func(*quarantine.Table){
 		"served":  func(tab *quarantine.Table) { tab.RecordSuccess(now, testKey(1)) },
-		"cleared": func(tab *quarantine.Table) { tab.Clear(testKey(1)) },
+		"cleared": func(tab *quarantine.Table) { tab.Clear(now, testKey(1)) },
 	} {
 		old := []quarantine.Mark{mark(1, 1, 0), mark(1, 2, 0), mark(1, 3, 0)}
 		tab := quarantine.NewTable()
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,6 +32,7 @@
 
 // Config holds the dependencies that NewTracker needs.
 type Config struct {
+	Node    string // name of this process
 	Prober  Prober // nil in a process that sends no requests
 	Log     logging.Logger
 	Metrics *metrics.Set
@@ -41,18 +41,19 @@
 // Tracker shares the Table of a process between goroutines. All methods are safe for concurrent
 // use. mu is never held during I/O.
 type Tracker struct {
-	cfg     Config
-	anyHeld atomic.Bool // true while any request is held; lets the common case skip the lock
+	cfg          Config
+	anySuspected atomic.Bool // true while a request or part is or was held; lets the common case skip the lock
 
 	mu      sync.Mutex
 	table   *Table
-	held    map[Key]time.Time // when each request was seen to become held
+	held    map[Key]time.Time // when each request or part was seen to become held
+	probing map[Key]*Attempt  // runs at the end of a hold
 	changed chan struct{}     // closed and replaced at each change of the table
 }
 
 // NewTracker returns a Tracker with an empty table.
 func NewTracker(cfg Config) *Tracker {
-	return &Tracker{cfg: cfg, table: NewTable(), held: make(map[Key]time.Time), changed: make(chan struct{})}
+	return &Tracker{cfg: cfg, table: NewTable(), held: make(map[Key]time.Time), probing: make(map[Key]*Attempt), changed: make(chan struct{})}
 }
 
 // Run drops expired marks and updates the gauges until ctx ends.
@@ -72,43 +73,10 @@
 	}
 }
 
-// Run describes one run of a request at a target that ended without a complete response.
-type Run struct {
-	Key     Key
-	Parts   []Part // of its prompt that others may share
-	Request string // ID of the request or item
-	Target  targets.Instance
-	Events  uint64        // number received from this run before it ended
-	Took    time.Duration // time since the request was sent
-}
-
-// RecordBroken records a run whose connection broke and reports whether its target crashed. It
-// probes the target, for at most probeTimeout.
-func (tr *Tracker) RecordBroken(ctx context.Context, r Run) bool {
-	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	if !tr.cfg.Prober.Crashed(probeCtx, r.Target) {
-		tr.cfg.Metrics.Count("run_broken_target_lives")
-		return false
-	}
-	tr.cfg.Metrics.Count("run_broken_target_crashed")
-	tr.cfg.Log.Info("target crashed under a request", logging.F("key", r.Key.String()), logging.F("parts", PartIDs(r.Parts)), logging.F("request", r.Request),
-		logging.F("instance", r.Target.ID), logging.F("events", r.Events), logging.F("took_ms", r.Took.Milliseconds()))
-	tr.update("crashes attributed to another request", func(now time.Time) {
-		tr.table.AddCrash(now, Mark{Key: r.Key, Target: r.Target.Incarnation(), At: now, ResponseBegan: r.Events > 0})
-	})
-	return true
-}
-
-// RecordSuccess records that a request got a complete response.
-func (tr *Tracker) RecordSuccess(key Key) {
-	tr.update("it got a complete response", func(now time.Time) { tr.table.RecordSuccess(now, key) })
-}
-
 // Clear releases a request on behalf of an operator. It reports false if no crash counts against
 // the request.
 func (tr *Tracker) Clear(key Key) (known bool) {
-	tr.update("cleared by an operator", func(time.Time) { known = tr.table.Clear(key) })
+	tr.update("cleared by an operator", func(now time.Time) { known = tr.table.Clear(now, key) })
 	return known
 }
 
@@ -118,32 +86,6 @@
 	tr.update("marks received from another process", func(now time.Time) { tr.table.Merge(now, marks, from) })
 }
 
-// Held reports whether a request must not run now, and for how long.
-func (tr *Tracker) Held(key Key) (left time.Duration, held bool) {
-	if !tr.anyHeld.Load() {
-		return 0, false
-	}
-	now := time.Now()
-	tr.mu.Lock()
-	defer tr.mu.Unlock()
-	until, held := tr.table.Held(now, key)
-	return until.Sub(now), held
-}
-
-// WaitSettled waits until settleDelay has passed since a request became held, during which other
-// processes may still release it. It returns at once if the request is not held.
-func (tr *Tracker) WaitSettled(ctx context.Context, key Key) {
-	if !tr.anyHeld.Load() {
-		return
-	}
-	tr.mu.Lock()
-	since, held := tr.held[key]
-	tr.mu.Unlock()
-	if held {
-		_ = wait.For(ctx, settleDelay-time.Since(since)) // the caller checks Held afterwards
-	}
-}
-
 // Suspects returns the requests that crashes are counted against, ordered by key.
 func (tr *Tracker) Suspects() []Suspect {
 	tr.mu.Lock()
@@ -171,6 +113,7 @@
 	tr.mu.Lock()
 	before := tr.table.Changes()
 	fn(now)
+	tr.table.updateCulprits(now)
 	held, released := tr.heldDiffLocked(now)
 	var suspects []Suspect
 	if len(held) > 0 {
@@ -181,14 +124,10 @@
 		tr.changed = make(chan struct{})
 	}
 	tr.mu.Unlock()
-	for _, s := range suspects {
-		if !slices.Contains(held, s.Key) {
-			continue
+	for _, key := range held {
+		if s, ok := suspectOf(suspects, key); ok {
+			tr.reportHeld(now, s)
 		}
-		tr.cfg.Metrics.Count("request_held")
-		tr.cfg.Log.Warn("request held: targets crash under it", logging.F("key", s.Key.String()),
-			logging.F("crashes", len(s.Crashes)), logging.F("last_instance", s.Crashes[len(s.Crashes)-1].Target.ID),
-			logging.F("left_ms", s.Until.Sub(now).Milliseconds()))
 	}
 	for _, key := range released {
 		tr.cfg.Metrics.Count("request_released")
@@ -196,10 +135,28 @@
 	}
 }
 
+// reportHeld logs and counts a request or part that has become held, with the evidence.
+func (tr *Tracker) reportHeld(now time.Time, s Suspect) {
+	what, message := "request_held", "request held: targets crash under it"
+	if s.Part != "" {
+		what, message = "part_held", "part of prompts held: targets crash under requests with it"
+	}
+	depth, requests := 0, make(map[Key]bool)
+	for _, m := range s.Crashes {
+		depth = max(depth, m.Depth)
+		requests[m.Request] = true
+	}
+	tr.cfg.Metrics.Count(what)
+	tr.cfg.Log.Warn(message, logging.F("key", s.Key.String()), logging.F("part", s.Part),
+		logging.F("crashes", len(s.Crashes)), logging.F("depth", depth), logging.F("requests", len(requests)), logging.F("cleared", s.Cleared),
+		logging.F("last_instance", s.Crashes[len(s.Crashes)-1].Target.ID), logging.F("left_ms", s.Until.Sub(now).Milliseconds()))
+}
+
 // heldDiffLocked returns the requests that became held and those that were released since the
 // last call. The caller holds mu.
 func (tr *Tracker) heldDiffLocked(now time.Time) (held, released []Key) {
 	if len(tr.table.culprits) == 0 && len(tr.held) == 0 {
+		tr.anySuspected.Store(false)
 		return nil, nil // the usual case, for nearly every response
 	}
 	current := make(map[Key]time.Time)
@@ -217,6 +174,6 @@
 		}
 	}
 	tr.held = current
-	tr.anyHeld.Store(len(current) > 0)
+	tr.anySuspected.Store(len(tr.table.culprits) > 0)
 	return held, released
 }
--- a/runner/quarantine_test.go
+++ b/runner/quarantine_test.go
@@ -22,7 +22,7 @@
 		it.Body = []byte("deadly")
 		key := quarantine.NewKey(js.GetCaller(), "POST", js.GetHost(), it.GetPath(), it.GetBody())
 		for _, id := range []string{"x", "y", "z"} {
-			a.quarantine.RecordBroken(ctx, quarantine.Run{Key: key, Target: targets.Instance{ID: id}})
+			a.quarantine.RecordBroken(ctx, quarantine.BrokenRun{Attempt: &quarantine.Attempt{Content: quarantine.Content{Key: key}}, Target: targets.Instance{ID: id}})
 		}
 		if err := a.jobs.Accept(ctx, js); err != nil {
 			t.Fatal(err)
--- a/runner/reserve.go
+++ b/runner/reserve.go
@@ -101,8 +101,7 @@
 // useReserved starts an item in a seat that was granted to its reservation. What was checked
 // before the wait is checked again.
 func (r *Runner) useReserved(ctx context.Context, c candidate, st *itemState, service string, g grant) {
-	_, held := r.cfg.Quarantine.Held(st.contentKey)
-	if held || !r.jobStateUsable(ctx, c) || !r.recordSeatReply(service, g.in, true) {
+	if r.cfg.Quarantine.Held(st.content()) != nil || !r.jobStateUsable(ctx, c) || !r.recordSeatReply(service, g.in, true) {
 		r.cfg.Metrics.Count("seat_not_used")
 		g.seat.Close()
 		return
--- a/runner/run.go
+++ b/runner/run.go
@@ -292,16 +292,16 @@
 	holder := r.holder(c.open)
 	r.cfg.Shares.Begin(began, holder)
 	defer func() { r.cfg.Shares.End(time.Now(), holder) }()
-	outcome, err := r.attempt(ctx, c, st, in)
+	outcome, err := r.attempt(ctx, c, st, g)
 	if err != nil && connectionLost(ctx, err) {
-		r.reportLostConnection(ctx, c, st, in, from, began)
+		r.reportLostConnection(ctx, c, st, g.run, in, from, began)
 	}
 	r.cfg.View.WithTable(func(t *balance.Table) { t.BatchEnded(time.Now(), in.ID, err == nil) })
 	why := "complete"
 	if err != nil {
 		why = reason(ctx, err)
 	}
-	to, failed, next := r.endRun(ctx, c, st, in, outcome, err, from, began)
+	to, failed, next := r.endRun(ctx, c, st, g, outcome, err, from, began)
 	r.cfg.Log.Info("item run ended", logging.F("job", c.open.Job), logging.F("item", c.open.Item.GetId()),
 		logging.F("index", c.open.Index), logging.F("parts", quarantine.PartIDs(st.parts)), logging.F("instance", in.ID), logging.F("version", in.Version), logging.F("why", why), logging.F("from_event", from), logging.F("to_event", to),
 		logging.F("took_ms", time.Since(began).Milliseconds()), logging.F("failed", failed),
@@ -339,19 +339,19 @@
 
 // reportLostConnection reports to the quarantine that a connection broke while the target
 // was processing an item.
-func (r *Runner) reportLostConnection(ctx context.Context, c candidate, st *itemState, in targets.Instance, from uint64, began time.Time) {
+func (r *Runner) reportLostConnection(ctx context.Context, c candidate, st *itemState, run *quarantine.Attempt, in targets.Instance, from uint64, began time.Time) {
 	r.mu.Lock()
 	events := st.lastEvent - from
 	r.mu.Unlock()
-	r.cfg.Quarantine.RecordBroken(ctx, quarantine.Run{
-		Key: st.contentKey, Parts: st.parts, Request: c.open.Item.GetId(), Target: in, Events: events, Took: time.Since(began),
+	r.cfg.Quarantine.RecordBroken(ctx, quarantine.BrokenRun{
+		Attempt: run, Request: c.open.Item.GetId(), Target: in, Events: events, Took: time.Since(began),
 	})
 }
 
 // endRun records the result of an attempt. It returns the item's last event, its number of
 // failed attempts and the seat that it moves to.
-func (r *Runner) endRun(ctx context.Context, c candidate, st *itemState, in targets.Instance, o *jobs.Outcome, err error, from uint64, began time.Time) (uint64, int, *grant) {
-	pace := estimate.UsualPace
+func (r *Runner) endRun(ctx context.Context, c candidate, st *itemState, g grant, o *jobs.Outcome, err error, from uint64, began time.Time) (uint64, int, *grant) {
+	in, pace := g.in, estimate.UsualPace
 	r.cfg.View.WithTable(func(t *balance.Table) { pace = t.UsualPace(time.Now(), in.ID) })
 	work := r.work(c.open, st)
 	r.mu.Lock()
@@ -376,7 +376,7 @@
 	case o != nil:
 		r.cfg.Metrics.Count("item_complete")
 		r.recordHealth(in, balance.Succeeded)
-		r.cfg.Quarantine.RecordSuccess(st.contentKey)
+		r.cfg.Quarantine.RecordSuccess(g.run)
 		r.finish(st, c, *o)
 	case stoppedLocally(ctx):
 		r.cfg.Metrics.Count("item_stopped")
@@ -403,7 +403,8 @@
 
 // attempt runs an item from its last complete event on. It returns the outcome if the item
 // completes, and an error otherwise.
-func (r *Runner) attempt(ctx context.Context, c candidate, st *itemState, in targets.Instance) (*jobs.Outcome, error) {
+func (r *Runner) attempt(ctx context.Context, c candidate, st *itemState, g grant) (*jobs.Outcome, error) {
+	in := g.in
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	watchdog := time.AfterFunc(firstEventTimeout, func() {
@@ -428,7 +429,7 @@
 	if err := r.checkResponse(c, st, in, resp); err != nil {
 		return nil, err
 	}
-	return r.readStream(c, st, resp, after, watchdog)
+	return r.readStream(c, st, g.run, resp, after, watchdog)
 }
 
 // recordSendError records the health of a target after a failed send, unless the run was
@@ -502,8 +503,10 @@
 
 // readStream reads the events that follow the event after, up to the end of the stream. A
 // stream that ends without an event completes the item only if earlier events are known.
-func (r *Runner) readStream(c candidate, st *itemState, resp *exchange.Response, after uint64, watchdog *time.Timer) (*jobs.Outcome, error) {
+func (r *Runner) readStream(c candidate, st *itemState, run *quarantine.Attempt, resp *exchange.Response, after uint64, watchdog *time.Timer) (*jobs.Outcome, error) {
 	rd := events.NewReader(resp.Body, after)
+	var began time.Time // of the response; zero before its first event
+	reported := false   // the response has gone on for so long that it clears the prompt's parts
 	for n := 0; ; n++ {
 		ev, err := rd.Next()
 		if errors.Is(err, io.EOF) && n+int(after) > 0 {
@@ -518,6 +521,13 @@
 			return nil, errors.Mark(err, errNoOutcome)
 		}
 		watchdog.Reset(eventGapTimeout)
+		switch {
+		case began.IsZero():
+			began = time.Now()
+		case !reported && time.Since(began) >= quarantine.SoundAfter:
+			reported = true
+			r.cfg.Quarantine.RecordProgress(run)
+		}
 		r.mu.Lock()
 		st.add(ev)
 		r.mu.Unlock()
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -169,6 +169,7 @@
 type grant struct {
 	in   targets.Instance
 	seat *seats.Seat
+	run  *quarantine.Attempt // nil until the item starts
 }
 
 // progress is the output of an item so far.
@@ -352,6 +353,11 @@
 	return st
 }
 
+// content returns what crashes are counted against. The fields are set before the item starts.
+func (st *itemState) content() quarantine.Content {
+	return quarantine.Content{Key: st.contentKey, Parts: st.parts}
+}
+
 // contentKeyOf returns the quarantine key under which target crashes are counted for an
 // item.
 func contentKeyOf(it jobstore.OpenItem) quarantine.Key {
@@ -400,7 +406,7 @@
 	// A quarantined item stays open: it may be harmless, and an item may be given up only
 	// after its deadline. Running it would cut off other items at each target that it
 	// crashes.
-	if _, held := r.cfg.Quarantine.Held(st.contentKey); held {
+	if r.cfg.Quarantine.Held(st.content()) != nil {
 		return
 	}
 	service, ok := r.service(c)
@@ -434,8 +440,11 @@
 	now := time.Now()
 	runCtx, cancel := context.WithCancelCause(ctx)
 	mistaken := r.mistaken(r.writersOf(st))
+	// The item may have become held while it waited for its seat.
+	run, hold := r.cfg.Quarantine.Begin(st.content())
+	g.run = run
 	r.mu.Lock()
-	allowed := !r.leaving && r.assigned[c.part] && r.items[c.open.Key()] == st && st.readyAt(now) && r.running < r.cfg.MaxRunning
+	allowed := hold == nil && !r.leaving && r.assigned[c.part] && r.items[c.open.Key()] == st && st.readyAt(now) && r.running < r.cfg.MaxRunning
 	var waited time.Duration
 	var discarded progress
 	if allowed {
@@ -452,6 +461,7 @@
 	r.mu.Unlock()
 	if !allowed {
 		cancel(nil)
+		r.cfg.Quarantine.End(run)
 		r.cfg.Metrics.Count("seat_not_used")
 		g.seat.Close()
 		return false
@@ -467,6 +477,7 @@
 		defer cancel(nil)
 		next := r.run(runCtx, cancel, c, st, g, waited)
 		g.seat.Close()
+		r.cfg.Quarantine.End(run)
 		if next != nil {
 			r.launch(ctx, c, st, service, *next)
 		}
