daemon, connlimit: connections above what the processor of an entry bears are closed unread

Cause: an entry reads whatever comes. A request costs some 1 to 2.6 ms of processor time (measured with 60 events each); the weak entries of large deployments have a tenth of a core, a data centre sends them 80 requests a second and more, and then all of them are late.

Change: after a second at nine tenths of its processor's share an entry accepts as many new connections as it serves requests, less a quarter (less three fifths while it is still busy), and resets the others before it reads anything, so that callers come again at other entries at once. The limit ends after three seconds without a closed connection. Without a known share there is none.

Why it holds: the measure is the entry's own use and its own completed requests; open connections and batch work are not touched.

Over real processes (TestMostNewConnectionsAtOneEntry) red without it (nothing closed unread), all 500 requests served with it.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -270,11 +270,12 @@
 	if err != nil {
 		return err
 	}
-	front := n.httpServer(n.deps.FrontHandler(FrontConfig{Gateway: n.gateway, Access: n.access, Limiter: n.limiter, Jobs: n.routes, Catalog: n.view.Catalog, Limits: n.limits, Stopping: n.stopping.Load, Log: n.log.WithPrefix("front")}))
+	limiter := newConnLimiter(n.set.Host.CPUShare, n.log.WithPrefix("front"), n.metrics)
+	front := n.httpServer(limiter.handler(n.deps.FrontHandler(FrontConfig{Gateway: n.gateway, Access: n.access, Limiter: n.limiter, Jobs: n.routes, Catalog: n.view.Catalog, Limits: n.limits, Stopping: n.stopping.Load, Log: n.log.WithPrefix("front")})))
 	drainer := newConnDrainer()
 	front.ConnState = drainer.trackState
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return serve(ctx, front, listeners[0]) })
+	g.Go(func() error { return serve(ctx, front, limiter.listener(listeners[0])) })
 	g.Go(func() error { return serve(ctx, n.httpServer(n.deps.ReadyHandler(n.ready)), listeners[1]) })
 	peerServer := &peers.Server{
 		Store: n.deps.Store, View: n.view, Jobs: &jobroute.Server{Local: n.jobs, StoreUnavailable: n.store.Unreachable, HasDirectStore: n.store.DirectReachable},
@@ -288,7 +289,7 @@
 	ops.HandleFunc("GET /shares", n.sharesHandler)
 	ops.HandleFunc("GET /targets", n.targetsHandler)
 	g.Go(func() error { return serve(ctx, n.httpServer(ops), listeners[3]) })
-	for _, loop := range []func(context.Context){n.followStore, n.watchPeers, n.maintainCopies, n.expireTargets, n.keepKeyLease, n.introduce, n.observeUse, n.origins.Run, n.shards.Run, n.runJobs, n.quarantine.Run, n.archive.Run, fairshare.NewMonitor(n.shares, n.log.WithPrefix("shares"), n.metrics).Run} {
+	for _, loop := range []func(context.Context){n.followStore, n.watchPeers, n.maintainCopies, n.expireTargets, n.keepKeyLease, n.introduce, n.observeUse, limiter.run, n.origins.Run, n.shards.Run, n.runJobs, n.quarantine.Run, n.archive.Run, fairshare.NewMonitor(n.shares, n.log.WithPrefix("shares"), n.metrics).Run} {
 		g.Go(func() error { loop(ctx); return nil })
 	}
 	g.Go(func() error { onReload(ctx, reloads, n.log, func() error { return n.reload(file) }); return nil })
