quarantine: the cost of one more crash stays bounded with a table full of parts

A caller who crashes targets with ever new parts fills the table with held ones. The first form of the attribution searched all suspects again for each culprit and counted their unexplained crashes anew: the new test (512 parts, 16 crashes each) took minutes. Requests and parts share one attribution now, with weights that are reduced as crashes are explained and a heap of the candidates.

--- a/quarantine/attempt.go
+++ b/quarantine/attempt.go
@@ -86,7 +86,7 @@
 	}
 }
 
-// Held returns the hold of a request that must not run now, or nil.
+// Held returns the hold of a request that must not run now, or nil. It begins no run.
 func (tr *Tracker) Held(c Content) *Hold {
 	if !tr.anySuspected.Load() {
 		return nil
--- a/quarantine/attribute.go
+++ b/quarantine/attribute.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"cmp"
+	"container/heap"
 	"time"
 
 	"pumiceford/targets"
@@ -51,53 +53,52 @@
 	}
 	t.dirty, t.recheckAt = false, time.Time{}
 	clear(t.culprits)
-	explainedByParts := t.findPartCulprits(now)
+	byParts := t.findPartCulprits(now)
 	uncleared, cleared := newAttribution(), newAttribution()
 	for _, r := range t.records {
 		switch {
 		case r.part != "" || r.weight() < holdThreshold:
 		case r.cleared():
-			cleared.add(r)
+			cleared.add(r, (*trackedMark).weight)
 		default:
-			uncleared.add(r)
+			uncleared.add(r, (*trackedMark).weight)
 		}
 	}
-	for target := range explainedByParts {
-		uncleared.explain(target)
-	}
-	uncleared.findCulprits(holdThreshold, t.culprits)
-	for target := range uncleared.explained {
-		cleared.explain(target)
-	}
-	cleared.findCulprits(clearedHoldThreshold, t.culprits)
+	always := func(*candidate) bool { return true }
+	uncleared.explainAll(byParts)
+	uncleared.findCulprits(holdThreshold, always, t.culprits)
+	cleared.explainAll(uncleared.explained)
+	cleared.findCulprits(clearedHoldThreshold, always, t.culprits)
 }
 
-// attribution finds the culprits among a set of requests.
+// attribution finds the culprits among a set of requests or parts.
 type attribution struct {
 	candidates []*candidate
 	byTarget   map[targets.Incarnation][]*candidate
 	explained  map[targets.Incarnation]bool
 }
 
-// candidate is a request that may be a culprit.
+// candidate is a request or part that may be a culprit.
 type candidate struct {
-	key     Key
-	targets []targets.Incarnation
-	weight  int // sum over its crashes, less the discounts for explained ones
-	culprit bool
+	record *record
+	place  int            // the largest one of its marks
+	marks  []*trackedMark // that are not void
+	weight int            // sum over its crashes, less the discounts for explained ones
 }
 
 func newAttribution() *attribution {
 	return &attribution{byTarget: make(map[targets.Incarnation][]*candidate), explained: make(map[targets.Incarnation]bool)}
 }
 
-func (a *attribution) add(r *record) {
-	c := &candidate{key: r.key}
+// add adds a candidate whose crashes have the given weights.
+func (a *attribution) add(r *record, weight func(*trackedMark) int) {
+	c := &candidate{record: r}
 	for target, m := range r.marks {
+		c.place = max(c.place, m.Place)
 		if !m.Void {
-			c.targets = append(c.targets, target)
+			c.marks = append(c.marks, m)
 			a.byTarget[target] = append(a.byTarget[target], c)
-			c.weight += m.weight()
+			c.weight += weight(m)
 		}
 	}
 	a.candidates = append(a.candidates, c)
@@ -115,34 +116,67 @@
 	}
 }
 
-// findCulprits adds the candidates with at least the given weight to culprits, the heaviest
-// first.
-func (a *attribution) findCulprits(minWeight int, culprits map[Key]bool) {
-	for {
-		heaviest := a.heaviest(minWeight)
-		if heaviest == nil {
-			return
-		}
-		heaviest.culprit = true
-		culprits[heaviest.key] = true
-		for _, target := range heaviest.targets {
-			a.explain(target)
-		}
+func (a *attribution) explainAll(all map[targets.Incarnation]bool) {
+	for target := range all {
+		a.explain(target)
 	}
 }
 
-// heaviest returns the candidate with the largest weight of at least the given one, or nil if
-// there is none. Equal weights are ordered by key.
-func (a *attribution) heaviest(minWeight int) *candidate {
-	var heaviest *candidate
-	maxWeight := minWeight
+// findCulprits adds the candidates with at least the given weight for which guilty returns true
+// to culprits, the heaviest first. A candidate that is not guilty does not become so when further
+// crashes are explained.
+func (a *attribution) findCulprits(minWeight int, guilty func(*candidate) bool, culprits map[Key]bool) {
+	var queue candidateQueue
 	for _, c := range a.candidates {
-		if c.culprit {
-			continue
-		}
-		if c.weight > maxWeight || c.weight == maxWeight && (heaviest == nil || bytes.Compare(c.key[:], heaviest.key[:]) < 0) {
-			heaviest, maxWeight = c, c.weight
+		queue = append(queue, queuedCandidate{c, c.weight})
+	}
+	heap.Init(&queue)
+	for len(queue) > 0 {
+		next := heap.Pop(&queue).(queuedCandidate)
+		switch {
+		case next.weight < minWeight:
+			return
+		case next.weight != next.candidate.weight:
+			heap.Push(&queue, queuedCandidate{next.candidate, next.candidate.weight})
+		case guilty(next.candidate):
+			culprits[next.record.key] = true
+			for _, m := range next.marks {
+				a.explain(m.Target)
+			}
 		}
 	}
-	return heaviest
+}
+
+// queuedCandidate is a candidate with its weight at the time when it was queued. Weights only
+// decrease.
+type queuedCandidate struct {
+	*candidate
+	weight int
+}
+
+// candidateQueue is a heap with the heaviest candidate first. Of equal weights it is the one
+// deepest in its prompt, since more requests share the parts before it, and then the one with the
+// lowest key.
+type candidateQueue []queuedCandidate
+
+// Len implements heap.Interface.
+func (q candidateQueue) Len() int { return len(q) }
+
+// Less implements heap.Interface.
+func (q candidateQueue) Less(i, j int) bool {
+	a, b := q[i], q[j]
+	return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(b.place, a.place), bytes.Compare(a.record.key[:], b.record.key[:])) < 0
+}
+
+// Swap implements heap.Interface.
+func (q candidateQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+// Push implements heap.Interface.
+func (q *candidateQueue) Push(x any) { *q = append(*q, x.(queuedCandidate)) }
+
+// Pop implements heap.Interface.
+func (q *candidateQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
 }
--- a/quarantine/blame.go
+++ b/quarantine/blame.go
@@ -1,8 +1,6 @@
 package quarantine
 
 import (
-	"bytes"
-	"cmp"
 	"slices"
 	"time"
 
@@ -27,86 +25,49 @@
 	provenHoldDelay = 2 * time.Second
 )
 
-// suspectPart is a part that may cause crashes.
-type suspectPart struct {
-	record *record
-	place  int
-	marks  []*trackedMark // that are not void
-}
-
 // findPartCulprits adds the parts that cause crashes to the culprits, and returns the crashes that
-// they explain. Each crash has one cause: the part with the most crashes that are not explained
-// yet, and of several the one deepest in its prompt, since more requests share the parts before
-// it. Parts that requests completed with are examined last: one that all requests share is present
-// at every crash.
-func (t *Table) findPartCulprits(now time.Time) map[targets.Incarnation]bool {
-	var unproven, proven []suspectPart
+// they explain. Parts that requests completed with are examined last: one that all requests share
+// is present at every crash.
+func (t *Table) findPartCulprits(now time.Time) (explained map[targets.Incarnation]bool) {
+	unproven, proven := newAttribution(), newAttribution()
+	each := func(*trackedMark) int { return explainedDiscount } // an explained crash does not count at all
 	for _, r := range t.records {
-		if r.part == "" || r.weight() < partHoldCrashes*weightBeforeResponse {
-			continue
-		}
-		s, isProven := suspectPart{record: r}, false
-		for _, m := range r.marks {
-			isProven = isProven || m.Void || m.Proven
-			s.place = max(s.place, m.Place)
-			if !m.Void {
-				s.marks = append(s.marks, m)
-			}
-		}
-		if isProven {
-			proven = append(proven, s)
-		} else {
-			unproven = append(unproven, s)
+		switch {
+		case r.part == "" || r.weight() < partHoldCrashes*weightBeforeResponse:
+		case r.proven():
+			proven.add(r, each)
+		default:
+			unproven.add(r, each)
 		}
 	}
-	explained := make(map[targets.Incarnation]bool)
-	t.blame(unproven, explained, func(s suspectPart) bool {
-		return len(s.unexplained(explained)) >= partMinUnexplained && enoughToHold(s.marks)
-	})
-	t.blame(proven, explained, func(s suspectPart) bool {
-		if !enoughToHold(s.unexplained(explained)) {
-			return false
-		}
-		ripe := s.record.countsSince.Add(provenHoldDelay)
-		if now.Before(ripe) && (t.recheckAt.IsZero() || ripe.Before(t.recheckAt)) {
-			t.recheckAt = ripe
-		}
-		return !now.Before(ripe)
-	})
-	return explained
+	unproven.findCulprits(partMinUnexplained*explainedDiscount, func(c *candidate) bool { return enoughToHold(c.marks) }, t.culprits)
+	proven.explainAll(unproven.explained)
+	proven.findCulprits(partHoldCrashes*explainedDiscount, func(c *candidate) bool {
+		unexplained := slices.DeleteFunc(slices.Clone(c.marks), func(m *trackedMark) bool { return proven.explained[m.Target] })
+		return enoughToHold(unexplained) && t.isDue(now, c.record.countsSince.Add(provenHoldDelay))
+	}, t.culprits)
+	return proven.explained
 }
 
-// blame makes the suspects culprits for which guilty returns true, the one with the most
-// unexplained crashes first, and adds their crashes to explained.
-func (t *Table) blame(suspects []suspectPart, explained map[targets.Incarnation]bool, guilty func(suspectPart) bool) {
-	for {
-		suspects = slices.DeleteFunc(suspects, func(s suspectPart) bool { return t.culprits[s.record.key] || !guilty(s) })
-		if len(suspects) == 0 {
-			return
-		}
-		worst := slices.MaxFunc(suspects, func(a, b suspectPart) int {
-			return cmp.Or(
-				cmp.Compare(len(a.unexplained(explained)), len(b.unexplained(explained))),
-				cmp.Compare(a.place, b.place),
-				bytes.Compare(a.record.key[:], b.record.key[:]),
-			)
-		})
-		t.culprits[worst.record.key] = true
-		for _, m := range worst.marks {
-			explained[m.Target] = true
-		}
+// isDue reports whether a time has come. If not, the culprits are recomputed then.
+func (t *Table) isDue(now, at time.Time) bool {
+	if !now.Before(at) {
+		return true
+	}
+	if t.recheckAt.IsZero() || at.Before(t.recheckAt) {
+		t.recheckAt = at
 	}
+	return false
 }
 
-// unexplained returns the crashes that are not among the explained ones.
-func (s suspectPart) unexplained(explained map[targets.Incarnation]bool) []*trackedMark {
-	var out []*trackedMark
-	for _, m := range s.marks {
-		if !explained[m.Target] {
-			out = append(out, m)
+// proven reports whether requests with the part have completed, shortly before a crash or after.
+func (r *record) proven() bool {
+	for _, m := range r.marks {
+		if m.Proven {
+			return true
 		}
 	}
-	return out
+	return r.cleared()
 }
 
 // enoughToHold reports whether crashes suffice to hold a part.
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -192,6 +192,25 @@
 	}
 }
 
+// Guards against the same with parts of prompts, when a caller crashes targets with ever new ones.
+func TestFullTableOfPartsCostIsBounded(t *testing.T) {
+	const parts, crashes = 512, 16
+	tab := quarantine.NewTable()
+	for k := range parts {
+		p := quarantine.NewPart(fmt.Sprint(k))
+		var marks []quarantine.Mark
+		for n := range crashes {
+			m := mark(n, k*crashes+n, 0)
+			m.Key, m.Part, m.Request, m.Depth = p.Key, p.ID, m.Key, n+1
+			marks = append(marks, m)
+		}
+		tab.Merge(start, marks, nil)
+	}
+	if n := len(tab.HeldKeys(start)); n != parts {
+		t.Fatalf("%d parts are held, want all", n)
+	}
+}
+
 // A popular request was present at three crashes that another request caused, at two of them
 // with six and five events of its response received, and was held wrongly. Crashes after the
 // response began therefore count half, and a request that crashes its targets that late is held
