quarantine: a part that requests completed with shortly before is held for seconds first

Change: such a part is held for 10 s first, then for four times the time between its last two crashes, up to ten minutes. A part that goes on to crash targets costs one or two runs more in the first minute, since processes try one after the other. Parts that nothing ever completed with, and whole requests, are held for ten minutes as before.

--- a/quarantine/attempt.go
+++ b/quarantine/attempt.go
@@ -14,9 +14,9 @@
 
 // Limits of runs after a hold.
 const (
-	// probeSpread is the time within which the holds of different processes end. The run at the
-	// first one decides for all, while processes that try at once each crash a target.
-	probeSpread = HoldDuration / 2
+	// probeSpread is the fraction of a hold within which it ends at the different processes. The
+	// run at the first one decides for all, while processes that try at once each crash a target.
+	probeSpread = 0.5
 	// probeRetryDelay is when a request may come back while another one that shares what was
 	// held runs.
 	probeRetryDelay = time.Second
@@ -125,11 +125,12 @@
 	return probeRetryDelay, tr.probing[key] != nil
 }
 
-// probeDelay returns how much later than Table.Held says a hold ends at this process.
+// probeDelay returns how much later than Table.Held says a culprit's hold ends at this process. The
+// caller holds mu.
 func (tr *Tracker) probeDelay(key Key) time.Duration {
 	const steps = 1 << 16
 	step := xxhash.Sum64String(tr.cfg.Node+key.String()) % steps
-	return probeSpread * time.Duration(step) / steps
+	return time.Duration(probeSpread * float64(step) / steps * float64(tr.table.HoldDuration(key)))
 }
 
 // keys returns the key of the request, and those of its parts with their IDs.
--- a/quarantine/blame.go
+++ b/quarantine/blame.go
@@ -23,8 +23,32 @@
 	// them, to hold a part that requests completed with shortly before. A sound one completes
 	// again meanwhile.
 	provenHoldDelay = 2 * time.Second
+	// minProvenHold is the shortest hold of such a part. When targets crash again and again for
+	// another reason, nothing completes, and a part that all requests share is held although
+	// it is sound. provenHoldFactor is the ratio of a hold to the time between the last two
+	// crashes, so that the next holds are longer if the part goes on to crash targets.
+	minProvenHold    = 10 * time.Second
+	provenHoldFactor = 4
 )
 
+// holdDuration returns how long a culprit is held after its last crash.
+func (r *record) holdDuration() time.Duration {
+	if r.part == "" || !r.proven() {
+		return HoldDuration
+	}
+	var last, previous time.Time
+	for _, m := range r.marks {
+		switch {
+		case m.Void:
+		case m.At.After(last):
+			last, previous = m.At, last
+		case m.At.After(previous):
+			previous = m.At
+		}
+	}
+	return min(max(provenHoldFactor*last.Sub(previous), minProvenHold), HoldDuration)
+}
+
 // findPartCulprits adds the parts that cause crashes to the culprits, and returns the crashes that
 // they explain. Parts that requests completed with are examined last: one that all requests share
 // is present at every crash.
--- a/quarantine/part_simulation_test.go
+++ b/quarantine/part_simulation_test.go
@@ -21,6 +21,7 @@
 	alwaysWith   bool          // each bad part comes with a sound one that half of the sound requests share
 	repeats      bool          // requests that a crash ended run at a second target
 	waves        int           // events at each of which most targets crash for another reason
+	all          bool          // all targets crash again and again for another reason for four seconds
 	oneOfTen     bool          // a tenth of the targets crash one after the other for another reason
 }
 
@@ -41,8 +42,11 @@
 }
 
 type partProc struct {
-	table *quarantine.Table
-	sent  []uint64 // changes told to each other process
+	table  *quarantine.Table
+	sent   []uint64 // changes told to each other process
+	probes map[quarantine.Key]*partRun
+	// holdsLonger is the fraction of a hold by which it lasts longer than at the first process.
+	holdsLonger float64
 }
 
 type partTarget struct {
@@ -75,8 +79,11 @@
 
 func newPartSim(seed uint64, p partPlay) *partSim {
 	sim := &partSim{partPlay: p, rng: rand.New(rand.NewPCG(seed, 2)), now: start, began: start, crashes: map[string][]time.Time{}, starts: map[string][]time.Time{}}
-	for range simProcesses {
-		sim.procs = append(sim.procs, &partProc{table: quarantine.NewTable(), sent: make([]uint64, simProcesses)})
+	for n := range simProcesses {
+		sim.procs = append(sim.procs, &partProc{
+			table: quarantine.NewTable(), sent: make([]uint64, simProcesses), probes: make(map[quarantine.Key]*partRun),
+			holdsLonger: 0.5 * float64(n) / simProcesses,
+		})
 	}
 	for range simTargets {
 		sim.targets = append(sim.targets, &partTarget{})
@@ -111,16 +118,38 @@
 	sim.send(r)
 }
 
-func (sim *partSim) held(r *partRun) bool {
-	if _, held := r.proc.table.Held(sim.now, r.key); held {
-		return true
+// keys returns the keys of a request and its parts.
+func (r *partRun) keys() []quarantine.Key {
+	out := []quarantine.Key{r.key}
+	for _, p := range r.parts {
+		out = append(out, p.Key)
 	}
-	return slices.ContainsFunc(r.parts, func(p quarantine.Part) bool {
-		_, held := r.proc.table.Held(sim.now, p.Key)
-		return held
+	return out
+}
+
+// held reports whether a request is held at its process. At the end of a hold one run at a time is
+// allowed.
+func (sim *partSim) held(r *partRun) bool {
+	return slices.ContainsFunc(r.keys(), func(k quarantine.Key) bool {
+		t := r.proc.table
+		if !t.Suspected(k) {
+			return false
+		}
+		until, held := t.Held(sim.now, k)
+		longer := time.Duration(r.proc.holdsLonger * float64(t.HoldDuration(k)))
+		return held || sim.now.Before(until.Add(longer)) || r.proc.probes[k] != nil
 	})
 }
 
+// endProbes ends what a run probed.
+func (r *partRun) endProbes() {
+	for _, k := range r.keys() {
+		if r.proc.probes[k] == r {
+			delete(r.proc.probes, k)
+		}
+	}
+}
+
 func (sim *partSim) send(r *partRun) {
 	if sim.now.Sub(sim.began) >= sim.soundUntil {
 		r.bad = r.mayCrash
@@ -148,6 +177,11 @@
 		r.endAt = sim.now.Add(4 * time.Second)
 	}
 	t.running = append(t.running, r)
+	for _, k := range r.keys() {
+		if r.proc.table.Suspected(k) {
+			r.proc.probes[k] = r
+		}
+	}
 	if r.bad != "" {
 		sim.starts[r.bad] = append(sim.starts[r.bad], sim.now)
 	}
@@ -160,9 +194,12 @@
 			return true
 		}
 	}
-	return sim.badParts == 0
+	return sim.badParts == 0 && (!sim.all || sim.now.Sub(sim.began) > maxHoldSoundFirst)
 }
 
+// maxHoldSoundFirst is when a sound part must be free again after the crashes of partPlay.all.
+const maxHoldSoundFirst = 22 * time.Second
+
 func (sim *partSim) step() {
 	sim.now = sim.now.Add(tick)
 	for _, t := range sim.targets {
@@ -194,6 +231,9 @@
 			r.proc.table.RecordPartSuccess(sim.now, p.Key, r.known)
 		}
 	}
+	if done {
+		r.endProbes()
+	}
 	return done
 }
 
@@ -209,6 +249,7 @@
 			marks = append(marks, m)
 		}
 		r.proc.table.AddCrash(sim.now, marks...)
+		r.endProbes()
 		if sim.repeats && !r.again {
 			r.again = true
 			sim.send(r)
@@ -244,6 +285,12 @@
 				sim.crash(t)
 			}
 		}
+		if sim.all && i%40 == 0 && i >= 400 && i < 800 {
+			for _, t := range sim.targets {
+				sim.crash(t)
+				t.readyAt = sim.now
+			}
+		}
 		if sim.oneOfTen && i%40 == 0 && i >= 400 {
 			sim.crash(sim.targets[sim.rng.IntN(simTargets)])
 		}
@@ -291,6 +338,7 @@
 		"none, crashes of other causes":  {repeats: true, oneOfTen: true},
 		"none, most targets at once":     {repeats: true, waves: 1},
 		"none, most targets repeatedly":  {repeats: true, waves: 5},
+		"none, all targets in a row":     {repeats: true, all: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -363,10 +363,16 @@
 	if !t.culprits[key] {
 		return time.Time{}, false
 	}
-	until = t.records[key].lastCrash().Add(HoldDuration)
+	r := t.records[key]
+	until = r.lastCrash().Add(r.holdDuration())
 	return until, now.Before(until)
 }
 
+// HoldDuration returns how long a culprit is held after its last crash.
+func (t *Table) HoldDuration(key Key) time.Duration {
+	return t.records[key].holdDuration()
+}
+
 // Expire drops marks older than markTTL.
 func (t *Table) Expire(now time.Time) {
 	for key, r := range t.records {
