--- a/quarantine/part_test.go
+++ b/quarantine/part_test.go
@@ -13,16 +13,18 @@
 	"pumiceford/targets"
 )
 
-// partMark returns the mark of a crash of a target under a request with a part.
-func partMark(part string, request, target, depth int) quarantine.Mark {
-	p := quarantine.NewPart(part)
+const testPart = "a"
+
+// partMark returns the mark of a crash of a target under a request with the part testPart.
+func partMark(request, target, depth int) quarantine.Mark {
+	p := quarantine.NewPart(testPart)
 	m := mark(request, target, 0)
 	m.Request, m.Key, m.Part, m.Depth = m.Key, p.Key, p.ID, depth
 	return m
 }
 
-func partHeld(tab *quarantine.Table, part string) bool {
-	_, held := tab.Held(start, quarantine.NewPart(part).Key)
+func partHeld(tab *quarantine.Table) bool {
+	_, held := tab.Held(start, quarantine.NewPart(testPart).Key)
 	return held
 }
 
@@ -31,15 +33,15 @@
 func TestCrashesAtTheSameTimeDoNotHoldPart(t *testing.T) {
 	tab := quarantine.NewTable()
 	for n := range 12 {
-		tab.AddCrash(start, partMark("a", n, n, 1))
+		tab.AddCrash(start, partMark(n, n, 1))
 	}
-	if partHeld(tab, "a") {
+	if partHeld(tab) {
 		t.Error("held although no run began after the first crash")
 	}
 	for depth := 2; depth <= 3; depth++ {
-		tab.AddCrash(start, partMark("a", 20+depth, 20+depth, depth))
+		tab.AddCrash(start, partMark(20+depth, 20+depth, depth))
 	}
-	if !partHeld(tab, "a") {
+	if !partHeld(tab) {
 		t.Error("not held although runs crashed one after the other")
 	}
 }
@@ -49,13 +51,13 @@
 func TestOneCrashingRequestDoesNotHoldItsParts(t *testing.T) {
 	tab := quarantine.NewTable()
 	for n := range 8 {
-		tab.AddCrash(start, mark(1, n, 0), partMark("a", 1, n, n+1))
+		tab.AddCrash(start, mark(1, n, 0), partMark(1, n, n+1))
 	}
-	if _, held := tab.Held(start, testKey(1)); !held || partHeld(tab, "a") {
-		t.Errorf("request held %v, its part held %v, want only the request", held, partHeld(tab, "a"))
+	if _, held := tab.Held(start, testKey(1)); !held || partHeld(tab) {
+		t.Errorf("request held %v, its part held %v, want only the request", held, partHeld(tab))
 	}
-	tab.AddCrash(start, mark(2, 9, 0), partMark("a", 2, 9, 9))
-	if !partHeld(tab, "a") {
+	tab.AddCrash(start, mark(2, 9, 0), partMark(2, 9, 9))
+	if !partHeld(tab) {
 		t.Error("the part is not held after a crash under another request")
 	}
 }
