--- a/quarantine/part_test.go
+++ b/quarantine/part_test.go
@@ -115,15 +115,19 @@
 			crash(all[n], a)
 		}
 		for began := time.Now(); time.Since(began) < quarantine.HoldDuration+quarantine.HoldDuration/2+time.Minute; time.Sleep(time.Second) {
+			trying := make(map[*quarantine.Tracker]*quarantine.Attempt)
 			for n, tr := range all {
 				a, hold := tr.Begin(content(100 + n))
 				if hold != nil {
 					continue
 				}
+				trying[tr] = a
 				if _, again := tr.Begin(content(200 + n)); again == nil {
 					t.Error("two runs try at once")
 				}
-				time.Sleep(100 * time.Millisecond)
+			}
+			time.Sleep(100 * time.Millisecond)
+			for tr, a := range trying {
 				crash(tr, a)
 			}
 		}
