Review case 1: items are given up after one failure when the configuration is not known yet

A process that has just started may have its items before its configuration. An item without a route counts as allowed one attempt, so one that has failed once is listed as dead, long before Attempts answers of 500 (MIXED).

--- /dev/null
+++ b/review/1/run.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# All entries are killed and start again while the store is partly down, with the partition of the
+# configuration.
+# Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/pumiceford ] && [ -x review/bin/driver ] || { echo "build first: the deploy file's command, then review/build.sh"; exit 2; }
+exec review/bin/driver dead review/1/record.txt
