Review case 3: an entry that stops cuts off requests that it took late

A kept connection whose response began before SIGTERM takes another request when that response ends. The entry passes it on and cuts it off at the shutdown deadline, although the request was sent later than three seconds after SIGTERM and has time left (LOST).

--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -37,6 +37,7 @@
 // cases are the cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(rec *record, trouble bool) (bool, error){
 	"dead": playDead,
+	"stop": playStop,
 }
 
 func main() { os.Exit(run()) }
