--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -36,8 +36,9 @@
 
 // cases are the cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(rec *record, trouble bool) (bool, error){
-	"dead": playDead,
-	"stop": playStop,
+	"dead":    playDead,
+	"endless": playEndless,
+	"stop":    playStop,
 }
 
 func main() { os.Exit(run()) }
