runner: an item whose route is not known is not given up for its failures

Cause: the number of attempts came from the item's route and was 1 without one. A process that starts joins the group and loads its items whether or not it knows the configuration, so there was no route for half a second.

Ruled out: failures counted twice (failed is 1), a configuration with fewer attempts (none was in force). The line now names the attempts and the version of the configuration that decided.

Change: what gives an item up is decided by one pure function, judge, which counts failures only against a route that is known. The same fault without a kill: a route missing for a moment between two configurations.

Why it holds: a listed result is final, and nothing else derives a bound from a missing route. An item without a configuration does not start either, so it waits; its deadline and a 422 still end it.

--- /dev/null
+++ b/runner/giveup.go
@@ -0,0 +1,101 @@
+package runner
+
+import (
+	"time"
+
+	"pumiceford/catalog"
+	"pumiceford/jobs"
+	"pumiceford/logging"
+)
+
+// verdict is what a scan does with an open item that could start.
+type verdict int
+
+const (
+	mayStart verdict = iota
+	giveUp
+)
+
+// Reasons why an item is given up.
+const (
+	whyImpossible = "a target reported that it cannot be processed"
+	whyLate       = "its deadline has passed"
+	whyRouteless  = "its route was removed"
+	whyFailed     = "failed too often"
+)
+
+// itemFacts is what decides whether an item is given up.
+type itemFacts struct {
+	failed     int // attempts for which targets responded with a failure
+	impossible bool
+	abandonAt  time.Time      // from which on the item may be given up
+	route      *catalog.Route // in the configuration in force; nil if it has none, or none is known
+	// routelessFor is how long the configuration has had no route for the item; 0 if it has one
+	// or none is known.
+	routelessFor time.Duration
+}
+
+// judge decides whether an item may start. A listed result is final, so nothing is
+// decided from a route that is not known.
+func judge(now time.Time, f itemFacts) (v verdict, why string) {
+	failedTooOften := f.route != nil && f.failed >= max(f.route.Attempts, 1)
+	switch {
+	case f.impossible:
+		return giveUp, whyImpossible
+	case now.After(f.abandonAt.Add(clockSkewMargin)):
+		return giveUp, whyLate
+	case f.routelessFor >= routelessTimeout:
+		return giveUp, whyRouteless
+	case failedTooOften:
+		return giveUp, whyFailed
+	}
+	return mayStart, ""
+}
+
+// startable reports whether an item may start. It lists the item as given up if that is decided.
+func (r *Runner) startable(c candidate, st *itemState) bool {
+	now := time.Now()
+	f := r.facts(now, c, st)
+	v, why := judge(now, f)
+	if v == giveUp {
+		attempts := -1
+		if f.route != nil {
+			attempts = f.route.Attempts
+		}
+		r.cfg.Log.Warn("item given up", logging.F("job", c.open.Job), logging.F("item", c.open.Item.GetId()), logging.F("why", why),
+			logging.F("failed", f.failed), logging.F("attempts", attempts), logging.F("catalog", r.catalogVersion()))
+		r.cfg.Metrics.Count("item_given_up")
+		r.finish(st, c, jobs.Outcome{Job: c.open.Job, Item: c.open.Index, Dead: true})
+	}
+	return v == mayStart
+}
+
+// facts returns what decides whether an item is given up.
+func (r *Runner) facts(now time.Time, c candidate, st *itemState) itemFacts {
+	cat := r.cfg.View.Catalog()
+	f := itemFacts{abandonAt: time.UnixMilli(c.open.Spec.GetAbandonUnixMs())}
+	if cat != nil {
+		f.route = cat.Match(c.open.Spec.GetHost(), c.open.Item.GetPath())
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f.failed, f.impossible = st.failures, st.impossible
+	switch {
+	case cat == nil || f.route != nil:
+		st.noRouteSince = time.Time{}
+	case st.noRouteSince.IsZero():
+		st.noRouteSince = now
+	}
+	if !st.noRouteSince.IsZero() {
+		f.routelessFor = now.Sub(st.noRouteSince)
+	}
+	return f
+}
+
+// catalogVersion returns the version of the catalog in force, -1 while none is known.
+func (r *Runner) catalogVersion() int64 {
+	if cat := r.cfg.View.Catalog(); cat != nil {
+		return cat.Version
+	}
+	return -1
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -89,7 +89,8 @@
 	// of the smallest entry.
 	maxUnlistedBytes = 36 << 20
 	// routelessTimeout is how long an item may be without a route before it is given
-	// up. It is longer than a burst of configuration changes lasts.
+	// up. It is longer than a burst of configuration changes lasts, in which a route may be
+	// missing briefly.
 	routelessTimeout = 6 * time.Second
 	// refreshRetryInterval is the pause between refreshes of an unresponsive partition.
 	refreshRetryInterval = time.Second
@@ -400,7 +401,7 @@
 	st := r.items[c.open.Key()]
 	busy := r.running >= r.cfg.MaxRunning || st == nil
 	r.mu.Unlock()
-	if busy || r.giveUpIfNeeded(c, st) {
+	if busy || !r.startable(c, st) {
 		return
 	}
 	// A quarantined item stays open: it may be harmless, and an item may be given up only
@@ -582,54 +583,6 @@
 	return r.unlistedBytes < maxUnlistedBytes
 }
 
-// giveUpIfNeeded lists an item as given up if a target reported it as impossible, it
-// failed too often, its deadline has passed or its route was removed. It reports whether
-// it did so.
-func (r *Runner) giveUpIfNeeded(c candidate, st *itemState) bool {
-	r.mu.Lock()
-	failed, impossible := st.failures, st.impossible
-	r.mu.Unlock()
-	now := time.Now()
-	route, routeless := r.route(c.open), r.routeless(now, c, st)
-	attempts := 1
-	if route != nil {
-		attempts = max(route.Attempts, 1)
-	}
-	late := now.After(time.UnixMilli(c.open.Spec.GetAbandonUnixMs()).Add(clockSkewMargin))
-	if !impossible && failed < attempts && !late && !routeless {
-		return false
-	}
-	why := "failed too often"
-	switch {
-	case impossible:
-		why = "a target reported that it cannot be processed"
-	case late:
-		why = "its deadline has passed"
-	case routeless:
-		why = "its route was removed"
-	}
-	r.cfg.Log.Warn("item given up", logging.F("job", c.open.Job), logging.F("item", c.open.Item.GetId()),
-		logging.F("why", why), logging.F("failed", failed))
-	r.cfg.Metrics.Count("item_given_up")
-	r.finish(st, c, jobs.Outcome{Job: c.open.Job, Item: c.open.Index, Dead: true})
-	return true
-}
-
-// routeless reports whether an item has had no route for routelessTimeout. A route may
-// be missing briefly during successive configuration changes.
-func (r *Runner) routeless(now time.Time, c candidate, st *itemState) bool {
-	hasCatalog, route := r.cfg.View.Catalog() != nil, r.route(c.open)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	switch {
-	case !hasCatalog || route != nil:
-		st.noRouteSince = time.Time{}
-	case st.noRouteSince.IsZero():
-		st.noRouteSince = now
-	}
-	return !st.noRouteSince.IsZero() && now.Sub(st.noRouteSince) >= routelessTimeout
-}
-
 // finish queues an outcome to be listed at the home partition of its job.
 func (r *Runner) finish(st *itemState, c candidate, o jobs.Outcome) {
 	o.HandOff, o.Due = c.open.HandOff, time.UnixMilli(c.open.Spec.GetDueUnixMs())
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -44,13 +44,20 @@
 
 func (decoder) CatalogKey() string { return "c" }
 
-// Catalog returns a catalog with one route, or with none if the value is "none".
+// Catalog returns a catalog with one route. The value "none" is version 2 without the route,
+// "restored" version 3 with it, and "moved" version 4 with the route at another service.
 func (decoder) Catalog(value []byte) (*catalog.Catalog, error) {
-	if string(value) == "none" {
+	version, service := int64(1), "s"
+	switch string(value) {
+	case "none":
 		return catalog.New(2, catalog.Limits{}, nil, nil), nil
+	case "restored":
+		version = 3
+	case "moved":
+		version, service = 4, "other"
 	}
-	r := catalog.Route{Name: "r", Host: "h", PathPrefix: "/", Kind: catalog.Batch, Attempts: 3, Shares: []catalog.Share{{Service: "s", Weight: 1}}}
-	return catalog.New(1, catalog.Limits{}, nil, []catalog.Route{r}), nil
+	r := catalog.Route{Name: "r", Host: "h", PathPrefix: "/", Kind: catalog.Batch, Attempts: 3, Shares: []catalog.Share{{Service: service, Weight: 1}}}
+	return catalog.New(version, catalog.Limits{}, nil, []catalog.Route{r}), nil
 }
 
 // Instance returns a target whose software version is the value.
@@ -179,16 +186,27 @@
 	stop       context.CancelFunc
 }
 
+// setCatalog puts a catalog in force, see decoder.
+func (n *node) setCatalog(value string) {
+	n.view.CatalogSink().Apply(store.Record{Key: "c", Value: []byte(value)})
+}
+
 // crashedProber is a quarantine.Prober that reports every target as crashed.
 type crashedProber struct{}
 
 func (crashedProber) Crashed(context.Context, targets.Instance) bool { return true }
 
 func startNode(ctx context.Context, s *sharedstore.Store, e exchange.Sender, name string) *node {
+	n := startNodeWithoutCatalog(ctx, s, e, name)
+	n.setCatalog("1")
+	return n
+}
+
+// startNodeWithoutCatalog starts a node that knows no configuration yet.
+func startNodeWithoutCatalog(ctx context.Context, s *sharedstore.Store, e exchange.Sender, name string) *node {
 	ctx, cancel := context.WithCancel(ctx)
 	ms := metrics.New(name)
 	view := fleet.NewView(decoder{}, 1, logging.Logger{}, ms)
-	view.CatalogSink().Reset([]store.Record{{Key: "c", Value: []byte("1")}})
 	view.TargetSink().Reset([]store.Record{{Key: "i0", Value: []byte("1")}})
 	go reportLoads(ctx, view)
 	client := s.ClientFor(name)
@@ -504,7 +522,7 @@
 	inBubble(t, func(ctx context.Context, t *testing.T, s *sharedstore.Store, e *engine) {
 		a := startNode(ctx, s, e, "a")
 		time.Sleep(joinTime)
-		a.view.CatalogSink().Apply(store.Record{Key: "c", Value: []byte("none")})
+		a.setCatalog("none")
 		acceptJob(ctx, t, a, "job", 1)
 		time.Sleep(4 * time.Second)
 		if res, err := a.jobs.Results(ctx, "job", 0, 0); err != nil || len(res.Items) != 0 {
