runner: only a configuration that the store has confirmed gives items up

What callers would see: items listed as dead, because a process holds an old configuration from a copy or a peer, which lacks a route that was added since or allows fewer attempts, while the store does not answer for its partition.

An item that has failed too often by a configuration never confirmed since the start waits, and is not run either.

Why it holds: a listed result is final, and an outage of the store keeps results from being listed anyway, so waiting costs nothing that could be had.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -227,7 +227,7 @@
 	n.shares = fairshare.NewLedger()
 	n.agentLinks = newAgentLinks(linkCfg, set.AgentAddr, n.view, n.quarantine, n.shares, base.WithPrefix("targets"))
 	n.runner = runner.New(runner.Config{
-		Member: set.Peers, Group: jobGroup, Store: n.jobs, Groups: n.store, View: n.view, Sender: deps.Sender,
+		Member: set.Peers, Group: jobGroup, Store: n.jobs, Groups: n.store, View: n.view, CatalogAsOf: n.config.AsOf, Sender: deps.Sender,
 		Seats: n.agentLinks, Quarantine: n.quarantine, Shares: n.shares, Log: base.WithPrefix("batch"), Metrics: n.metrics,
 		Headers: deps.ItemHeader, Work: deps.ItemWork, Parts: deps.ItemParts, MaxRunning: maxRunningItems,
 	})
--- a/runner/giveup.go
+++ b/runner/giveup.go
@@ -13,6 +13,9 @@
 
 const (
 	mayStart verdict = iota
+	// mustWait holds an item that may have failed too often until the store confirms the
+	// configuration that says so.
+	mustWait
 	giveUp
 )
 
@@ -30,13 +33,16 @@
 	impossible bool
 	abandonAt  time.Time      // from which on the item may be given up
 	route      *catalog.Route // in the configuration in force; nil if it has none, or none is known
-	// routelessFor is how long the configuration has had no route for the item; 0 if it has one
-	// or none is known.
+	// confirmed reports whether the store has confirmed the configuration since this process
+	// started. A copy or a peer may have an old one.
+	confirmed bool
+	// routelessFor is how long the confirmed configuration has had no route for the item; not
+	// positive if it has one or was not confirmed since.
 	routelessFor time.Duration
 }
 
-// judge decides whether an item may start. A listed result is final, so nothing is
-// decided from a route that is not known.
+// judge decides whether an item may start. A listed result is final, so a configuration that is
+// not known or not confirmed gives up no item.
 func judge(now time.Time, f itemFacts) (v verdict, why string) {
 	failedTooOften := f.route != nil && f.failed >= max(f.route.Attempts, 1)
 	switch {
@@ -46,8 +52,10 @@
 		return giveUp, whyLate
 	case f.routelessFor >= routelessTimeout:
 		return giveUp, whyRouteless
-	case failedTooOften:
+	case failedTooOften && f.confirmed:
 		return giveUp, whyFailed
+	case failedTooOften:
+		return mustWait, ""
 	}
 	return mayStart, ""
 }
@@ -63,7 +71,7 @@
 			attempts = f.route.Attempts
 		}
 		r.cfg.Log.Warn("item given up", logging.F("job", c.open.Job), logging.F("item", c.open.Item.GetId()), logging.F("why", why),
-			logging.F("failed", f.failed), logging.F("attempts", attempts), logging.F("catalog", r.catalogVersion()))
+			logging.F("failed", f.failed), logging.F("attempts", attempts), logging.F("catalog", r.catalogVersion()), logging.F("confirmed", f.confirmed))
 		r.cfg.Metrics.Count("item_given_up")
 		r.finish(st, c, jobs.Outcome{Job: c.open.Job, Item: c.open.Index, Dead: true})
 	}
@@ -72,8 +80,8 @@
 
 // facts returns what decides whether an item is given up.
 func (r *Runner) facts(now time.Time, c candidate, st *itemState) itemFacts {
-	cat := r.cfg.View.Catalog()
-	f := itemFacts{abandonAt: time.UnixMilli(c.open.Spec.GetAbandonUnixMs())}
+	cat, asOf := r.cfg.View.Catalog(), r.cfg.CatalogAsOf()
+	f := itemFacts{abandonAt: time.UnixMilli(c.open.Spec.GetAbandonUnixMs()), confirmed: cat != nil && !asOf.IsZero()}
 	if cat != nil {
 		f.route = cat.Match(c.open.Spec.GetHost(), c.open.Item.GetPath())
 	}
@@ -86,8 +94,8 @@
 	case st.noRouteSince.IsZero():
 		st.noRouteSince = now
 	}
-	if !st.noRouteSince.IsZero() {
-		f.routelessFor = now.Sub(st.noRouteSince)
+	if f.confirmed && !st.noRouteSince.IsZero() {
+		f.routelessFor = asOf.Sub(st.noRouteSince)
 	}
 	return f
 }
--- a/runner/giveup_test.go
+++ b/runner/giveup_test.go
@@ -73,3 +73,22 @@
 		checkFinished(ctx, t, n, "job", 1)
 	})
 }
+
+// Guards against items that are given up by an old configuration: the one of a copy may lack a
+// route that was added since, and the store cannot be asked.
+func TestUnconfirmedConfigurationGivesUpNoItem(t *testing.T) {
+	inBubble(t, func(ctx context.Context, t *testing.T, s *sharedstore.Store, e *engine) {
+		n := startNode(ctx, s, e, "a")
+		time.Sleep(joinTime)
+		lastConfirmed := time.Now()
+		n.confirmedAt.Store(&lastConfirmed)
+		n.setCatalog("none")
+		acceptJob(ctx, t, n, "job", 1)
+		time.Sleep(10 * time.Second)
+		checkNotGivenUp(ctx, t, n, "job")
+		n.setCatalog("restored")
+		n.confirmedAt.Store(nil)
+		time.Sleep(2 * itemDuration)
+		checkFinished(ctx, t, n, "job", 1)
+	})
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -49,8 +49,11 @@
 	Store  *jobstore.Store
 	Groups store.Groups
 	View   *fleet.View
-	Sender exchange.Sender
-	Seats  Seats
+	// CatalogAsOf returns the time up to which the catalog is known to be the newest, the zero
+	// time until the store has confirmed it.
+	CatalogAsOf func() time.Time
+	Sender      exchange.Sender
+	Seats       Seats
 	// Quarantine records runs whose connection broke.
 	Quarantine *quarantine.Tracker
 	Shares     *fairshare.Ledger // account of the slots held; nil for one of its own
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -183,7 +184,17 @@
 	seats      *hookedSeats
 	quarantine *quarantine.Tracker
 	shares     *fairshare.Ledger
-	stop       context.CancelFunc
+	// confirmedAt is when the store last confirmed the catalog; nil while it does so all the time.
+	confirmedAt atomic.Pointer[time.Time]
+	stop        context.CancelFunc
+}
+
+// catalogAsOf is the runner's CatalogAsOf.
+func (n *node) catalogAsOf() time.Time {
+	if at := n.confirmedAt.Load(); at != nil {
+		return *at
+	}
+	return time.Now()
 }
 
 // setCatalog puts a catalog in force, see decoder.
@@ -214,7 +225,7 @@
 	n.quarantine = quarantine.NewTracker(quarantine.Config{Prober: crashedProber{}, Metrics: ms})
 	n.jobs = openJobs(ctx, client)
 	n.runner = runner.New(runner.Config{
-		Member: name, Group: "g", Store: n.jobs, Groups: client, View: view, Sender: e, Seats: n.seats,
+		Member: name, Group: "g", Store: n.jobs, Groups: client, View: view, CatalogAsOf: n.catalogAsOf, Sender: e, Seats: n.seats,
 		Quarantine: n.quarantine, Shares: n.shares,
 		Metrics: ms, Headers: func(map[string]string) map[string][]string { return nil }, MaxRunning: 64,
 		Work: func(map[string]string) estimate.Work { return estimate.Work{} },
