runner: an item starts and moves only within the service that its route names

Cause: the service is looked up when a scan offers the item, and used when its reserved seat is granted, up to a second later, or when the item moves, at any time of its run.

Change: the service is compared with the configuration in force right before each start, beside the check of held items; a late item whose route has left its service stays where it runs, since a move would only end its run.

--- a/runner/giveup_test.go
+++ b/runner/giveup_test.go
@@ -19,6 +19,13 @@
 	}
 }
 
+// awaitRun waits until a run of an item has begun.
+func (e *engine) awaitRun(id string) {
+	for len(e.runs(id)) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // startFailed accepts a job of one item at a node and stops the node after the item's first run
 // has failed.
 func startFailed(ctx context.Context, t *testing.T, s *sharedstore.Store, e *engine) {
@@ -29,9 +36,7 @@
 	n.seats.setRefusing(true)
 	acceptJob(ctx, t, n, "job", 1)
 	n.seats.setRefusing(false)
-	for len(e.runs("job-0")) == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	e.awaitRun("job-0")
 	n.seats.setRefusing(true)
 	time.Sleep(time.Second) // the failure is saved
 	n.stop()
--- a/runner/move.go
+++ b/runner/move.go
@@ -70,6 +70,9 @@
 // item there.
 func (r *Runner) move(ctx context.Context, m lateRun) {
 	now, c := time.Now(), m.run.candidate
+	if !r.isRoutedTo(c, m.run.service) {
+		return // the run ends where it began; the service has no other target for it any more
+	}
 	in, ok := r.moveTarget(now, m)
 	if !ok || !r.jobStateUsable(ctx, c) {
 		return
--- a/runner/run.go
+++ b/runner/run.go
@@ -54,6 +54,12 @@
 	return route.Service(c.open.Item.GetId()), true
 }
 
+// isRoutedTo reports whether the configuration in force sends an item to a service.
+func (r *Runner) isRoutedTo(c candidate, service string) bool {
+	now, ok := r.service(c)
+	return ok && now == service
+}
+
 // work returns the size of an item, as far as it is known.
 func (r *Runner) work(open jobstore.OpenItem, st *itemState) estimate.Work {
 	w := st.size
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -444,11 +444,12 @@
 	now := time.Now()
 	runCtx, cancel := context.WithCancelCause(ctx)
 	mistaken := r.mistaken(r.writersOf(st))
-	// The item may have become held while it waited for its seat.
+	// While the item waited for its seat it may have become held, and its route may have changed.
 	run, hold := r.cfg.Quarantine.Begin(st.content())
+	routed := r.isRoutedTo(c, service)
 	g.run = run
 	r.mu.Lock()
-	allowed := hold == nil && !r.leaving && r.assigned[c.part] && r.items[c.open.Key()] == st && st.readyAt(now) && r.running < r.cfg.MaxRunning
+	allowed := hold == nil && routed && !r.leaving && r.assigned[c.part] && r.items[c.open.Key()] == st && st.readyAt(now) && r.running < r.cfg.MaxRunning
 	var waited time.Duration
 	var discarded progress
 	if allowed {
