An entry that stops takes only requests that are sure to end before it

Cause: an entry takes requests until its deadline, whatever their time. One that takes longer than what is left is cut off. A connection whose response began before SIGTERM can't be told to close, so its next request comes at any time; new connections come until the balancer has seen the stop. Waiting requests were sent whenever they got a slot.

Ruled out: the drain closes connections that are in use (all first streams were whole), targets break off (30 of 34 events sent when the entry had exited).

Change: package shutdown knows the deadline of the stop. A request is sent first only if its time, the lesser of its caller's and its route's, ends 100 ms before it. That is checked right before each first send, so also after a body that came slowly, after an origin was asked for and after a wait; requests in the waiting room are woken when the stop begins. Others are refused as not run, with a retry-after of 50 ms, since another entry can serve them at once. A request that a target may have run goes on. The deadline was 700 ms before the kill at any length of the stop; a short stop now keeps an eighth.

Why it holds: a request that was taken ends by its own deadline, which its context enforces, so nothing taken after the beginning is open at the end. What was taken before and is longer than the stop can't be helped.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -38,6 +38,7 @@
 	"pumiceford/runner"
 	"pumiceford/settings"
 	"pumiceford/shards"
+	"pumiceford/shutdown"
 	"pumiceford/store"
 	"pumiceford/targets"
 )
@@ -84,7 +85,7 @@
 	Jobs     jobroute.Service
 	Catalog  func() *catalog.Catalog
 	Limits   func() catalog.Limits
-	Stopping func() bool
+	Shutdown *shutdown.Plan
 	Log      logging.Logger
 }
 
@@ -115,9 +116,10 @@
 	// balancerDelay is how long the balancer takes to stop sending new connections: it
 	// probes readiness once a second and needs two failed probes.
 	balancerDelay = 2600 * time.Millisecond
-	// stopMargin is the time between the deadline of the shutdown and the moment at which
-	// the platform kills the process.
-	stopMargin      = 700 * time.Millisecond
+	// maxStopMargin is the time between the deadline of the shutdown and the moment at which
+	// the platform kills the process. A short shutdown uses the fraction stopMarginShare of its time.
+	maxStopMargin   = 700 * time.Millisecond
+	stopMarginShare = 1.0 / 8
 	logFlushTimeout = 200 * time.Millisecond
 	// headerTimeout, idleTimeout and maxHeaderBytes bound a connection whatever operators
 	// set. They exceed the limits in the catalog, which the callers' handler enforces. A
@@ -162,7 +164,7 @@
 	archive    *quarantine.Archive
 	copies     *fleet.Copies
 	tlsConf    *tls.Config
-	stopping   atomic.Bool
+	shutdown   *shutdown.Plan
 	// firstDecided is set when decideFirstJoin has ended. Only the loop watchPeers decides on
 	// duties afterwards.
 	firstDecided atomic.Bool
@@ -199,7 +201,7 @@
 		ms.Count("store_" + call + "_" + outcome)
 		ms.Observe("store_"+call, "", took)
 	})
-	n := &entryNode{set: set, deps: deps, tlsConf: tlsConf, log: base.WithPrefix("entry"), metrics: ms}
+	n := &entryNode{set: set, deps: deps, tlsConf: tlsConf, shutdown: shutdown.NewPlan(), log: base.WithPrefix("entry"), metrics: ms}
 	n.view = fleet.NewView(deps.Decoder, xxhash.Sum64String(set.Name), base.WithPrefix("fleet"), n.metrics)
 	linkCfg := link.Config{Node: set.Name, Incarnation: oplog.NewIncarnation(), TLS: tlsConf, Dial: netx.Dial}
 	n.peerPool = peers.NewPool(set.Peers, linkCfg, set.Seeds)
@@ -243,7 +245,7 @@
 		Registry: n.registry, Agents: n.agentLinks, Entries: n.peerPool, Clock: boottime.Now, Log: base.WithPrefix("origins"), Metrics: n.metrics,
 	})
 	n.gateway = gateway.New(gateway.Config{
-		View: n.view, Sender: deps.Sender, Reserver: deps.Sender, FailureNotifier: n.agentLinks, Quarantine: n.quarantine, Refusals: n.refusals, Shares: n.shares, Origins: n.origins,
+		View: n.view, Sender: deps.Sender, Reserver: deps.Sender, FailureNotifier: n.agentLinks, Quarantine: n.quarantine, Refusals: n.refusals, Shares: n.shares, Origins: n.origins, Shutdown: n.shutdown,
 		Log: base.WithPrefix("online"), Metrics: n.metrics,
 	})
 	n.view.OnLoadChange(n.gateway.SlotsChanged)
@@ -271,7 +273,7 @@
 		return err
 	}
 	limiter := newConnLimiter(n.set.Host.CPUShare, n.log.WithPrefix("front"), n.metrics)
-	front := n.httpServer(limiter.handler(n.deps.FrontHandler(FrontConfig{Gateway: n.gateway, Access: n.access, Limiter: n.limiter, Jobs: n.routes, Catalog: n.view.Catalog, Limits: n.limits, Stopping: n.stopping.Load, Log: n.log.WithPrefix("front")})))
+	front := n.httpServer(limiter.handler(n.deps.FrontHandler(FrontConfig{Gateway: n.gateway, Access: n.access, Limiter: n.limiter, Jobs: n.routes, Catalog: n.view.Catalog, Limits: n.limits, Shutdown: n.shutdown, Log: n.log.WithPrefix("front")})))
 	drainer := newConnDrainer()
 	front.ConnState = drainer.trackState
 	g, ctx := errgroup.WithContext(ctx)
@@ -306,7 +308,7 @@
 
 // ready reports whether the balancer may send new connections to this entry.
 func (n *entryNode) ready() bool {
-	return !n.stopping.Load() && n.view.Ready()
+	return !n.shutdown.Stopping() && n.view.Ready()
 }
 
 // limits returns the limits of the catalog in force, the zero value while none is known.
@@ -338,13 +340,19 @@
 	return nil
 }
 
+// stopTime returns how long a shutdown may take in a process that is killed after within.
+func stopTime(within time.Duration) time.Duration {
+	return within - min(maxStopMargin, time.Duration(stopMarginShare*float64(within)))
+}
+
 // stop shuts an entry down without cutting off requests in progress. It fails the readiness
-// probe first and hands batch work and shards over; requests are served until their
-// responses are complete or the deadline is reached.
+// probe first and hands batch work and shards over. Until the balancer and the callers have
+// left, requests that are sure to end before the deadline are still served, and others refused.
 func (n *entryNode) stop(ctx context.Context, drain func(context.Context) error) {
-	n.stopping.Store(true)
+	deadline := time.Now().Add(stopTime(time.Duration(n.set.StopWithin)))
+	n.shutdown.Begin(deadline)
 	n.log.Info("stopping", logging.F("within_ms", time.Duration(n.set.StopWithin).Milliseconds()))
-	stopCtx, cancel := context.WithTimeout(ctx, time.Duration(n.set.StopWithin)-stopMargin)
+	stopCtx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	handedOver := make(chan struct{})
 	go func() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"pumiceford/origins"
 	"pumiceford/quarantine"
 	"pumiceford/refusals"
+	"pumiceford/shutdown"
 	"pumiceford/targets"
 	"pumiceford/waitroom"
 )
@@ -58,6 +59,7 @@
 	OriginUnknown    Reason = "origin_unknown"   // the version that began its stream is not known
 	SlowCallers      Reason = "slow_callers"     // responses that callers do not read hold too much memory
 	Quarantined      Reason = "quarantined"      // it, or a part of its prompt, crashes the targets that run it
+	Stopping         Reason = "stopping"         // this process may stop before it ends
 
 	UnknownKey         Reason = "unknown_key"         // its key belongs to no workspace
 	StaleConfiguration Reason = "stale_configuration" // its key cannot be confirmed to be valid
@@ -85,6 +87,9 @@
 	// retryAfterUnavailable is the retry-after while no target is known: a new one
 	// registers within about a second.
 	retryAfterUnavailable = 500 * time.Millisecond
+	// retryAfterStopping is the retry-after of a process that is being stopped. Another one
+	// can serve the request at once.
+	retryAfterStopping = 50 * time.Millisecond
 	// queuedThreshold is how long a request goes without a response before it counts as
 	// queued: three times what a target with a free slot takes. queuePollInterval is the
 	// pause between checks for a free slot at another target.
@@ -136,6 +141,7 @@
 	Origins *origins.Directory
 	// Refusals counts refused and failed requests; nil counts none.
 	Refusals *refusals.Table
+	Shutdown *shutdown.Plan // of this process; nil if it is never stopped
 	Log      logging.Logger
 	Metrics  *metrics.Set
 }
@@ -150,6 +156,7 @@
 	shares     *fairshare.Ledger
 	origins    *origins.Directory
 	refusals   *refusals.Table
+	shutdown   *shutdown.Plan
 	log        logging.Logger
 	refusalLog *refusalLog
 	metrics    *metrics.Set
@@ -167,7 +174,7 @@
 	return &Gateway{
 		view: cfg.View, sender: cfg.Sender, reserver: cfg.Reserver, notifier: cfg.FailureNotifier, quarantine: cfg.Quarantine,
 		refusals: cfg.Refusals, refusalLog: &refusalLog{log: cfg.Log}, shares: cfg.Shares, origins: cfg.Origins, rooms: newRooms(),
-		log: cfg.Log, metrics: cfg.Metrics, started: time.Now(), timeouts: newTimeoutTracker(),
+		shutdown: cfg.Shutdown, log: cfg.Log, metrics: cfg.Metrics, started: time.Now(), timeouts: newTimeoutTracker(),
 	}
 }
 
@@ -234,7 +241,7 @@
 	s.service = route.Service(req.ID)
 	s.standing = g.shares.Standing(time.Now(), req.Holder)
 	req.Work.Class = route.Name
-	if s.resolveOrigin() {
+	if s.maySend() && s.resolveOrigin() {
 		s.run()
 	}
 	if s.g.origins != nil {
@@ -340,14 +347,18 @@
 }
 
 // maySend reports whether the request may still be sent. It ends the request if not. The check
-// precedes each send, since the request's own sends may have caused the last crash that is
-// needed to hold it. Without the check one request that its caller retries crashes a service
+// precedes each send, since this process may be stopped meanwhile, and the request's own sends may
+// have caused the last crash that is needed to hold it. Without the check one request that its caller retries crashes a service
 // as fast as its targets restart.
 func (s *requestState) maySend() bool {
 	if s.ctx.Err() != nil {
 		s.fail(TimedOut, 0)
 		return false
 	}
+	if !s.canFinish() {
+		s.fail(Stopping, retryAfterStopping)
+		return false
+	}
 	s.g.quarantine.WaitSettled(s.ctx, s.content())
 	if hold := s.g.quarantine.Held(s.content()); hold != nil {
 		s.refuseHeld(hold)
@@ -356,6 +367,12 @@
 	return true
 }
 
+// canFinish reports whether the request is sure to end before this process does. A request that a
+// target may have run already goes on in any case.
+func (s *requestState) canFinish() bool {
+	return s.possibleRuns > 0 || s.headerSent || s.g.shutdown.Allows(s.req.Deadline)
+}
+
 // refuseHeld ends a request that is held.
 func (s *requestState) refuseHeld(hold *quarantine.Hold) {
 	s.heldPart = hold.Part
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -24,6 +24,7 @@
 	"pumiceford/logging"
 	"pumiceford/metrics"
 	"pumiceford/quarantine"
+	"pumiceford/shutdown"
 	"pumiceford/store"
 	"pumiceford/targets"
 )
@@ -149,6 +150,7 @@
 	prober     *fakeProber
 	quarantine *quarantine.Tracker
 	view       *fleet.View
+	shutdown   *shutdown.Plan
 	gw         *gateway.Gateway
 	sender     *scriptedSender
 }
@@ -202,11 +204,8 @@
 }
 
 func newGateway(v *fleet.View, sender exchange.Sender, reserver exchange.Reserver, notifier gateway.FailureNotifier, ms *metrics.Set) *gateway.Gateway {
-	return gatewayWith(quarantine.NewTracker(quarantine.Config{Prober: &fakeProber{}, Metrics: ms}), v, sender, reserver, notifier, ms)
-}
-
-func gatewayWith(tr *quarantine.Tracker, v *fleet.View, sender exchange.Sender, reserver exchange.Reserver, notifier gateway.FailureNotifier, ms *metrics.Set) *gateway.Gateway {
-	return gateway.New(gateway.Config{View: v, Sender: sender, Reserver: reserver, FailureNotifier: notifier, Quarantine: tr, Metrics: ms})
+	tracker := quarantine.NewTracker(quarantine.Config{Prober: &fakeProber{}, Metrics: ms})
+	return gateway.New(gateway.Config{View: v, Sender: sender, Reserver: reserver, FailureNotifier: notifier, Quarantine: tracker, Metrics: ms})
 }
 
 // newFixture returns a fixture with a route to a service of n targets.
@@ -228,7 +227,9 @@
 	notifier, reserver := &recordingNotifier{}, &fakeReserver{full: make(map[string]bool)}
 	prober := &fakeProber{crashed: make(map[string]bool)}
 	tracker := quarantine.NewTracker(quarantine.Config{Prober: prober, Metrics: ms})
-	return &fixture{notifier: notifier, reserver: reserver, prober: prober, quarantine: tracker, view: v, gw: gatewayWith(tracker, v, sender, reserver, notifier, ms), sender: sender}
+	plan := shutdown.NewPlan()
+	gw := gateway.New(gateway.Config{View: v, Sender: sender, Reserver: reserver, FailureNotifier: notifier, Quarantine: tracker, Shutdown: plan, Metrics: ms})
+	return &fixture{notifier: notifier, reserver: reserver, prober: prober, quarantine: tracker, view: v, shutdown: plan, gw: gw, sender: sender}
 }
 
 func (f *fixture) serve(ctx context.Context) *recorder {
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -318,17 +318,27 @@
 }
 
 // awaitAssignment waits until the request is assigned a target or displaced. It returns false
-// when the time is over, or when the caller has left; an assignment is then given back.
+// when the time is over, the caller has left, or a stop of this process has begun before whose
+// end the request may not end; an assignment is then given back.
 func (s *requestState) awaitAssignment(w *waiter, left time.Duration) (assignment, bool) {
 	timer := time.NewTimer(left)
 	defer timer.Stop()
 	var a assignment
 	received := false
-	select {
-	case a = <-w.assigned:
-		received = true
-	case <-timer.C:
-	case <-s.ctx.Done():
+	stopBegun := s.g.shutdown.Begun()
+	if s.g.shutdown.Stopping() {
+		stopBegun = nil // the request was allowed after that
+	}
+	for waiting := true; waiting; {
+		waiting = false
+		select {
+		case a = <-w.assigned:
+			received = true
+		case <-timer.C:
+		case <-s.ctx.Done():
+		case <-stopBegun:
+			stopBegun, waiting = nil, s.canFinish()
+		}
 	}
 	if !received {
 		if s.g.rooms.leave(s.service, w) {
--- a/losses/losses.go
+++ b/losses/losses.go
@@ -24,6 +24,7 @@
 	NotRecorded        Cause = "origin not recorded"        // the version that began its stream could not be recorded
 	OriginUnknown      Cause = "origin unknown"             // the version that began its stream is not known
 	VersionGone        Cause = "version gone"               // no target of the version that began its stream may serve it
+	Stopping           Cause = "entry stopping"             // its entry was being stopped and may have ended before it
 	Quarantined        Cause = "held"                       // it is in quarantine: targets crashed while running it
 	UnknownKey         Cause = "unknown key"                // no workspace has its key
 	KeyUnconfirmed     Cause = "key not confirmed"          // the host could not confirm that its key is still valid
--- a/losses/losses_test.go
+++ b/losses/losses_test.go
@@ -46,6 +46,7 @@
 		{losses.NotReady, []string{`01.0 e "request":"q","message":"online: request refused","outcome":"not_ready"`}},
 		{losses.NoRoute, []string{`01.0 e "request":"q","message":"online: request refused","outcome":"no_route"`}},
 		{losses.NoTarget, []string{"01.0 e " + requestEnded("no_target", -1)}},
+		{losses.Stopping, []string{"01.0 e " + requestEnded("stopping", -1)}},
 		{losses.Quarantined, []string{"01.0 e " + requestEnded("quarantined", -1)}},
 		{losses.Overload, []string{"01.0 e " + requestEnded("overload", -1)}},
 		{losses.ResponseLost, []string{"01.0 e " + requestSent(""), "01.1 e " + requestEnded("cut_lost", 20)}},
--- a/losses/online.go
+++ b/losses/online.go
@@ -97,8 +97,8 @@
 var causeByOutcome = map[string]Cause{
 	"not_ready": NotReady, "no_route": NoRoute, "no_target": NoTarget, "version_gone": VersionGone, "origin_unknown": OriginUnknown, "not_recorded": NotRecorded, "overload": Overload,
 	"unknown_key": UnknownKey, "stale_configuration": KeyUnconfirmed, "over_limit": OverLimit, "limit_unknown": LimitUnknown,
-	"quarantined": Quarantined,
-	"lost":        ResponseLost, "timed_out": DeadlineExceeded,
+	"quarantined": Quarantined, "stopping": Stopping,
+	"lost": ResponseLost, "timed_out": DeadlineExceeded,
 }
 
 // outcomeCause returns the cause of an outcome other than served. The prefix "cut_" says that the
