Calls about jobs: an entry that stops takes only those that are sure to end

What callers would see: a job handed in, ended or read at an entry shortly before it ends gets no answer if the store does not answer meanwhile (a closed connection later than LossSlackMs after the request's last byte).

--- a/gateway/denied.go
+++ b/gateway/denied.go
@@ -15,6 +15,15 @@
 // limit, so that they do not all return at once.
 const overLimitJitter = 500 * time.Millisecond
 
+// RefuseForStop returns the refusal of a call that may last longer than this process, which is being
+// stopped, and logs it.
+func (g *Gateway) RefuseForStop(id string) Refusal {
+	if g.recordRefusal("", Stopping) {
+		g.log.Info("request refused", logging.F("request", id), logging.F("outcome", Stopping))
+	}
+	return Refusal{Reason: Stopping, NotRun: true, RetryAfter: retryAfterStopping}
+}
+
 // Deny returns the refusal of a request whose sender is unknown or may not send it now,
 // and logs the reason. It reveals nothing about the sender's key.
 func (g *Gateway) Deny(id string, err error) Refusal {
