seats: a stopping agent asks no seat back twice

Cause: Drain asks all seats back and forgets their channels; the next load of the target asked the same seats back again.

Test, red before: TestStoppingAgentAsksNoSeatBackTwice (panic: close of nil channel).

--- a/seats/agent.go
+++ b/seats/agent.go
@@ -179,9 +179,11 @@
 	a.unresponsive = false
 	before := a.freeSeats
 	for _, id := range a.arbiter.Report(a.lastResponse, load) {
-		close(a.yieldRequests[id])
-		delete(a.yieldRequests, id)
-		a.cfg.Metrics.Count("seat_asked_back")
+		if yield, ok := a.yieldRequests[id]; ok { // not asked back by Drain
+			close(yield)
+			delete(a.yieldRequests, id)
+			a.cfg.Metrics.Count("seat_asked_back")
+		}
 	}
 	a.grantReservationsLocked()
 	a.cfg.Metrics.SetGauge("target_active", float64(load.Active))
--- a/seats/agent_test.go
+++ b/seats/agent_test.go
@@ -201,6 +201,23 @@
 	})
 }
 
+// Guards against an agent that ends in a panic while it stops: requests wait at the target after all
+// seats were asked back, and their holders have not returned them yet.
+func TestStoppingAgentAsksNoSeatBackTwice(t *testing.T) {
+	inVirtualTime(t, func(ctx context.Context, t *testing.T) {
+		f := connect(ctx, seats.Load{})
+		seat, _, err := seats.Acquire(ctx, f.peer, target, seats.Request{Due: time.Now()})
+		if err != nil || seat == nil {
+			t.Fatalf("got seat %v, error %v, want a seat", seat, err)
+		}
+		f.agent.Drain()
+		f.target.set(seats.Load{Active: 2, Queued: 3}, false)
+		time.Sleep(200 * time.Millisecond)
+		seat.Close()
+		f.peer.Close()
+	})
+}
+
 // Guards against entries that keep sending requests to a failed target until each has found
 // out by itself, although its agent knows: the agent must report an unresponsive target, and the
 // number of entries that reported failed requests.
