origins: an agent that stops records no stream

What callers would see: a stream that they take up after a break is refused as of unknown origin, or would be taken for one of another version, because both agents with its record were stopping when they recorded it, and its entry has ended.

Change: after SIGTERM an agent answers look-ups and no records; the entry then records at the next agents, as it does for one that does not answer.

--- a/daemon/seatagent.go
+++ b/daemon/seatagent.go
@@ -50,8 +50,11 @@
 		case call.GetShares() != nil:
 			fairshare.Relay(ctx, call.GetShares(), st, sums)
 		case call.GetOrigins() != nil:
-			// A send fails only if the entry has disconnected.
-			_ = st.Send(holder.Serve(call.GetOrigins()))
+			// Without a reply the entry records the origin elsewhere. A send fails only if the entry
+			// has disconnected.
+			if reply, err := holder.Serve(call.GetOrigins()); err == nil {
+				_ = st.Send(reply)
+			}
 		default:
 			a.Handle(ctx, class, call, st)
 		}
@@ -78,6 +81,7 @@
 		if WaitStop(ctx, stop) {
 			log.Info("stopping")
 			a.Drain()
+			holder.Stop()
 			_ = wait.For(ctx, ConnFlushDelay)
 			log.Info("stopped")
 		}
--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -77,7 +77,7 @@
 	if f.holders[addr] == nil {
 		f.holders[addr] = origins.NewHolder(f.clock, metrics.New("agent"))
 	}
-	return f.holders[addr].Serve(call), nil
+	return f.holders[addr].Serve(call)
 }
 
 // agentsCalled returns the number of agents that were called.
--- a/origins/bench_test.go
+++ b/origins/bench_test.go
@@ -30,7 +30,9 @@
 	runtime.ReadMemStats(&before)
 	b.ResetTimer()
 	for n := range b.N {
-		h.Serve(calls[n])
+		if _, err := h.Serve(calls[n]); err != nil {
+			b.Fatal(err)
+		}
 	}
 	b.StopTimer()
 	runtime.GC()
--- a/origins/directory_test.go
+++ b/origins/directory_test.go
@@ -188,7 +188,7 @@
 		return nil, errCut
 	}
 	time.Sleep(2 * time.Millisecond)
-	return h.Serve(call), nil
+	return h.Serve(call)
 }
 
 func (e *entry) VersionHistories(ctx context.Context) (out []*wire.VersionHistory) {
