gateway: only a recently confirmed configuration refuses an unknown route for good

What callers would see: 404 for a route that was added a moment ago, from an entry that works from a copy, a peer's configuration or its last one in an outage of the store. They ask no other entry after a 404.

Change: an unknown route is 404 if the store has confirmed the configuration within 4 s (two reads that wait for changes), else 503 as not run, with a time to return.

Test, red before (no such input): TestUnknownRouteIsRefusedForGoodByAConfirmedCatalogOnly; before the change both unconfirmed rows were no_route.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -245,7 +245,7 @@
 		Registry: n.registry, Agents: n.agentLinks, Entries: n.peerPool, Clock: boottime.Now, Log: base.WithPrefix("origins"), Metrics: n.metrics,
 	})
 	n.gateway = gateway.New(gateway.Config{
-		View: n.view, Sender: deps.Sender, Reserver: deps.Sender, FailureNotifier: n.agentLinks, Quarantine: n.quarantine, Refusals: n.refusals, Shares: n.shares, Origins: n.origins, Shutdown: n.shutdown,
+		View: n.view, CatalogAsOf: n.config.AsOf, Sender: deps.Sender, Reserver: deps.Sender, FailureNotifier: n.agentLinks, Quarantine: n.quarantine, Refusals: n.refusals, Shares: n.shares, Origins: n.origins, Shutdown: n.shutdown,
 		Log: base.WithPrefix("online"), Metrics: n.metrics,
 	})
 	n.view.OnLoadChange(n.gateway.SlotsChanged)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -43,7 +43,7 @@
 // The reasons.
 const (
 	NoRoute          Reason = "no_route"         // no route has the host and path
-	NotReady         Reason = "not_ready"        // no catalog has been loaded yet
+	NotReady         Reason = "not_ready"        // no catalog has been loaded yet, or an old one lacks the route
 	NoTarget         Reason = "no_target"        // no target of the service is usable
 	Overload         Reason = "overload"         // no target can serve it within a useful time
 	ResponseLost     Reason = "lost"             // a target may have run it, but the response is lost
@@ -84,6 +84,9 @@
 	// startupGrace is how long after its start a process holds requests while it loads
 	// the catalog and the targets.
 	startupGrace = 250 * time.Millisecond
+	// maxCatalogAge is the age of the catalog's last confirmation up to which a route that it lacks
+	// is refused for good. It is the time of two reads of the store that wait for changes.
+	maxCatalogAge = 4 * time.Second
 	// retryAfterUnavailable is the retry-after while no target is known: a new one
 	// registers within about a second.
 	retryAfterUnavailable = 500 * time.Millisecond
@@ -131,7 +134,11 @@
 
 // Config holds the dependencies of a Gateway.
 type Config struct {
-	View            *fleet.View
+	View *fleet.View
+	// CatalogAsOf returns the time up to which the catalog is known to be the newest, the zero
+	// time until the store has confirmed it.
+	// If it is nil, the catalog counts as confirmed at any time.
+	CatalogAsOf     func() time.Time
 	Sender          exchange.Sender
 	Reserver        exchange.Reserver
 	FailureNotifier FailureNotifier
@@ -149,6 +156,7 @@
 // Gateway serves requests. Its methods are safe for concurrent use.
 type Gateway struct {
 	view       *fleet.View
+	asOf       func() time.Time
 	sender     exchange.Sender
 	reserver   exchange.Reserver
 	notifier   FailureNotifier
@@ -171,8 +179,11 @@
 	if cfg.Shares == nil {
 		cfg.Shares = fairshare.NewLedger()
 	}
+	if cfg.CatalogAsOf == nil {
+		cfg.CatalogAsOf = time.Now
+	}
 	return &Gateway{
-		view: cfg.View, sender: cfg.Sender, reserver: cfg.Reserver, notifier: cfg.FailureNotifier, quarantine: cfg.Quarantine,
+		view: cfg.View, asOf: cfg.CatalogAsOf, sender: cfg.Sender, reserver: cfg.Reserver, notifier: cfg.FailureNotifier, quarantine: cfg.Quarantine,
 		refusals: cfg.Refusals, refusalLog: &refusalLog{log: cfg.Log}, shares: cfg.Shares, origins: cfg.Origins, rooms: newRooms(),
 		shutdown: cfg.Shutdown, log: cfg.Log, metrics: cfg.Metrics, started: time.Now(), timeouts: newTimeoutTracker(),
 	}
@@ -219,11 +230,15 @@
 	if cat == nil {
 		return nil, &Refusal{Reason: NotReady, NotRun: true, RetryAfter: retryAfterUnavailable}
 	}
-	r := cat.Match(host, path)
-	if r == nil {
-		return nil, &Refusal{Reason: NoRoute, NotRun: true}
+	if r := cat.Match(host, path); r != nil {
+		return r, nil
+	}
+	if time.Since(g.asOf()) > maxCatalogAge {
+		// The route may have been added since. Its caller would not ask another process after a
+		// refusal for good.
+		return nil, &Refusal{Reason: NotReady, NotRun: true, RetryAfter: retryAfterUnavailable}
 	}
-	return r, nil
+	return nil, &Refusal{Reason: NoRoute, NotRun: true}
 }
 
 // Serve executes one request and responds to its caller. It sets req.Deadline to the earlier
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -693,3 +693,31 @@
 		}
 	})
 }
+
+// Guards against requests that are refused for good, so that their callers ask no other process,
+// because an old catalog lacks their route: one of a copy, or the last one known in an outage.
+func TestUnknownRouteIsRefusedForGoodByAConfirmedCatalogOnly(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		f := newFixture(idempotent, 1)
+		asOf := time.Time{}
+		gw := gateway.New(gateway.Config{View: f.view, CatalogAsOf: func() time.Time { return asOf }, Quarantine: f.quarantine, Metrics: metrics.New("test")})
+		for _, c := range []struct {
+			name string
+			asOf time.Time
+			want gateway.Reason
+		}{
+			{"never confirmed", time.Time{}, gateway.NotReady},
+			{"confirmed 3 s ago", time.Now().Add(-3 * time.Second), gateway.NoRoute},
+			{"confirmed 5 s ago", time.Now().Add(-5 * time.Second), gateway.NotReady},
+		} {
+			asOf = c.asOf
+			_, refusal := gw.Route(t.Context(), "r", "other", "/x")
+			if refusal == nil || refusal.Reason != c.want || !refusal.NotRun || (refusal.RetryAfter > 0) != (c.want == gateway.NotReady) {
+				t.Errorf("%s: refusal %+v, want %s", c.name, refusal, c.want)
+			}
+			if _, refusal := gw.Route(t.Context(), "r", "h", "/x"); refusal != nil {
+				t.Errorf("%s: a known route is refused: %+v", c.name, refusal)
+			}
+		}
+	})
+}
