runner: items of a partition that is not loaded are not taken for closed

What callers would see: items that start again from their first event, and whose failures are forgotten, after their process was suspended for more than 15 s. It has stopped following its partitions then, reads none of their items before it has loaded them again, and took that for the end of all jobs: runs were cancelled as "item is no longer open", their state was deleted.

Change: OpenItems says whether the items are known; a partition that is not loaded is left as it is.

--- a/jobstore/homes_test.go
+++ b/jobstore/homes_test.go
@@ -88,7 +88,7 @@
 		}
 		hintPart := hintPartition(s, home)
 		_ = b.Refresh(ctx, hintPart, 0)
-		if got := b.OpenItems(hintPart); len(got) != 2 || got[0].Home != home || got[0].HandOff == nil {
+		if got, _ := b.OpenItems(hintPart); len(got) != 2 || got[0].Home != home || got[0].HandOff == nil {
 			t.Fatalf("open items while the home is down: %+v, want 2 with a hand-off", got)
 		}
 		s.SetPartitionDown(jobsPart(home), false)
@@ -96,10 +96,12 @@
 		if res, err := b.Results(ctx, "job", 0, 0); err != nil || res.Total != 2 {
 			t.Fatalf("got results %+v and error %v, want a total of 2", res, err)
 		}
-		if own, hinted := b.OpenItems(home), b.OpenItems(hintPart); len(own) != 0 || len(hinted) != 2 {
+		own, _ := b.OpenItems(home)
+		hinted, _ := b.OpenItems(hintPart)
+		if len(own) != 0 || len(hinted) != 2 {
 			t.Fatalf("home runs %d items and hint runs %d, want 0 and 2", len(own), len(hinted))
 		}
-		for _, it := range b.OpenItems(hintPart) {
+		for _, it := range hinted {
 			if err := b.RecordOutcomes(ctx, it.Home, []jobs.Outcome{{Job: it.Job, Item: it.Index, Text: []byte("x"), HandOff: it.HandOff}}); err != nil {
 				t.Fatal(err)
 			}
@@ -160,7 +162,7 @@
 		}
 		hintPart := hintPartition(s, home)
 		_ = st.Refresh(ctx, hintPart, 0)
-		open := st.OpenItems(hintPart)
+		open, _ := st.OpenItems(hintPart)
 		s.SetPartitionDown(jobsPart(home), false)
 		time.Sleep(time.Second)
 		it := open[0]
@@ -315,7 +317,8 @@
 
 // run lists an outcome for each open item that a partition's runner would run.
 func (sim *hintSim) run(ctx context.Context, node *jobstore.Store, part int, text string) {
-	for _, it := range node.OpenItems(part) {
+	open, _ := node.OpenItems(part)
+	for _, it := range open {
 		// A later read shows whether the result was listed.
 		_ = node.RecordOutcomes(ctx, it.Home, []jobs.Outcome{{Job: it.Job, Item: it.Index, Text: []byte(text + it.Item.GetId()), HandOff: it.HandOff}})
 	}
--- a/jobstore/read.go
+++ b/jobstore/read.go
@@ -151,12 +151,12 @@
 
 // OpenItems returns the items that the runner of a partition still has to run: those of the
 // partition's own jobs and those of the hints that it keeps for other partitions. It locks
-// one follower at a time, so it reads the other partitions after this one.
-func (s *Store) OpenItems(number int) []OpenItem {
+// one follower at a time, so it reads the other partitions after this one. It reports false while
+// the partition is not loaded, so that its items are not known.
+func (s *Store) OpenItems(number int) (items []OpenItem, known bool) {
 	p := s.forRunner(number)
-	var items []OpenItem
 	var hints []*wire.JobSpec
-	p.follower.View(func(int64, <-chan struct{}) {
+	known = p.follower.View(func(int64, <-chan struct{}) {
 		for _, j := range p.table.Jobs() {
 			if j.Open() && runFrom(j.Spec, number) == number {
 				items = append(items, openItems(j, number)...)
@@ -167,7 +167,7 @@
 	for _, hint := range hints {
 		items = append(items, s.openHint(hint, number)...)
 	}
-	return items
+	return items, known
 }
 
 // openHint returns the open items of a hint that partition number keeps.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -281,17 +281,22 @@
 // and cancels the runs of items that are no longer open.
 func (r *Runner) candidates(now time.Time) []candidate {
 	var out []candidate
-	parts := r.partitions()
+	var scanned []int // partitions whose open items are known
 	open := make(map[jobstore.ItemKey]bool)
-	for _, part := range parts {
-		for _, it := range r.cfg.Store.OpenItems(part) {
+	for _, part := range r.partitions() {
+		items, known := r.cfg.Store.OpenItems(part)
+		if !known {
+			continue // a partition that was not used for a while, as in a suspended process, is loaded again
+		}
+		scanned = append(scanned, part)
+		for _, it := range items {
 			open[it.Key()] = true
 			if r.ready(now, part, it) {
 				out = append(out, candidate{open: it, part: part})
 			}
 		}
 	}
-	r.cancelClosed(parts, open)
+	r.cancelClosed(scanned, open)
 	return r.sorted(now, out)
 }
 
