events: a line without an end is not read on

Cause: the limit of 1 MiB was checked between lines only; the rest of a line longer than the buffer was read up to its end, and kept twice.

Change: one loop reads a line into the event and stops at the limit. The stream then counts as broken, as with any event that is too large.

Test, red before: TestEndlessLineIsNotReadOn ("read bytes of a line without an end").

--- a/events/events.go
+++ b/events/events.go
@@ -55,21 +55,11 @@
 func (r *Reader) Next() (Event, error) {
 	var ev Event
 	for {
-		line, err := r.in.ReadSlice('\n')
-		ev.Raw = append(ev.Raw, line...)
-		if len(ev.Raw) > MaxEventBytes {
-			return ev, ErrTooLarge
-		}
-		switch {
-		case errors.Is(err, bufio.ErrBufferFull):
-			rest, err := r.restOfLine(&ev)
-			if err != nil {
-				return ev, err
-			}
-			line = append(bytes.Clone(line), rest...)
-		case errors.Is(err, io.EOF) && len(ev.Raw) > 0:
+		line, err := r.readLine(&ev)
+		if errors.Is(err, io.EOF) && len(ev.Raw) > 0 {
 			return ev, ErrTruncated
-		case err != nil:
+		}
+		if err != nil {
 			return ev, err
 		}
 		line = bytes.TrimRight(line, "\r\n")
@@ -80,13 +70,20 @@
 	}
 }
 
-func (r *Reader) restOfLine(ev *Event) ([]byte, error) {
-	rest, err := r.in.ReadBytes('\n')
-	ev.Raw = append(ev.Raw, rest...)
-	if errors.Is(err, io.EOF) {
-		return nil, ErrTruncated
+// readLine appends the next line to the raw bytes of an event and returns it. It stops reading at
+// MaxEventBytes with ErrTooLarge.
+func (r *Reader) readLine(ev *Event) ([]byte, error) {
+	start := len(ev.Raw)
+	for {
+		part, err := r.in.ReadSlice('\n')
+		ev.Raw = append(ev.Raw, part...)
+		if len(ev.Raw) > MaxEventBytes {
+			return nil, ErrTooLarge
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return ev.Raw[start:], err
+		}
 	}
-	return rest, err
 }
 
 // checkSequence checks that an event's ID is the next one. Events without an ID pass.
--- a/events/events_test.go
+++ b/events/events_test.go
@@ -74,6 +74,33 @@
 	}
 }
 
+// endlessLine is a line that does not end before it has the given number of bytes.
+type endlessLine struct{ left int }
+
+func (l *endlessLine) Read(p []byte) (int, error) {
+	if l.left <= 0 {
+		return 0, io.ErrUnexpectedEOF
+	}
+	n := min(len(p), l.left)
+	for i := range n {
+		p[i] = 'x'
+	}
+	l.left -= n
+	return n, nil
+}
+
+// Guards against a target that takes an entry's memory by a line without an end.
+func TestEndlessLineIsNotReadOn(t *testing.T) {
+	const total = 16 * events.MaxEventBytes
+	line := &endlessLine{left: total}
+	if _, _, _, err := readAll(line, 0); !errors.Is(err, events.ErrTooLarge) {
+		t.Errorf("got error %v, want ErrTooLarge", err)
+	}
+	if read := total - line.left; read > 2*events.MaxEventBytes {
+		t.Errorf("read %d bytes of a line without an end, want little more than %d", read, events.MaxEventBytes)
+	}
+}
+
 // Whatever a target sends, the returned bytes are a prefix of it that ends between events.
 func FuzzReturnedBytesArePrefix(f *testing.F) {
 	f.Add([]byte("id: 1\ndata: a\n\nid: 2\n\n"))
