runner: saved progress of closed items is deleted

What operators would see: the store fills.

Cause: only items that this process listed had their progress deleted, once, and a save in progress could write it again.

Change: an item that is not open any more, by a state of its partition that is younger than the saved progress, has it deleted, also if another process saved it. The loop that saves progress deletes it too, and repeats what fails.

--- a/runner/member.go
+++ b/runner/member.go
@@ -172,12 +172,13 @@
 	if err != nil {
 		r.cfg.Log.Warn("progress not loaded; items restart from the first event", logging.F("partition", part), logging.F("error", err.Error()))
 	}
+	loaded := time.Now()
 	r.mu.Lock()
 	for _, p := range all {
 		st := r.itemLocked(p.Key, part)
 		if !st.running && p.LastEvent > st.lastEvent {
 			st.progress = progress{lastEvent: p.LastEvent, text: p.Text, software: p.Software, instances: p.Instances}
-			st.savedEvent = p.LastEvent
+			st.savedEvent, st.savedAt = p.LastEvent, loaded
 		}
 	}
 	if _, ok := r.assigned[part]; ok {
@@ -249,6 +250,7 @@
 		r.saveProgress(stopCtx, part)
 	}
 	r.listFinished(stopCtx)
+	r.deleteObsolete(stopCtx)
 	r.leaveGroup(ctx) // a failure is logged, and the process ends anyway
 	r.cfg.Log.Info("items handed over", logging.F("partitions", len(parts)))
 }
@@ -275,7 +277,10 @@
 	defer r.mu.Unlock()
 	for _, p := range all {
 		if st := r.items[p.Key]; st != nil {
-			st.savedEvent = max(st.savedEvent, p.LastEvent)
+			st.savedEvent, st.savedAt = max(st.savedEvent, p.LastEvent), time.Now()
+		} else {
+			// The item was closed while its progress was being saved.
+			r.obsolete[part] = append(r.obsolete[part], jobstore.Progress{Key: p.Key, Listed: true})
 		}
 	}
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -118,11 +118,12 @@
 	assigned      map[int]bool // assigned partitions; true once their progress has been loaded
 	items         map[jobstore.ItemKey]*itemState
 	running       int
-	reserving     int                    // items that wait for reserved seats
-	estimates     *estimate.Model        // taken after mu
-	refreshFailed map[int]time.Time      // time of the last failed refresh, by partition
-	finished      map[int][]jobs.Outcome // outcomes to be listed, by home partition
-	unlistedBytes int                    // size of the results that are not listed yet
+	reserving     int                         // items that wait for reserved seats
+	estimates     *estimate.Model             // taken after mu
+	refreshFailed map[int]time.Time           // time of the last failed refresh, by partition
+	finished      map[int][]jobs.Outcome      // outcomes to be listed, by home partition
+	obsolete      map[int][]jobstore.Progress // saved progress of items that are not open any more, by partition
+	unlistedBytes int                         // size of the results that are not listed yet
 	leaving       bool
 	standby       atomic.Bool
 	wake          chan struct{}
@@ -142,7 +143,8 @@
 	ended      chan struct{} // closed when the run ends
 	done       bool          // has an outcome that is being listed
 	cancel     context.CancelCauseFunc
-	savedEvent uint64 // last event whose progress is saved on the store
+	savedEvent uint64    // last event whose progress is saved on the store; 0 if there is none
+	savedAt    time.Time // when the progress was saved, or read from the store
 	progress
 	failures      int       // attempts for which targets responded with a failure
 	failedTargets []string  // instances that did so in this process
@@ -192,8 +194,8 @@
 	return &Runner{
 		cfg: cfg, assigned: make(map[int]bool), items: make(map[jobstore.ItemKey]*itemState),
 		finished: make(map[int][]jobs.Outcome), estimates: cfg.View.Estimates(),
-		refreshFailed: make(map[int]time.Time),
-		wake:          make(chan struct{}, 1), wakeLister: make(chan struct{}, 1),
+		refreshFailed: make(map[int]time.Time), obsolete: make(map[int][]jobstore.Progress),
+		wake: make(chan struct{}, 1), wakeLister: make(chan struct{}, 1),
 	}
 }
 
@@ -377,17 +379,25 @@
 var errItemClosed = errors.New("item is no longer open")
 
 // cancelClosed cancels the runs of items in these partitions that are no longer open,
-// and removes the state of those that do not run.
+// and removes the state of those that do not run. Their saved progress is deleted later.
 func (r *Runner) cancelClosed(parts []int, open map[jobstore.ItemKey]bool) {
+	asOf := make(map[int]time.Time, len(parts))
+	for _, part := range parts {
+		asOf[part] = r.cfg.Store.AsOf(part)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for k, st := range r.items {
+		known, scanned := asOf[st.part]
 		switch {
-		case open[k] || !slices.Contains(parts, st.part):
+		case open[k] || !scanned:
 		case st.running:
 			st.cancel(errItemClosed)
+		case st.savedEvent > 0 && !known.After(st.savedAt):
+			// The state may be from before the job was accepted.
 		default:
 			st.stopWaiting()
+			r.dropProgressLocked(st)
 			delete(r.items, k)
 		}
 	}
--- a/runner/upkeep.go
+++ b/runner/upkeep.go
@@ -59,7 +59,8 @@
 	}
 }
 
-// saveLoop saves the progress of running items.
+// saveLoop saves the progress of running items, and deletes that of closed ones. A save in progress can
+// thus not follow the deletion.
 func (r *Runner) saveLoop(ctx context.Context) {
 	for wait.For(ctx, saveInterval) == nil {
 		for _, p := range r.partitions() {
@@ -67,6 +68,7 @@
 			r.saveProgress(callCtx, p)
 			cancel()
 		}
+		r.deleteObsolete(ctx)
 	}
 }
 
@@ -116,7 +118,7 @@
 					logging.F("dead", o.Dead), logging.F("bytes", len(o.Text)), logging.F("partition", part),
 					logging.F("late_ms", time.Since(o.Due).Milliseconds()))
 			}
-			r.dropProgress(ctx, outs)
+			r.dropProgress(outs)
 			return
 		}
 		r.cfg.Log.Warn("results not listed; will retry", logging.F("partition", part),
@@ -125,24 +127,44 @@
 	}
 }
 
-// dropProgress deletes the saved progress of listed items.
-func (r *Runner) dropProgress(ctx context.Context, outs []jobs.Outcome) {
-	drop := make(map[int][]jobstore.Progress) // by the partition that ran the item
+// dropProgress has the saved progress of listed items deleted.
+func (r *Runner) dropProgress(outs []jobs.Outcome) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	for _, o := range outs {
 		r.unlistedBytes -= len(o.Text)
-		k := jobstore.ItemKey{Job: o.Job, Item: o.Item}
-		if st := r.items[k]; st != nil && st.savedEvent > 0 {
-			drop[st.part] = append(drop[st.part], jobstore.Progress{Key: k, Listed: true})
+		if st := r.items[jobstore.ItemKey{Job: o.Job, Item: o.Item}]; st != nil {
+			r.dropProgressLocked(st)
 		}
 	}
+}
+
+// dropProgressLocked has the saved progress of an item deleted that is not open any more. The caller
+// holds r.mu.
+func (r *Runner) dropProgressLocked(st *itemState) {
+	if st.savedEvent > 0 {
+		r.obsolete[st.part] = append(r.obsolete[st.part], jobstore.Progress{Key: st.key, Listed: true})
+		st.savedEvent = 0
+	}
+}
+
+// deleteObsolete deletes the saved progress of items that are not open any more. It keeps what fails
+// for the next call.
+func (r *Runner) deleteObsolete(ctx context.Context) {
+	r.mu.Lock()
+	obsolete := r.obsolete
+	r.obsolete = make(map[int][]jobstore.Progress)
 	r.mu.Unlock()
-	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	for part, all := range drop {
-		if err := r.cfg.Store.SaveProgress(callCtx, part, all); err != nil {
-			// The record remains until the store reclaims its space; nothing uses it.
-			r.cfg.Metrics.Count("progress_not_dropped")
+	for part, all := range obsolete {
+		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+		err := r.cfg.Store.SaveProgress(callCtx, part, all)
+		cancel()
+		if err == nil {
+			continue
 		}
+		r.cfg.Metrics.Count("progress_not_dropped")
+		r.mu.Lock()
+		r.obsolete[part] = append(r.obsolete[part], all...)
+		r.mu.Unlock()
 	}
 }
