runner: progress of an item that moved during a save is kept

What callers would see: an item that starts again from its first event after its partition moved, because the process that handed it over deleted its progress: a save that ended after the hand-over took the missing state for a closed item.

Change: the state says that a save has begun; only an item that is closed has it deleted, by the loop that saves, so after the save.

Two doc comments of the gateway are wrapped.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -136,8 +136,7 @@
 type Config struct {
 	View *fleet.View
 	// CatalogAsOf returns the time up to which the catalog is known to be the newest, the zero
-	// time until the store has confirmed it.
-	// If it is nil, the catalog counts as confirmed at any time.
+	// time until the store has confirmed it; nil if the catalog is always the newest.
 	CatalogAsOf     func() time.Time
 	Sender          exchange.Sender
 	Reserver        exchange.Reserver
@@ -363,8 +362,8 @@
 
 // maySend reports whether the request may still be sent. It ends the request if not. The check
 // precedes each send, since this process may be stopped meanwhile, and the request's own sends may
-// have caused the last crash that is needed to hold it. Without the check one request that its caller retries crashes a service
-// as fast as its targets restart.
+// have caused the last crash that is needed to hold it. Without the check one request that its
+// caller retries crashes a service as fast as its targets restart.
 func (s *requestState) maySend() bool {
 	if s.ctx.Err() != nil {
 		s.fail(TimedOut, 0)
--- a/runner/member.go
+++ b/runner/member.go
@@ -261,6 +261,7 @@
 	r.mu.Lock()
 	for _, st := range r.items {
 		if st.part == part && !st.done && st.lastEvent > st.savedEvent {
+			st.saveBegun = true
 			all = append(all, jobstore.Progress{Key: st.key, LastEvent: st.lastEvent, Text: slices.Clone(st.text), Software: st.software, Instances: slices.Clone(st.instances)})
 		}
 	}
@@ -278,9 +279,6 @@
 	for _, p := range all {
 		if st := r.items[p.Key]; st != nil {
 			st.savedEvent, st.savedAt = max(st.savedEvent, p.LastEvent), time.Now()
-		} else {
-			// The item was closed while its progress was being saved.
-			r.obsolete[part] = append(r.obsolete[part], jobstore.Progress{Key: p.Key, Listed: true})
 		}
 	}
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -145,6 +145,7 @@
 	cancel     context.CancelCauseFunc
 	savedEvent uint64    // last event whose progress is saved on the store; 0 if there is none
 	savedAt    time.Time // when the progress was saved, or read from the store
+	saveBegun  bool      // the store may have saved progress
 	progress
 	failures      int       // attempts for which targets responded with a failure
 	failedTargets []string  // instances that did so in this process
@@ -393,7 +394,7 @@
 		case open[k] || !scanned:
 		case st.running:
 			st.cancel(errItemClosed)
-		case st.savedEvent > 0 && !known.After(st.savedAt):
+		case st.mayHaveSaved() && !known.After(st.savedAt):
 			// The state may be from before the job was accepted.
 		default:
 			st.stopWaiting()
--- a/runner/upkeep.go
+++ b/runner/upkeep.go
@@ -142,12 +142,16 @@
 // dropProgressLocked has the saved progress of an item deleted that is not open any more. The caller
 // holds r.mu.
 func (r *Runner) dropProgressLocked(st *itemState) {
-	if st.savedEvent > 0 {
+	if st.mayHaveSaved() {
 		r.obsolete[st.part] = append(r.obsolete[st.part], jobstore.Progress{Key: st.key, Listed: true})
-		st.savedEvent = 0
+		st.savedEvent, st.saveBegun = 0, false
 	}
 }
 
+// mayHaveSaved reports whether the store may have saved progress of an item. The caller holds
+// Runner.mu.
+func (st *itemState) mayHaveSaved() bool { return st.savedEvent > 0 || st.saveBegun }
+
 // deleteObsolete deletes the saved progress of items that are not open any more. It keeps what fails
 // for the next call.
 func (r *Runner) deleteObsolete(ctx context.Context) {
