gateway: a queued request does not move back to a target that it has tried

A slow answer is enough; the load of the machine only shows it.

Change: only a target that the request has not tried is a reason to move.

Test, red before: TestQueuedRequestDoesNotMoveBack ("got body "" after 2 sends, refusal no_target, NotRun false").

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -271,11 +271,12 @@
 // up a place in a queue and costs a connection; so on average only as many requests move
 // as there are free slots. The argument draw is a random number in [0, 1).
 func (t *Table) ShouldMove(now time.Time, service, instance string, draw float64) bool {
-	return t.ShouldMoveFor(now, Request{Service: service}, instance, draw)
+	return t.ShouldMoveFor(now, Request{Service: service}, instance, nil, draw)
 }
 
-// ShouldMoveFor is like ShouldMove, but considers only the targets at which the request may run.
-func (t *Table) ShouldMoveFor(now time.Time, r Request, instance string, draw float64) bool {
+// ShouldMoveFor is like ShouldMove, but considers only the targets at which the request may run, and
+// moves it to none that is in tried.
+func (t *Table) ShouldMoveFor(now time.Time, r Request, instance string, tried map[string]bool, draw float64) bool {
 	const minFree = 2
 	free, waiting, otherFree := 0, 0, false
 	for id, v := range t.views {
@@ -285,7 +286,7 @@
 		n := v.Free(now)
 		free += max(n, 0)
 		waiting += max(-n, 0)
-		otherFree = otherFree || id != instance && n >= minFree
+		otherFree = otherFree || id != instance && !tried[id] && n >= minFree
 	}
 	return otherFree && draw*float64(waiting) < float64(free)
 }
--- a/balance/software_test.go
+++ b/balance/software_test.go
@@ -33,11 +33,11 @@
 				t.Fatalf("picked %+v, %v, want i0 as the only candidate", c, ok)
 			}
 		}
-		if table.ShouldMoveFor(start, r, "i0", draw) {
+		if table.ShouldMoveFor(start, r, "i0", nil, draw) {
 			t.Fatal("moves although no other target of its version has a slot")
 		}
 	}
-	if !table.ShouldMoveFor(start, balance.Request{Service: "s"}, "i0", 0) {
+	if !table.ShouldMoveFor(start, balance.Request{Service: "s"}, "i0", nil, 0) {
 		t.Fatal("a request that continues nothing does not move to a free target")
 	}
 	if c, ok := table.PickFor(start, r, map[string]bool{"i0": true}, 0); ok {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -564,6 +564,33 @@
 	})
 }
 
+// Guards against a request that leaves its last target for a free slot at one that it has tried
+// before, and is then refused although it may have run.
+func TestQueuedRequestDoesNotMoveBack(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		slow := func(ctx context.Context, call *exchange.Call) (*exchange.Response, error) {
+			select {
+			case <-time.After(300 * time.Millisecond):
+				return respond(exchange.Done, 200, strings.NewReader(eventStream(1, 2)), true)(ctx, call)
+			case <-ctx.Done():
+				return neverRespond(ctx, call)
+			}
+		}
+		f := newFixture(resumable, 2, respond(exchange.NotRun, 503, strings.NewReader(""), false), slow)
+		for at := range 8 {
+			time.AfterFunc(time.Duration(at)*50*time.Millisecond, func() {
+				f.report("i0", 0)
+				f.report("i1", 0)
+			})
+		}
+		time.Sleep(time.Millisecond)
+		if c := f.serve(t.Context()); c.body.String() != eventStream(1, 2) || len(f.sender.calls) != 2 {
+			t.Fatalf("got body %q after %d sends, refusal %+v", c.body.String(), len(f.sender.calls), c.refusal)
+		}
+		time.Sleep(time.Second)
+	})
+}
+
 // A request waits at an unreachable target that is reported to have free slots, and is retried at
 // another one. If the entry does not record that, it sends the next request to the same target; if
 // it ignores the agent's report that the target does not respond, requests still wait there. With
--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -40,7 +40,7 @@
 		now, free := time.Now(), false
 		idle := false
 		s.g.view.WithTable(func(t *balance.Table) {
-			free = t.ShouldMoveFor(now, s.needs(), c.Instance.ID, rand.Float64())
+			free = t.ShouldMoveFor(now, s.needs(), c.Instance.ID, s.tried, rand.Float64())
 			idle = t.HasFreeSlot(now, c.Instance.ID)
 		})
 		unresponsive := now.Sub(sent) >= s.firstEventTimeout(c) && !s.reportedResponsive(c.Instance) || s.reportedUnresponsive(c.Instance)
