gateway: a silent target is awaited if there is no other

Change: without a further candidate the request stays where it is, up to its deadline. Its target counts as unresponsive for others as before.

Test, red before: TestSilentTargetIsAwaitedIfThereIsNoOther (four cases, "refusal no_target, NotRun false").

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -291,6 +291,12 @@
 	return otherFree && draw*float64(waiting) < float64(free)
 }
 
+// HasOther reports whether a request may be sent to a target that is neither the given one nor in
+// tried.
+func (t *Table) HasOther(now time.Time, r Request, instance string, tried map[string]bool) bool {
+	return slices.ContainsFunc(t.candidates(now, r, tried), func(v *View) bool { return v.Instance.ID != instance })
+}
+
 // Alive reports whether a target's agent has recently reported that the target responds. A
 // request there without a response is then waiting for a slot.
 func (t *Table) Alive(now time.Time, id string) bool {
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -216,7 +216,7 @@
 	startWatchdog := func() *watchdog {
 		return newWatchdog(s.gapTimeout(), s.gapTimeout(), cancel, func() bool {
 			s.handleUnresponsive(in)
-			return s.mayRetry()
+			return s.mayRetry() && s.hasOther(in)
 		})
 	}
 	gapWatchdog := startWatchdog()
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -591,6 +591,59 @@
 	})
 }
 
+// pausingStream sends the events 1 and 2 after a pause before each.
+func pausingStream(pause time.Duration) scriptedResponse {
+	return func(ctx context.Context, _ *exchange.Call) (*exchange.Response, error) {
+		rd, wr := io.Pipe()
+		go func() {
+			for n := 1; n <= 2; n++ {
+				select {
+				case <-time.After(pause):
+				case <-ctx.Done():
+					_ = wr.CloseWithError(ctx.Err())
+					return
+				}
+				_, _ = io.WriteString(wr, eventStream(n, n)) // fails only if the stream has been given up
+			}
+			_ = wr.Close()
+		}()
+		return &exchange.Response{Status: http.StatusOK, Header: http.Header{}, Body: rd, EventStream: true, ContentLength: -1}, nil
+	}
+}
+
+// Guards against a response that is given up because its target pauses, although no other target
+// may get the request.
+func TestSilentTargetIsAwaitedIfThereIsNoOther(t *testing.T) {
+	notRun := respond(exchange.NotRun, 503, strings.NewReader(""), false)
+	lateResponse := func(ctx context.Context, call *exchange.Call) (*exchange.Response, error) {
+		select {
+		case <-time.After(800 * time.Millisecond):
+			return goodStream()(ctx, call)
+		case <-ctx.Done():
+			return neverRespond(ctx, call)
+		}
+	}
+	for name, c := range map[string]struct {
+		targets int
+		replies []scriptedResponse
+	}{
+		"pause in the stream of the only target":       {1, []scriptedResponse{pausingStream(800 * time.Millisecond)}},
+		"pause in the stream of the last target":       {2, []scriptedResponse{notRun, pausingStream(800 * time.Millisecond)}},
+		"pause before the response of the only target": {1, []scriptedResponse{lateResponse}},
+		"pause before the response of the last target": {2, []scriptedResponse{notRun, lateResponse}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				f := newFixture(resumable, c.targets, c.replies...)
+				if got := f.serve(t.Context()); got.body.String() != eventStream(1, 2) || got.aborted {
+					t.Errorf("got body %q, aborted %v, refusal %+v after %d sends, want the stream", got.body.String(), got.aborted, got.refusal, len(f.sender.calls))
+				}
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
 // A request waits at an unreachable target that is reported to have free slots, and is retried at
 // another one. If the entry does not record that, it sends the next request to the same target; if
 // it ignores the agent's report that the target does not respond, requests still wait there. With
--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -53,7 +53,7 @@
 			// unreachable. The next request should not spend one of its attempts there too.
 			s.updateHealth(c.Instance, balance.Slow, "late")
 		}
-		if !s.mayRetry() || !free && !unresponsive {
+		if !s.mayRetry() || !free && !(unresponsive && s.hasOther(c.Instance)) {
 			return false
 		}
 		if resuming {
@@ -65,6 +65,13 @@
 	}
 }
 
+// hasOther reports whether the request may be sent to a further target. Without one it waits for the
+// target that has it: its silence alone is no reason to end the response sooner.
+func (s *requestState) hasOther(in targets.Instance) (other bool) {
+	s.g.view.WithTable(func(t *balance.Table) { other = t.HasOther(time.Now(), s.needs(), in.ID, s.tried) })
+	return other
+}
+
 // unresponsiveOutcome returns the outcome to record for a target whose response does not
 // start. When the target's load is not reported and no slot is reserved, the request may just
 // be queued there: ejecting such targets at peak load leaves fewer and fewer for all requests.
