--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -53,7 +53,7 @@
 			// unreachable. The next request should not spend one of its attempts there too.
 			s.updateHealth(c.Instance, balance.Slow, "late")
 		}
-		if !s.mayRetry() || !free && !(unresponsive && s.hasOther(c.Instance)) {
+		if shouldMove := free || unresponsive && s.hasOther(c.Instance); !shouldMove || !s.mayRetry() {
 			return false
 		}
 		if resuming {
