quarantine: the times after which runs broke off tell sound parts amid crashes

Change: marks hold that time too. If more targets crash without a part than with it, the times have to agree as well, within a factor of two and 50 ms.

Tests, red before: two rows of TestAmbiguousEvidenceHoldsAPartShortly.

--- a/quarantine/ambiguous.go
+++ b/quarantine/ambiguous.go
@@ -13,10 +13,12 @@
 	nearFactor = 4
 	minNear    = 5 * time.Second
 	// maxEventsSpread is by how many events the points may differ at which the responses to
-	// requests with a part broke off, beside a factor of two. maxEventsSpreadAmongOthers applies if
-	// more targets crashed without the part than with it.
+	// requests with a part broke off, beside a factor of two. If more targets crashed without the
+	// part than with it, maxEventsSpreadAmongOthers applies, and maxTookSpreadAmongOthers to the
+	// times after which they broke off: runs that wait for a slot have no events yet.
 	maxEventsSpread            = 8
 	maxEventsSpreadAmongOthers = 2
+	maxTookSpreadAmongOthers   = 50 * time.Millisecond
 )
 
 // findAmbiguous determines the culprits with ambiguous evidence. Whatever ends targets at random
@@ -62,7 +64,8 @@
 // culprit explains.
 func (r *record) isAmbiguous(unexplained map[targets.Incarnation]time.Time) bool {
 	var first, last time.Time
-	var fewest, most uint64 // events
+	var fewest, most uint64             // events
+	var shortest, longest time.Duration // until the crash
 	crashes := 0
 	for _, m := range r.marks {
 		switch {
@@ -80,7 +83,10 @@
 		if crashes == 0 || m.Events < fewest {
 			fewest = m.Events
 		}
-		most = max(most, m.Events)
+		if crashes == 0 || m.Took < shortest {
+			shortest = m.Took
+		}
+		most, longest = max(most, m.Events), max(longest, m.Took)
 		crashes++
 	}
 	near := max(nearFactor*last.Sub(first), minNear)
@@ -90,12 +96,12 @@
 			others++
 		}
 	}
-	if r.part == "" {
-		return others > crashes
-	}
-	spread := uint64(maxEventsSpread)
-	if others > crashes {
-		spread = maxEventsSpreadAmongOthers
+	amongOthers := others > crashes
+	switch {
+	case r.part == "":
+		return amongOthers
+	case amongOthers:
+		return most > 2*fewest+maxEventsSpreadAmongOthers || longest > 2*shortest+maxTookSpreadAmongOthers
 	}
-	return most > 2*fewest+spread
+	return most > 2*fewest+maxEventsSpread
 }
--- a/quarantine/ambiguous_test.go
+++ b/quarantine/ambiguous_test.go
@@ -13,6 +13,7 @@
 type crashAt struct {
 	after  time.Duration
 	events uint64
+	took   time.Duration
 }
 
 // addPartCrashes adds crashes of different targets under different requests with testPart, each of
@@ -20,7 +21,7 @@
 func addPartCrashes(tab *quarantine.Table, all ...crashAt) {
 	for n, c := range all {
 		m := partMark(n, n, n+1)
-		m.At, m.Events = start.Add(c.after), c.events
+		m.At, m.Events, m.Took = start.Add(c.after), c.events, c.took
 		tab.AddCrash(m.At, m)
 	}
 }
@@ -39,7 +40,14 @@
 func TestAmbiguousEvidenceHoldsAPartShortly(t *testing.T) {
 	at := func(events ...uint64) (all []crashAt) {
 		for n, e := range events {
-			all = append(all, crashAt{time.Duration(n) * 200 * time.Millisecond, e})
+			all = append(all, crashAt{after: time.Duration(n) * 200 * time.Millisecond, events: e})
+		}
+		return all
+	}
+	queued := func(tookMs ...time.Duration) []crashAt {
+		all := at(0, 0, 1, 0, 0)
+		for n, ms := range tookMs {
+			all[n].took = ms * time.Millisecond
 		}
 		return all
 	}
@@ -55,6 +63,9 @@
 		{"at one point, among many crashes without it", at(2, 1, 0, 2, 0), 20, true},
 		{"at any point", at(0, 5, 22, 1, 9), 0, false},
 		{"at nearby points, among more crashes without it", at(0, 5, 1, 3, 0), 6, false},
+		{"after different times without events, among more crashes without it", queued(31, 199, 62, 195, 42), 6, false},
+		{"after similar times without events, among more crashes without it", queued(41, 90, 62, 85, 42), 6, true},
+		{"after different times without events", queued(31, 199, 62, 195, 42), 0, true},
 		{"at nearby points, among fewer crashes without it", at(0, 5, 1, 3, 0), 5, true},
 	} {
 		tab := quarantine.NewTable()
--- a/quarantine/attempt.go
+++ b/quarantine/attempt.go
@@ -182,7 +182,7 @@
 
 // marks returns the marks of a crash.
 func (r BrokenRun) marks(now time.Time) []Mark {
-	m := Mark{Key: r.Key, Target: r.Target.Incarnation(), At: now, ResponseBegan: r.Events > 0, Events: r.Events}
+	m := Mark{Key: r.Key, Target: r.Target.Incarnation(), At: now, ResponseBegan: r.Events > 0, Events: r.Events, Took: r.Took}
 	out := []Mark{m}
 	for place, p := range r.Parts {
 		m.Key, m.Part, m.Request, m.Depth, m.Place = p.Key, p.ID, r.Key, r.depths[p.Key]+1, place
--- a/quarantine/part_simulation_test.go
+++ b/quarantine/part_simulation_test.go
@@ -285,7 +285,7 @@
 	ended := t.running
 	t.running, t.life, t.readyAt = nil, t.life+1, sim.now.Add(time.Second+time.Duration(sim.rng.IntN(3000))*time.Millisecond)
 	for _, r := range ended {
-		m := quarantine.Mark{Key: r.key, Target: target, At: sim.now, Events: sim.events(r)}
+		m := quarantine.Mark{Key: r.key, Target: target, At: sim.now, Events: sim.events(r), Took: sim.now.Sub(r.startAt)}
 		m.ResponseBegan = m.Events > 0
 		marks := []quarantine.Mark{m}
 		for place, p := range r.parts {
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -40,8 +40,9 @@
 	// its targets usually does so before its response begins, whereas the responses of the
 	// requests beside it have usually begun.
 	ResponseBegan bool
-	Void          bool   // the request completed afterwards, or an operator cleared it
-	Events        uint64 // of the response that had arrived before the crash, the most of several responses
+	Void          bool          // the request completed afterwards, or an operator cleared it
+	Events        uint64        // of the response that had arrived before the crash, the most of several responses
+	Took          time.Duration // from the start of the run to the crash, the longest of several runs
 	// Ambiguous says that the evidence was ambiguous when the store kept the mark of a culprit,
 	// without those of the other crashes. It is false in marks of crashes that a process observed.
 	Ambiguous bool
@@ -66,6 +67,7 @@
 	m.ResponseBegan = m.ResponseBegan || n.ResponseBegan
 	m.Proven = m.Proven || n.Proven
 	m.Events = max(m.Events, n.Events)
+	m.Took = max(m.Took, n.Took)
 	m.Ambiguous = m.Ambiguous || n.Ambiguous
 	m.Depth = max(m.Depth, n.Depth)
 	m.Place = max(m.Place, n.Place)
@@ -174,6 +176,7 @@
 		m.At = now // the clock of the sending host is ahead
 	}
 	m.At = m.At.Truncate(time.Millisecond) // wire precision: all processes compare equal times
+	m.Took = m.Took.Truncate(time.Millisecond)
 	if now.Sub(m.At) > markTTL {
 		return
 	}
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -37,6 +37,7 @@
 			m.ResponseBegan = rapid.Bool().Draw(t, "answered")
 			m.Void = rapid.IntRange(0, 5).Draw(t, "void") == 0
 			m.Events = uint64(rapid.SampledFrom([]int{0, 0, 1, 5, 30}).Draw(t, "events"))
+			m.Took = time.Duration(rapid.IntRange(0, 500).Draw(t, "took")) * time.Millisecond
 			m.Ambiguous = rapid.IntRange(0, 20).Draw(t, "ambiguous") == 0
 			if rapid.Bool().Draw(t, "of a part") {
 				p := quarantine.NewPart(fmt.Sprint("part", rapid.IntRange(0, 2).Draw(t, "part")))
