--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -255,7 +255,7 @@
 	s.service = route.Service(req.ID)
 	s.standing = g.shares.Standing(time.Now(), req.Holder)
 	req.Work.Class = route.Name
-	if s.maySend() && s.resolveOrigin() {
+	if s.resolveOrigin() {
 		s.run()
 	}
 	if s.g.origins != nil {
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -21,11 +21,14 @@
 }
 
 // resolveOrigin finds the software that began the stream whose rest the caller wants, and binds
-// the request to it. It reports false when it has refused the request instead.
+// the request to it. It reports false when it has ended the request instead.
 func (s *requestState) resolveOrigin() bool {
 	if s.req.ResumeAfter == 0 || s.g.origins == nil {
 		return true
 	}
+	if !s.maySend() {
+		return false
+	}
 	began := time.Now()
 	software, basis, err := s.g.origins.Resolve(s.ctx, origins.Query{
 		Key: s.req.Key, FirstAttempt: s.req.FirstAttempt, Service: s.serviceOfFirstAttempt(), Window: takeUpWindow(s.route),
