--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -106,6 +106,14 @@
 	return v.current.Get()
 }
 
+// CatalogVersion returns the version of the catalog in force, -1 if none is known yet.
+func (v *View) CatalogVersion() int64 {
+	if c := v.current.Get(); c != nil {
+		return c.Version
+	}
+	return -1
+}
+
 // CatalogAge returns how long the catalog has been in force in this process, 0 if none
 // is known yet.
 func (v *View) CatalogAge(now time.Time) time.Duration {
--- a/gateway/denied.go
+++ b/gateway/denied.go
@@ -46,7 +46,7 @@
 	}
 	if g.recordRefusal(workspace, r.Reason) {
 		g.log.Info("request refused", logging.F("request", id), logging.F("outcome", r.Reason),
-			logging.F("error", err.Error()), logging.F("catalog", g.version()))
+			logging.F("error", err.Error()), logging.F("catalog", g.view.CatalogVersion()))
 	}
 	return r
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -196,7 +196,7 @@
 	if refusal != nil {
 		if g.recordRefusal("", refusal.Reason) {
 			g.log.Info("request refused", logging.F("request", id), logging.F("outcome", refusal.Reason),
-				logging.F("host", host), logging.F("path", path), logging.F("catalog", g.version()))
+				logging.F("host", host), logging.F("path", path), logging.F("catalog", g.view.CatalogVersion()))
 		}
 	}
 	return route, refusal
@@ -211,14 +211,6 @@
 	return g.refusalLog.listed(now, workspace, reason)
 }
 
-// version returns the version of the catalog in force, -1 while none is loaded.
-func (g *Gateway) version() int64 {
-	if c := g.view.Catalog(); c != nil {
-		return c.Version
-	}
-	return -1
-}
-
 func (g *Gateway) route(ctx context.Context, host, path string) (*catalog.Route, *Refusal) {
 	if !g.view.Ready() {
 		if left := startupGrace - time.Since(g.started); left > 0 {
@@ -357,7 +349,7 @@
 		logging.F("load", c.Load), logging.F("batch", c.Batch),
 		logging.F("waiting", c.Waiting), logging.F("load_age_ms", ageMillis(c.LoadAge)),
 		logging.F("pace", c.Pace), logging.F("pace_age_ms", ageMillis(c.PaceAge)), logging.F("reserved", s.req.ReservedSlot != ""),
-		logging.F("among", c.Candidates), logging.F("catalog", s.g.version()))
+		logging.F("among", c.Candidates), logging.F("catalog", s.g.view.CatalogVersion()))
 }
 
 // maySend reports whether the request may still be sent. It ends the request if not. The check
--- a/runner/giveup.go
+++ b/runner/giveup.go
@@ -71,7 +71,7 @@
 			attempts = f.route.Attempts
 		}
 		r.cfg.Log.Warn("item given up", logging.F("job", c.open.Job), logging.F("item", c.open.Item.GetId()), logging.F("why", why),
-			logging.F("failed", f.failed), logging.F("attempts", attempts), logging.F("catalog", r.catalogVersion()), logging.F("confirmed", f.confirmed))
+			logging.F("failed", f.failed), logging.F("attempts", attempts), logging.F("catalog", r.cfg.View.CatalogVersion()), logging.F("confirmed", f.confirmed))
 		r.cfg.Metrics.Count("item_given_up")
 		r.finish(st, c, jobs.Outcome{Job: c.open.Job, Item: c.open.Index, Dead: true})
 	}
@@ -99,11 +99,3 @@
 	}
 	return f
 }
-
-// catalogVersion returns the version of the catalog in force, -1 while none is known.
-func (r *Runner) catalogVersion() int64 {
-	if cat := r.cfg.View.Catalog(); cat != nil {
-		return cat.Version
-	}
-	return -1
-}
