--- a/runner/reserve_test.go
+++ b/runner/reserve_test.go
@@ -215,13 +215,7 @@
 // faster one has a free seat. Its text is kept.
 func TestLateItemMovesToFasterTarget(t *testing.T) {
 	inBubble(t, func(ctx context.Context, t *testing.T, s *sharedstore.Store, e *engine) {
-		first := ""
-		e.slow = func(target string) bool {
-			if first == "" {
-				first = target
-			}
-			return target == first
-		}
+		e.slowAtFirst()
 		n := startNode(ctx, s, e, "a")
 		n.view.TargetSink().Apply(store.Record{Key: "i1", Value: []byte("1")})
 		time.Sleep(joinTime)
--- a/runner/route_test.go
+++ b/runner/route_test.go
@@ -13,13 +13,7 @@
 // longer sends it.
 func TestItemDoesNotMoveWithinAServiceThatItsRouteLeft(t *testing.T) {
 	inBubble(t, func(ctx context.Context, t *testing.T, s *sharedstore.Store, e *engine) {
-		first := ""
-		e.slow = func(target string) bool {
-			if first == "" {
-				first = target
-			}
-			return target == first
-		}
+		e.slowAtFirst()
 		n := startNode(ctx, s, e, "a")
 		n.view.TargetSink().Apply(store.Record{Key: "i1", Value: []byte("1")})
 		time.Sleep(joinTime)
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -117,6 +117,17 @@
 	return &exchange.Response{Status: status, Body: rd, EventStream: true, ContentLength: -1}, nil
 }
 
+// slowAtFirst makes the first target that gets an item slow.
+func (e *engine) slowAtFirst() {
+	first := ""
+	e.slow = func(target string) bool {
+		if first == "" {
+			first = target
+		}
+		return target == first
+	}
+}
+
 func (e *engine) runs(id string) []uint64 {
 	e.mu.Lock()
 	defer e.mu.Unlock()
