review: case 6, entries that panic when partitions are handed over

Case 6 restarts six of eight entries in turn by SIGTERM while jobs wait. Entries panic in (*Runner).work, called by sorted, when a partition whose items are being collected is taken away, also entries that nobody touches; the requests that these have passed on get no answer.

--- a/review/stage2/main.go
+++ b/review/stage2/main.go
@@ -20,6 +20,7 @@
 var cases = map[string]func(s *stage, trouble bool) (int, error){
 	"4": strayRegistrations,
 	"5": strayOverwrites,
+	"6": handOverCrash,
 }
 
 func main() {
--- a/review/stage2/stage.go
+++ b/review/stage2/stage.go
@@ -25,6 +25,7 @@
 var names struct {
 	RequestID, Deadline, Wait, Model, Tokens, Prefix, Stamp string
 	Settings, Jobs, Ready                                   string
+	Append, Read, Newest, Join, Leave, Owners               string
 	Routes                                                  map[string]map[string]any
 }
 
@@ -54,7 +55,7 @@
 type stage struct {
 	began   time.Time
 	dir     string // temporary, of settings and logs
-	store   *platformtest.Store
+	store   *logStore
 	entries []*entry
 	targets []*worker
 	procs   []*process
@@ -79,8 +80,25 @@
 
 // entry is an entry process with its addresses.
 type entry struct {
-	*process
 	callers, ready string
+	name           string
+	settings       map[string]any
+
+	mu sync.Mutex
+	*process
+	startedAt time.Time
+	signalled bool // this program ended it
+	ends      int  // by itself
+}
+
+// restart starts an entry again, as the platform does. The caller holds e.mu.
+func (s *stage) restart(e *entry) error {
+	p, err := s.launch("entry", e.name, e.settings)
+	if err != nil {
+		return err
+	}
+	e.process, e.signalled, e.startedAt = p, false, time.Now()
+	return nil
 }
 
 // worker is a stand-in of a target with its registration.
@@ -106,7 +124,7 @@
 		return nil, err
 	}
 	s := &stage{
-		began: time.Now(), dir: dir, store: platformtest.NewStore(partitions), record: f, stop: make(chan struct{}), strays: make(map[string]any),
+		began: time.Now(), dir: dir, store: newLogStore(partitions), record: f, stop: make(chan struct{}), strays: make(map[string]any),
 		client: &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	go s.beat()
@@ -158,7 +176,7 @@
 	if err := os.WriteFile(file, data, 0o600); err != nil {
 		return nil, err
 	}
-	out, err := os.Create(filepath.Join(s.dir, name+".log"))
+	out, err := os.OpenFile(filepath.Join(s.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, err
 	}
@@ -173,6 +191,8 @@
 		defer close(p.done)
 		_ = p.cmd.Wait() // the exit of a program is judged by what callers see
 	}()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.procs = append(s.procs, p)
 	return p, nil
 }
@@ -269,7 +289,7 @@
 	if err != nil {
 		return err
 	}
-	s.entries = append(s.entries, &entry{process: p, callers: hostPort(ip, callersPort), ready: hostPort(ip, readyPort)})
+	s.entries = append(s.entries, &entry{process: p, name: name, settings: settings, callers: hostPort(ip, callersPort), ready: hostPort(ip, readyPort), startedAt: time.Now()})
 	return nil
 }
 
@@ -297,13 +317,16 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// close ends all processes that were started. It returns whether one had ended by itself.
+// close ends all processes that were started.
 func (s *stage) close() {
 	close(s.stop)
-	for _, p := range s.procs {
+	s.mu.Lock()
+	procs := s.procs
+	s.mu.Unlock()
+	for _, p := range procs {
 		select {
 		case <-p.done:
-			s.logf("%s had ended by itself", p.name)
+			s.logf("%s had ended: %s", p.name, p.cmd.ProcessState)
 		default:
 			_ = p.cmd.Process.Kill() // fails only if it has just ended
 			<-p.done
