--- a/review/stage2/batch.go
+++ b/review/stage2/batch.go
@@ -7,11 +7,11 @@
 
 // batchFleet starts the small deployment: nine targets with their agents and eight entries.
 func batchFleet(s *stage, beforeEntries func()) error {
-	if err := s.configure(1, "stream", "batch"); err != nil {
+	if err := s.configure("stream", "batch"); err != nil {
 		return err
 	}
 	for n := range 9 {
-		if err := s.addTarget(fmt.Sprintf("i-%08x", 0x7f3a91c2+n*0x01234567), 8, 60, 5*time.Millisecond); err != nil {
+		if err := s.addTarget(fmt.Sprintf("i-%08x", 0x7f3a91c2+n*0x01234567), 60, 5*time.Millisecond); err != nil {
 			return err
 		}
 	}
@@ -19,7 +19,7 @@
 		beforeEntries()
 	}
 	for n := range 8 {
-		if err := s.addEntry(fmt.Sprintf("edge-kakkanad-%d", n+1), nil); err != nil {
+		if err := s.addEntry(fmt.Sprintf("edge-kakkanad-%d", n+1)); err != nil {
 			return err
 		}
 	}
@@ -53,7 +53,7 @@
 				continue
 			}
 			open++
-			_, _, _ = s.read(s.entries[(i+round)%len(s.entries)], j, 0)
+			_, _ = s.read(s.entries[(i+round)%len(s.entries)], j)
 			if j.last.After(finished) {
 				finished = j.last
 			}
--- a/review/stage2/crash.go
+++ b/review/stage2/crash.go
@@ -35,16 +35,16 @@
 // handOverCrash restarts six entries in turn by SIGTERM, while jobs wait. The other two run
 // undisturbed, and are in touch.
 func handOverCrash(s *stage, trouble bool) (int, error) {
-	if err := s.configure(1, "plain", "batch"); err != nil {
+	if err := s.configure("plain", "batch"); err != nil {
 		return failed, err
 	}
 	for n := range 9 {
-		if err := s.addTarget(fmt.Sprintf("i-%08x", 0x7f3a91c2+n*0x01234567), 8, 1, 250*time.Millisecond); err != nil {
+		if err := s.addTarget(fmt.Sprintf("i-%08x", 0x7f3a91c2+n*0x01234567), 1, 250*time.Millisecond); err != nil {
 			return failed, err
 		}
 	}
 	for n := range 8 {
-		if err := s.addEntry(fmt.Sprintf("edge-kakkanad-%d", n+1), nil); err != nil {
+		if err := s.addEntry(fmt.Sprintf("edge-kakkanad-%d", n+1)); err != nil {
 			return failed, err
 		}
 	}
--- a/review/stage2/main.go
+++ b/review/stage2/main.go
@@ -16,11 +16,12 @@
 	failed = 2 // the case could not run
 )
 
-// cases are the cases by number.
+// cases are the cases by name.
 var cases = map[string]func(s *stage, trouble bool) (int, error){
-	"4": strayRegistrations,
-	"5": strayOverwrites,
-	"6": handOverCrash,
+	"crash":      handOverCrash,
+	"overwrites": strayOverwrites,
+	"strays":     strayRegistrations,
+	"link":       fullLink,
 }
 
 func main() {
@@ -32,7 +33,11 @@
 }
 
 func run(name, record string) int {
-	s, err := newStage(record)
+	parts := smallPartitions
+	if name == "link" {
+		parts = linkPartitions
+	}
+	s, err := newStage(record, parts)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return failed
--- a/review/stage2/stage.go
+++ b/review/stage2/stage.go
@@ -34,8 +34,9 @@
 
 // Figures of the small deployment malg-renewals.
 const (
-	partitions       = 24
+	smallPartitions  = 24
 	callBytes        = 2097152
+	slots            = 8
 	heartbeat        = 1200 * time.Millisecond
 	contact          = 3 * time.Second
 	finish           = 18 * time.Second
@@ -62,6 +63,8 @@
 	seeds   []string
 	hosts   int
 	stop    chan struct{} // closed at the end
+	parts   int           // partitions of each topic
+	storeAt string        // address of the store for entries
 
 	mu     sync.Mutex
 	record *os.File
@@ -111,7 +114,7 @@
 	draining bool
 }
 
-func newStage(record string) (*stage, error) {
+func newStage(record string, parts int) (*stage, error) {
 	if err := json.Unmarshal(namesFile, &names); err != nil {
 		return nil, err
 	}
@@ -124,9 +127,10 @@
 		return nil, err
 	}
 	s := &stage{
-		began: time.Now(), dir: dir, store: newLogStore(partitions), record: f, stop: make(chan struct{}), strays: make(map[string]any),
+		began: time.Now(), dir: dir, store: newLogStore(parts), parts: parts, record: f, stop: make(chan struct{}), strays: make(map[string]any),
 		client: &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
+	s.storeAt = s.store.Addr()
 	go s.beat()
 	return s, nil
 }
@@ -148,14 +152,14 @@
 
 func hostPort(host string, port int) string { return fmt.Sprint(host, ":", port) }
 
-// configure writes a version of the configuration with the named routes.
-func (s *stage) configure(version int, routes ...string) error {
+// configure writes the configuration with the named routes.
+func (s *stage) configure(routes ...string) error {
 	var all []any
 	for _, name := range routes {
 		all = append(all, names.Routes[name])
 	}
 	value, err := json.Marshal(map[string]any{
-		"Version": version, "Routes": all,
+		"Version": 1, "Routes": all,
 		"Services": []any{map[string]any{"Name": service, "HealthPath": "/healthz", "MaxConns": 360}},
 		"Limits":   map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
 	})
@@ -198,7 +202,7 @@
 }
 
 // addTarget starts a target with its agent.
-func (s *stage) addTarget(id string, slots, events int, interval time.Duration) error {
+func (s *stage) addTarget(id string, events int, interval time.Duration) error {
 	ip := s.newHost()
 	tg, err := platformtest.NewTarget(id, hostPort(ip, targetPort), slots, events, interval)
 	if err != nil {
@@ -266,25 +270,18 @@
 }
 
 // addEntry starts an entry.
-func (s *stage) addEntry(name string, extra map[string]any) error {
-	return s.addEntryWith(name, s.store.Addr(), extra)
-}
-
-func (s *stage) addEntryWith(name, storeAddr string, extra map[string]any) error {
+func (s *stage) addEntry(name string) error {
 	ip := s.newHost()
 	peers := hostPort(ip, peersPort)
 	s.seeds = append(s.seeds, peers)
 	settings := map[string]any{
 		"name": name, "data_centre": "kakkanad-a", "callers": hostPort(ip, callersPort), "ready": hostPort(ip, readyPort), "peers": peers,
 		"metrics": hostPort(ip, entryMetricsPort), "agent_port": agentPort, "seeds": s.seeds[:min(len(s.seeds), 3)],
-		"store":        map[string]any{"addr": storeAddr, "partitions": partitions, "call_bytes": callBytes},
+		"store":        map[string]any{"addr": s.storeAt, "partitions": s.parts, "call_bytes": callBytes},
 		"keep_results": "120s", "stop_within": "8s", "memory_mb": 294, "gc_percent": 50,
 		"host":        map[string]any{"cpu_share": 0.8, "cores": 1, "link_mbps": 1000},
 		"plain_peers": true, "log": map[string]any{"level": "info", "format": "json"},
 	}
-	for k, v := range extra {
-		settings[k] = v
-	}
 	p, err := s.launch("entry", name, settings)
 	if err != nil {
 		return err
@@ -425,15 +422,15 @@
 	return false
 }
 
-// read reads the results of a job from a position on. It returns the status.
-func (s *stage) read(e *entry, j *job, from int) (total, next, status int) {
-	got := s.call(e.callers, http.MethodGet, names.Jobs+j.id+fmt.Sprint("?After=", from), j.id+"-r", nil, nil)
+// read reads the results of a job from its start. It returns the number of its items and the status.
+func (s *stage) read(e *entry, j *job) (total, status int) {
+	got := s.call(e.callers, http.MethodGet, names.Jobs+j.id+"?After=0", j.id+"-r", nil, nil)
 	if got.err != nil || got.status != http.StatusOK {
-		return 0, from, got.status
+		return 0, got.status
 	}
 	var page map[string]json.RawMessage
 	if json.Unmarshal(got.body, &page) != nil {
-		return 0, from, -1
+		return 0, -1
 	}
 	var results []struct {
 		ID    string `json:"Id"`
@@ -448,7 +445,7 @@
 		}
 		j.results[r.ID], j.texts[r.ID] = r.State, r.Text
 	}
-	return total, from + len(results), got.status
+	return total, got.status
 }
 
 // runs returns the runs at all targets by request id.
@@ -458,7 +455,10 @@
 	s.mu.Unlock()
 	out := make(map[string][]platformtest.Run)
 	for _, w := range ws {
-		for _, r := range w.Runs() {
+		w.mu.Lock()
+		runs := w.Runs()
+		w.mu.Unlock()
+		for _, r := range runs {
 			out[r.ID] = append(out[r.ID], r)
 		}
 	}
