review: case 8, a drained target that goes on getting requests

Case 8 starts a target again after its clock was put back by 2 s, so that the start time that it registers is smaller than before. Its entries are ignored from then on, the one that says that it drains too.

--- a/review/stage2/main.go
+++ b/review/stage2/main.go
@@ -22,6 +22,7 @@
 	"overwrites": strayOverwrites,
 	"strays":     strayRegistrations,
 	"link":       fullLink,
+	"born":       steppedClock,
 }
 
 func main() {
