review: case 4 restarts one machine at a time; case 7 withdrawn

Case 4 let its restarts overlap, though the sheet's roll takes one machine at a time. It waits for each entry now, and its claim sets its load against the sheet.

Case 7 had items of ten times the sheet's bytes.

--- a/review/stage2/crash.go
+++ b/review/stage2/crash.go
@@ -19,7 +19,7 @@
 	crashClients  = 4   // that submit jobs
 	keptPerEntry  = 6   // kept connections of online callers
 	rollTime      = 72 * time.Second
-	rollGap       = 2000 * time.Millisecond
+	rollGap       = 2000 * time.Millisecond // from when an entry is ready again
 	restartDelay  = 300 * time.Millisecond
 	rolled        = 6 // entries that are restarted in turn; the others are never signalled
 	maxUnanswered = 3
@@ -32,8 +32,8 @@
 	at    time.Time
 }
 
-// handOverCrash restarts six entries in turn by SIGTERM, while jobs wait. The other two run
-// undisturbed, and are in touch.
+// handOverCrash restarts six entries in turn by SIGTERM, one at a time, while jobs wait. The
+// other two run undisturbed, and are in touch.
 func handOverCrash(s *stage, trouble bool) (int, error) {
 	if err := s.configure("plain", "batch"); err != nil {
 		return failed, err
@@ -79,7 +79,9 @@
 	running.Go(func() { s.watchEnds(stop) })
 	for end, n := time.Now().Add(rollTime), 0; time.Now().Before(end); n++ {
 		if trouble {
-			running.Go(func() { s.roll(s.entries[n%rolled]) })
+			if err := s.roll(s.entries[n%rolled]); err != nil {
+				return failed, err
+			}
 		}
 		time.Sleep(rollGap)
 	}
@@ -88,12 +90,12 @@
 	return judgeCrash(s, answered, unanswered), nil
 }
 
-// roll restarts an entry by SIGTERM, unless it is being started.
-func (s *stage) roll(e *entry) {
+// roll restarts an entry by SIGTERM, unless it is being started, and waits until it is ready.
+func (s *stage) roll(e *entry) error {
 	e.mu.Lock()
 	if e.signalled || time.Since(e.startedAt) < contact {
 		e.mu.Unlock()
-		return
+		return nil
 	}
 	e.signalled = true
 	_ = e.cmd.Process.Signal(syscall.SIGTERM) // fails only if it has just ended
@@ -103,10 +105,17 @@
 	<-done
 	time.Sleep(restartDelay)
 	e.mu.Lock()
-	defer e.mu.Unlock()
-	if err := s.restart(e); err != nil {
-		s.logf("%s not restarted: %v", e.name, err)
+	err := s.restart(e)
+	e.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	for until := time.Now().Add(startTimeout); !s.isReady(e); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(until) {
+			return fmt.Errorf("%s is not ready", e.name)
+		}
 	}
+	return nil
 }
 
 // watchEnds counts the entries that end by themselves and starts them again, as the platform does.
--- a/review/stage2/main.go
+++ b/review/stage2/main.go
@@ -21,7 +21,6 @@
 	"crash":      handOverCrash,
 	"overwrites": strayOverwrites,
 	"strays":     strayRegistrations,
-	"link":       fullLink,
 	"born":       steppedClock,
 }
 
@@ -34,11 +33,7 @@
 }
 
 func run(name, record string) int {
-	parts := smallPartitions
-	if name == "link" {
-		parts = linkPartitions
-	}
-	s, err := newStage(record, parts)
+	s, err := newStage(record)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return failed
--- a/review/stage2/stage.go
+++ b/review/stage2/stage.go
@@ -34,7 +34,7 @@
 
 // Figures of the small deployment malg-renewals.
 const (
-	smallPartitions  = 24
+	partitions       = 24
 	callBytes        = 2097152
 	slots            = 8
 	heartbeat        = 1200 * time.Millisecond
@@ -63,8 +63,6 @@
 	seeds   []string
 	hosts   int
 	stop    chan struct{} // closed at the end
-	parts   int           // partitions of each topic
-	storeAt string        // address of the store for entries
 
 	mu     sync.Mutex
 	record *os.File
@@ -114,7 +112,7 @@
 	draining bool
 }
 
-func newStage(record string, parts int) (*stage, error) {
+func newStage(record string) (*stage, error) {
 	if err := json.Unmarshal(namesFile, &names); err != nil {
 		return nil, err
 	}
@@ -127,10 +125,9 @@
 		return nil, err
 	}
 	s := &stage{
-		began: time.Now(), dir: dir, store: newLogStore(parts), parts: parts, record: f, stop: make(chan struct{}), strays: make(map[string]any),
+		began: time.Now(), dir: dir, store: newLogStore(partitions), record: f, stop: make(chan struct{}), strays: make(map[string]any),
 		client: &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
-	s.storeAt = s.store.Addr()
 	go s.beat()
 	return s, nil
 }
@@ -277,7 +274,7 @@
 	settings := map[string]any{
 		"name": name, "data_centre": "kakkanad-a", "callers": hostPort(ip, callersPort), "ready": hostPort(ip, readyPort), "peers": peers,
 		"metrics": hostPort(ip, entryMetricsPort), "agent_port": agentPort, "seeds": s.seeds[:min(len(s.seeds), 3)],
-		"store":        map[string]any{"addr": s.storeAt, "partitions": s.parts, "call_bytes": callBytes},
+		"store":        map[string]any{"addr": s.store.Addr(), "partitions": partitions, "call_bytes": callBytes},
 		"keep_results": "120s", "stop_within": "8s", "memory_mb": 294, "gc_percent": 50,
 		"host":        map[string]any{"cpu_share": 0.8, "cores": 1, "link_mbps": 1000},
 		"plain_peers": true, "log": map[string]any{"level": "info", "format": "json"},
