review: case 4 takes a quarter of the items, and counts each entry in touch

Before, jobs of 200 items were needed for ends at the two entries that get no signal.

TROUBLE=0: held, no end. Trials with less: 144 jobs of 25 items, and 222 of 10 (twice): no end.

--- a/review/stage2/crash.go
+++ b/review/stage2/crash.go
@@ -15,9 +15,9 @@
 // Load and times of handOverCrash.
 const (
 	crashJobs     = 144
-	crashItems    = 200 // the most items of a job
-	crashClients  = 4   // that submit jobs
-	keptPerEntry  = 6   // kept connections of online callers
+	crashItems    = 50
+	crashClients  = 4 // that submit jobs
+	keptPerEntry  = 6 // kept connections of online callers
 	rollTime      = 72 * time.Second
 	rollGap       = 2000 * time.Millisecond // from when an entry is ready again
 	restartDelay  = 300 * time.Millisecond
@@ -33,7 +33,7 @@
 }
 
 // handOverCrash restarts six entries in turn by SIGTERM, one at a time, while jobs wait. The
-// other two run undisturbed, and are in touch.
+// other two run undisturbed. Each entry that is in touch counts.
 func handOverCrash(s *stage, trouble bool) (int, error) {
 	if err := s.configure("plain", "batch"); err != nil {
 		return failed, err
@@ -65,7 +65,7 @@
 	var mu sync.Mutex
 	var unanswered []keptCall
 	answered := 0
-	for n := rolled; n < len(s.entries); n++ {
+	for n := range s.entries {
 		for c := range keptPerEntry {
 			running.Go(func() {
 				ok, bad := s.callKept(n, c, stop)
@@ -97,7 +97,7 @@
 		e.mu.Unlock()
 		return nil
 	}
-	e.signalled = true
+	e.signalled, e.touched = true, time.Now()
 	_ = e.cmd.Process.Signal(syscall.SIGTERM) // fails only if it has just ended
 	done := e.done
 	e.mu.Unlock()
@@ -106,6 +106,7 @@
 	time.Sleep(restartDelay)
 	e.mu.Lock()
 	err := s.restart(e)
+	e.touched = time.Now()
 	e.mu.Unlock()
 	if err != nil {
 		return err
@@ -118,6 +119,14 @@
 	return nil
 }
 
+// inTouch reports whether neither a signal nor a start after one has disturbed the entry for
+// ContactMs. An entry that ended by itself counts as running.
+func (e *entry) inTouch() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.signalled && time.Since(e.touched) > contact
+}
+
 // watchEnds counts the entries that end by themselves and starts them again, as the platform does.
 func (s *stage) watchEnds(stop chan struct{}) {
 	for {
@@ -180,7 +189,7 @@
 			resp, err = http.ReadResponse(in, nil)
 		}
 		if err != nil {
-			if used {
+			if used && e.inTouch() {
 				unanswered = append(unanswered, keptCall{id, n, time.Now()})
 			}
 			s.logf("%s to %s, sent %.0f ms ago on a connection used before %v: no answer, %v", id, e.name, float64(time.Since(sent).Milliseconds()), used, err)
--- a/review/stage2/stage.go
+++ b/review/stage2/stage.go
@@ -88,8 +88,9 @@
 	mu sync.Mutex
 	*process
 	startedAt time.Time
-	signalled bool // this program ended it
-	ends      int  // by itself
+	signalled bool      // this program ended it
+	touched   time.Time // when this program last signalled it or started it again after that
+	ends      int       // by itself
 }
 
 // restart starts an entry again, as the platform does. The caller holds e.mu.
