--- a/review/stage2/crash.go
+++ b/review/stage2/crash.go
@@ -15,9 +15,9 @@
 // Load and times of handOverCrash.
 const (
 	crashJobs     = 144
-	crashItems    = 50
-	crashClients  = 4 // that submit jobs
-	keptPerEntry  = 6 // kept connections of online callers
+	crashItems    = 200 // the most items of a job
+	crashClients  = 4   // that submit jobs
+	keptPerEntry  = 6   // kept connections of online callers
 	rollTime      = 72 * time.Second
 	rollGap       = 2000 * time.Millisecond // from when an entry is ready again
 	restartDelay  = 300 * time.Millisecond
