targets: the registry's order decides which registration is newer, not start times

By the same fault requests ran at a target that now serves another service, a target at a new address got none, and streams that were taken up were joined from two software versions.

Cause: Set.Put compared the start times of two registrations of one ID. A target that starts while its clock is ahead, and once more after the clock was put back, has a lower start time; everything that it registered from then on was taken for a late record of an earlier start and ignored, until its registration ended. Not logged anywhere.

Hypotheses on paper, before the change: (1) Put ignores the lower start time; (2) draining is read but the balance table keeps the old view, whose identity is the start time; (3) entries read the registration late; (4) connections kept from the earlier start carry the requests.

Change: a registration carries its revision, its offset in the registry. Of two registrations of an ID the higher revision is newer; records read late (peers, copies, reads from the start) have a lower one and lose. Start times only tell incarnations apart. What start times did protect from is a write that the registry applies seconds after later ones, which then has the higher revision. It is recognized by what it says: an incarnation that was replaced before, or a lower sequence number of the same one. It counts only after three in a row without a registration of the known one between; while two incarnations contradict each other, neither is used. This also bounds what one registration of another writer can do under a target's ID. The same rule holds for the end of a registration. Ignored registrations are logged with both sides (`registration ignored`).

--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -50,21 +50,45 @@
 	v.reportRegistrations(updates)
 	now := time.Now()
 	var kept []string
+	var ignored []ignoredRegistration
 	v.updateTargets(func() {
 		for _, u := range updates {
-			if v.applyLocked(now, u) {
+			isKept, put := v.applyLocked(now, u)
+			if isKept {
 				kept = append(kept, u.record.Key)
 			}
+			if put != targets.Applied {
+				ignored = append(ignored, ignoredRegistration{u.registration, *v.set.Get(u.record.Key), put})
+			}
 		}
 	})
 	v.logKept(kept)
+	v.logIgnored(ignored)
+}
+
+// ignoredRegistration is a registration that was not applied, and the instance that was kept.
+type ignoredRegistration struct {
+	registration targets.Registration
+	known        targets.Instance
+	put          targets.PutResult
+}
+
+// logIgnored logs registrations that were not applied.
+func (v *View) logIgnored(all []ignoredRegistration) {
+	for _, ig := range all {
+		v.metrics.Count("registration_ignored")
+		v.log.Info("registration ignored", logging.F("instance", ig.registration.ID), logging.F("why", ig.put.String()),
+			logging.F("revision", ig.registration.Revision), logging.F("born", ig.registration.StartedUnixMs), logging.F("seq", ig.registration.Seq),
+			logging.F("draining", ig.registration.Draining), logging.F("known_born", ig.known.StartedUnixMs), logging.F("known_seq", ig.known.Seq),
+			logging.F("known_draining", ig.known.Draining), logging.F("in_use", !ig.known.Superseded))
+	}
 }
 
 // registryUpdate is a decoded record of the registry.
 type registryUpdate struct {
-	record   store.Record
-	instance targets.Instance
-	ended    bool // the registration was removed
+	record       store.Record
+	registration targets.Registration
+	ended        bool // the registration was removed
 	// unreadable is set if the record cannot be decoded. It may have overwritten the
 	// registration of a live target, which then gets no requests until its next
 	// heartbeat.
@@ -75,8 +99,8 @@
 	if len(r.Value) == 0 {
 		return registryUpdate{record: r, ended: true}
 	}
-	in, ok := v.decodeInstance(r)
-	return registryUpdate{record: r, instance: in, unreadable: !ok}
+	reg, ok := v.decodeRegistration(r)
+	return registryUpdate{record: r, registration: reg, unreadable: !ok}
 }
 
 // applyHeartbeats applies updates if all of them are heartbeats without other changes,
@@ -85,13 +109,13 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for _, u := range updates {
-		if u.ended || u.unreadable || !v.set.IsHeartbeat(u.instance) {
+		if u.ended || u.unreadable || !v.set.IsHeartbeat(u.registration) {
 			return false
 		}
 	}
 	for _, u := range updates {
-		v.set.Put(u.instance)
-		v.rawTargets[u.record.Key] = u.record
+		v.set.Put(u.registration)
+		v.noteRecordLocked(u.record)
 	}
 	return true
 }
@@ -101,7 +125,7 @@
 	var registered []targets.Instance
 	for _, u := range updates {
 		if !u.ended && !u.unreadable {
-			registered = append(registered, u.instance)
+			registered = append(registered, u.registration.Instance)
 		}
 	}
 	v.mu.Lock()
@@ -111,19 +135,30 @@
 }
 
 // applyLocked applies one update. It reports whether the target is kept although its
-// registration has ended. The caller holds v.mu.
-func (v *View) applyLocked(now time.Time, u registryUpdate) (kept bool) {
+// registration has ended, and what became of a registration. The caller holds v.mu.
+func (v *View) applyLocked(now time.Time, u registryUpdate) (kept bool, put targets.PutResult) {
 	switch {
 	case u.ended:
-		kept = v.set.Drop(now, u.record.Key)
-		delete(v.rawTargets, u.record.Key)
+		kept = v.set.Drop(now, u.record.Key, u.record.Offset)
 	case u.unreadable:
 		v.set.Supersede(u.record.Key)
 	default:
-		v.set.Put(u.instance)
-		v.rawTargets[u.record.Key] = u.record
+		put = v.set.Put(u.registration)
+	}
+	if !u.unreadable && put != targets.ReadLate {
+		v.noteRecordLocked(u.record)
+	}
+	return kept, put
+}
+
+// noteRecordLocked keeps the stored form of a registration for peers and copies. The caller
+// holds v.mu.
+func (v *View) noteRecordLocked(r store.Record) {
+	if len(r.Value) == 0 {
+		delete(v.rawTargets, r.Key)
+		return
 	}
-	return kept
+	v.rawTargets[r.Key] = r
 }
 
 // logKept logs the targets that are kept although their registrations have ended.
@@ -137,23 +172,23 @@
 	}
 }
 
-func (v *View) decodeInstance(r store.Record) (targets.Instance, bool) {
+func (v *View) decodeRegistration(r store.Record) (targets.Registration, bool) {
 	in, err := v.decoder.Instance(r.Key, r.Value)
 	if err != nil {
 		v.metrics.Count("registration_unreadable")
 		v.log.Warn("registration cannot be decoded", logging.F("instance", r.Key), logging.F("error", err.Error()))
-		return in, false
+		return targets.Registration{}, false
 	}
-	return in, true
+	return targets.Registration{Instance: in, Revision: r.Offset}, true
 }
 
 func (v *View) replaceTargets(recs []store.Record, from string) {
 	slices.SortFunc(recs, func(a, b store.Record) int { return cmp.Compare(a.Offset, b.Offset) })
-	var all []targets.Instance
+	var all []targets.Registration
 	raw := make(map[string]store.Record)
 	for _, r := range recs {
-		if in, ok := v.decodeInstance(r); ok {
-			all = append(all, in)
+		if reg, ok := v.decodeRegistration(r); ok {
+			all = append(all, reg)
 			raw[r.Key] = r
 		}
 	}
--- a/targets/targets.go
+++ b/targets/targets.go
@@ -11,8 +11,10 @@
 // Instance is a target as registered. A target that restarts may keep its ID; it then has
 // no state from before and its sequence numbers start again.
 type Instance struct {
-	ID            string
-	StartedUnixMs int64 // start time in Unix milliseconds; 0 if unknown
+	ID string
+	// StartedUnixMs is the start time in Unix milliseconds by the clock of the target's host, 0 if
+	// unknown. It identifies an incarnation and orders nothing, as the clock may be put back.
+	StartedUnixMs int64
 	Service       string
 	Version       string // of its software; "" if unknown
 	Addr          string // IP and port
@@ -37,6 +39,12 @@
 	return Incarnation{in.ID, in.StartedUnixMs}
 }
 
+// Registration is an instance as the registry holds it.
+type Registration struct {
+	Instance
+	Revision int64 // position in the registry; of two registrations of an ID the higher one is newer
+}
+
 // Software is what a target runs. The outputs of two runs can be joined only if their
 // software is equal; targets do not check it.
 type Software struct {
@@ -57,52 +65,146 @@
 // Set is the set of known instances. It is not safe for concurrent use.
 type Set struct {
 	addrOwner    map[string]string // ID of the instance that registered last, by address
-	byID         map[string]*Instance
+	byID         map[string]*entry
 	expired      map[string]time.Time // instances kept without a registration, with the time of its end
 	outageEnd    time.Time            // end of the last registry outage; zero if there was none
 	registryDown bool
 }
 
+// entry is a known instance.
+type entry struct {
+	Registration
+	replaced []int64 // start times of the incarnations before, the latest last
+	contrary contrary
+}
+
+// contrary is a series of registrations that contradict the known one. It is either a write that
+// the registry applied late, or a target that has restarted.
+type contrary struct {
+	last  Registration
+	count int
+}
+
+const (
+	// contraryLimit is the number of registrations in a row after which a contrary one counts. If
+	// the known one were right, its target would have registered in between.
+	contraryLimit = 3
+	// maxReplaced is the number of earlier incarnations that are remembered.
+	maxReplaced = 4
+)
+
 // NewSet returns an empty Set.
 func NewSet() *Set {
-	return &Set{addrOwner: make(map[string]string), byID: make(map[string]*Instance), expired: make(map[string]time.Time)}
+	return &Set{addrOwner: make(map[string]string), byID: make(map[string]*entry), expired: make(map[string]time.Time)}
 }
 
-// Put adds a registration or heartbeat. Draining is final for an incarnation: an old
-// heartbeat that arrives late does not undo it. A later incarnation replaces the earlier
-// one whatever their sequence numbers are; a record of an earlier incarnation, read late
-// or sent by a peer, is ignored.
-func (s *Set) Put(in Instance) {
-	if old := s.byID[in.ID]; old != nil {
-		if in.StartedUnixMs < old.StartedUnixMs {
-			return
+// PutResult is what Put did with a registration.
+type PutResult int
+
+// The results.
+const (
+	Applied  PutResult = iota
+	ReadLate           // a newer registration of the ID is known
+	Contrary           // probably a write that the registry applied late
+)
+
+// String returns the result for the log.
+func (r PutResult) String() string {
+	switch r {
+	case ReadLate:
+		return "read_late"
+	case Contrary:
+		return "contrary"
+	}
+	return "applied"
+}
+
+// Put adds a registration or heartbeat. Of two registrations of an ID the one with the higher
+// revision is newer: a record that was read late, or came from a peer or a copy, is ignored. Start
+// times tell incarnations apart and do not order them, since the clock of a host may be put back.
+// Draining is final for an incarnation.
+//
+// A target's write may be applied seconds after later ones and then has the higher revision. It is
+// recognized by its incarnation, which was replaced before, or by its sequence number, and counts
+// only if contraryLimit of them follow each other. While two incarnations contradict each other,
+// the instance is superseded, so that neither is used.
+func (s *Set) Put(reg Registration) PutResult {
+	e := s.byID[reg.ID]
+	switch {
+	case e == nil:
+		e = &entry{Registration: reg}
+	case reg.Revision < e.Revision:
+		return ReadLate
+	case e.contradicts(reg.Instance):
+		if reg.Revision > e.Revision {
+			e.noteContrary(reg)
 		}
-		if in.StartedUnixMs == old.StartedUnixMs {
-			if in.Seq < old.Seq {
-				delete(s.expired, in.ID)
-				return
+		if e.contrary.count < contraryLimit {
+			if reg.StartedUnixMs == e.StartedUnixMs {
+				delete(s.expired, reg.ID)
+			} else {
+				e.Superseded = true
 			}
-			in.Draining = in.Draining || old.Draining
+			return Contrary
 		}
+		e.replace(reg)
+	case reg.StartedUnixMs != e.StartedUnixMs:
+		e.replace(reg)
+	default:
+		reg.Draining = reg.Draining || e.Draining
+		e.Registration, e.contrary = reg, contrary{}
+	}
+	delete(s.expired, reg.ID)
+	s.assignAddr(reg.Addr, reg.ID)
+	s.byID[reg.ID] = e
+	return Applied
+}
+
+// contradicts reports whether a registration is older than the known one by what its target says.
+func (e *entry) contradicts(in Instance) bool {
+	if in.StartedUnixMs == e.StartedUnixMs {
+		return in.Seq < e.Seq
+	}
+	return slices.Contains(e.replaced, in.StartedUnixMs)
+}
+
+// noteContrary counts a registration that contradicts the known one.
+func (e *entry) noteContrary(reg Registration) {
+	last := e.contrary.last
+	e.Revision = reg.Revision
+	if reg.StartedUnixMs != last.StartedUnixMs || reg.Seq < last.Seq {
+		e.contrary.count = 0
 	}
-	delete(s.expired, in.ID)
-	s.assignAddr(in.Addr, in.ID)
-	s.byID[in.ID] = &in
+	e.contrary.last = reg
+	e.contrary.count++
+}
+
+// replace makes another incarnation the current one.
+func (e *entry) replace(reg Registration) {
+	e.replaced = slices.DeleteFunc(e.replaced, func(at int64) bool { return at == reg.StartedUnixMs })
+	if reg.StartedUnixMs != e.StartedUnixMs {
+		e.replaced = append(e.replaced, e.StartedUnixMs)
+	}
+	if len(e.replaced) > maxReplaced {
+		e.replaced = e.replaced[1:]
+	}
+	e.Registration, e.contrary = reg, contrary{}
 }
 
 // IsHeartbeat reports whether a registration is a plain heartbeat, which changes nothing except
 // that its instance is still alive. Without changes in the fleet all registrations are
 // heartbeats.
-func (s *Set) IsHeartbeat(in Instance) bool {
-	old := s.byID[in.ID]
-	if old == nil || in.Seq < old.Seq || s.addrOwner[in.Addr] != in.ID {
+func (s *Set) IsHeartbeat(reg Registration) bool {
+	old := s.byID[reg.ID]
+	if old == nil || reg.Revision < old.Revision || reg.Seq < old.Seq || s.addrOwner[reg.Addr] != reg.ID {
 		return false
 	}
-	if _, isExpired := s.expired[in.ID]; isExpired {
+	if _, isExpired := s.expired[reg.ID]; isExpired {
 		return false
 	}
+	in := reg.Instance
 	in.Seq = old.Seq
-	return in == *old
+	return in == old.Instance
 }
 
 // assignAddr assigns an address to the instance that registered last. Registrations of
@@ -123,13 +225,18 @@
 	}
 }
 
-// Drop records the end of a registration. Around a registry outage the instance is kept
+// Drop records the end of a registration at a revision, unless a newer one is known. Around a registry outage the instance is kept
 // until outageGrace after the outage, because registrations of live targets expire then and
 // return. It reports whether the instance is kept from now on.
-func (s *Set) Drop(now time.Time, id string) (kept bool) {
-	if s.byID[id] == nil {
+func (s *Set) Drop(now time.Time, id string, revision int64) (kept bool) {
+	e := s.byID[id]
+	if e == nil || revision < e.Revision {
 		return false
 	}
+	return s.drop(now, id)
+}
+
+func (s *Set) drop(now time.Time, id string) (kept bool) {
 	if !s.registryDown && (s.outageEnd.IsZero() || now.Sub(s.outageEnd) > outageGrace) {
 		s.remove(id)
 		return false
@@ -149,16 +256,16 @@
 	delete(s.expired, id)
 }
 
-// Replace sets the whole contents of the registry, with the newest registrations last. It
-// drops the instances that are not in all, and returns the IDs of those that Drop keeps.
-func (s *Set) Replace(now time.Time, all []Instance) (kept []string) {
+// Replace sets the whole contents of the registry, sorted by revision. It drops the instances
+// that are not in all, and returns the IDs of those that Drop keeps.
+func (s *Set) Replace(now time.Time, all []Registration) (kept []string) {
 	named := make(map[string]bool)
-	for _, in := range all {
-		named[in.ID] = true
-		s.Put(in)
+	for _, reg := range all {
+		named[reg.ID] = true
+		s.Put(reg)
 	}
 	for id := range s.byID {
-		if !named[id] && s.Drop(now, id) {
+		if !named[id] && s.drop(now, id) {
 			kept = append(kept, id)
 		}
 	}
@@ -204,8 +311,8 @@
 // All returns the instances, sorted by ID.
 func (s *Set) All() []Instance {
 	out := make([]Instance, 0, len(s.byID))
-	for _, in := range s.byID {
-		out = append(out, *in)
+	for _, e := range s.byID {
+		out = append(out, e.Instance)
 	}
 	slices.SortFunc(out, func(a, b Instance) int {
 		if a.ID < b.ID {
@@ -218,5 +325,8 @@
 
 // Get returns an instance, or nil if it is unknown.
 func (s *Set) Get(id string) *Instance {
-	return s.byID[id]
+	if e := s.byID[id]; e != nil {
+		return &e.Instance
+	}
+	return nil
 }
