fleet: the newest copy and the newest peer are those that have read the registry furthest

What callers would see: requests sent to targets that have left, after all processes restarted while the registry cannot be read.

Cause: of the copies of the fleet the one with the latest time of day of its writer was loaded. A copy written while a host's clock was 2 s ahead wins over those that others write in the 2 s after the clock was put back. Of the peers the first one that answers was believed, also one that has lost the store for longer than others. Import checked and replaced under two locks, so that a read of the store in between was overwritten by the older answer of a peer.

Change: copies and answers of peers carry the offset up to which the registry was read. Until this process has read the registry itself, one that was read further replaces the one before; after that neither is used, decided under one lock. The catalog was ordered by its version already.

--- a/daemon/background.go
+++ b/daemon/background.go
@@ -69,7 +69,7 @@
 	}
 	for wait.For(ctx, copyInterval) == nil {
 		if n.runner.HasPartition(copyPartition) {
-			n.copies.Save(ctx, time.Now())
+			n.copies.Save(ctx)
 		}
 	}
 }
--- a/fleet/copies.go
+++ b/fleet/copies.go
@@ -48,15 +48,15 @@
 
 // Save writes the view to all copies if it has changed since the last save. A save
 // that reaches at least one partition counts as done.
-func (c *Copies) Save(ctx context.Context, now time.Time) {
+func (c *Copies) Save(ctx context.Context) {
 	changes := c.view.ChangeCount()
 	if changes == c.savedChanges || !c.view.Ready() {
 		return
 	}
-	raw, recs := c.view.Export()
-	value, err := proto.Marshal(&wire.CatalogReply{Catalog: raw, Targets: store.ToWire(recs), SavedUnixMs: now.UnixMilli()})
+	snap := c.view.Export()
+	value, err := proto.Marshal(snap.ToWire())
 	if err != nil || len(value) > maxCopyBytes {
-		c.logger.Warn("fleet copy not saved: encoding failed or it exceeds one record", logging.F("bytes", len(value)), logging.F("targets", len(recs)))
+		c.logger.Warn("fleet copy not saved: encoding failed or it exceeds one record", logging.F("bytes", len(value)), logging.F("targets", len(snap.Targets)))
 		c.savedChanges = changes
 		return
 	}
@@ -73,17 +73,24 @@
 	}
 }
 
-// Load imports the newest readable copy into the view.
+// Load imports the readable copies into the view. They may be of different age: the catalog with
+// the highest version stays in force, and so do the registrations read up to the highest offset.
 func (c *Copies) Load(ctx context.Context) {
-	var newest *wire.CatalogReply
 	for _, p := range c.partitions() {
-		if r := c.readCopy(ctx, p); r != nil && (newest == nil || r.GetSavedUnixMs() > newest.GetSavedUnixMs()) {
-			newest = r
+		if r := c.readCopy(ctx, p); r != nil {
+			c.view.Import(SnapshotFromWire(r), "copy")
 		}
 	}
-	if newest != nil {
-		c.view.Import(newest.GetCatalog(), store.FromWire(newest.GetTargets()), "copy")
-	}
+}
+
+// ToWire encodes a snapshot for the wire and for stored copies.
+func (s Snapshot) ToWire() *wire.CatalogReply {
+	return &wire.CatalogReply{Catalog: s.Catalog, Targets: store.ToWire(s.Targets), RegistryEnd: s.RegistryEnd}
+}
+
+// SnapshotFromWire decodes a snapshot encoded by ToWire.
+func SnapshotFromWire(r *wire.CatalogReply) Snapshot {
+	return Snapshot{Catalog: r.GetCatalog(), Targets: store.FromWire(r.GetTargets()), RegistryEnd: r.GetRegistryEnd()}
 }
 
 func (c *Copies) readCopy(ctx context.Context, p store.Partition) *wire.CatalogReply {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -43,7 +43,9 @@
 	set           *targets.Set
 	rawTargets    map[string]store.Record // registrations by instance ID in their stored form, for peers
 	table         *balance.Table
+	registryEnd   int64         // offset of the next record of the registry
 	registryKnown bool          // registrations were received from the store, a peer or a copy
+	registryRead  bool          // registrations were read from the store
 	ready         chan struct{} // closed once catalog and registry are known
 	changes       uint64
 	catalogSince  time.Time // when the catalog in force was applied
@@ -230,7 +232,7 @@
 func (s catalogSink) Apply(recs ...store.Record) {
 	for _, r := range recs {
 		if r.Key == s.v.decoder.CatalogKey() && len(r.Value) > 0 {
-			s.v.applyCatalog(r.Value, "store")
+			s.v.applyCatalog(r.Value, fromStore)
 		}
 	}
 }
@@ -255,28 +257,38 @@
 	return v.set.All()
 }
 
-// Export returns the newest catalog and registrations in their stored form, for peers
-// and copies.
-func (v *View) Export() (raw []byte, recs []store.Record) {
+// fromStore names the store as the source of a catalog or registry, in the log.
+const fromStore = "store"
+
+// Snapshot is the newest catalog and the registrations in their stored form, for peers and copies.
+type Snapshot struct {
+	Catalog []byte // nil if none is known
+	Targets []store.Record
+	// RegistryEnd is the offset up to which the registry was read. Of two snapshots the one with
+	// the higher end has the newer registrations.
+	RegistryEnd int64
+}
+
+// Export returns a Snapshot of the view.
+func (v *View) Export() Snapshot {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	snap := Snapshot{Catalog: v.rawCatalog, RegistryEnd: v.registryEnd}
 	for _, r := range v.rawTargets {
-		recs = append(recs, r) // offsets stay: an address belongs to its newest registration
+		snap.Targets = append(snap.Targets, r) // offsets stay: they order the registrations
 	}
-	return v.rawCatalog, recs
+	return snap
 }
 
-// Import applies what another process exported. An older catalog is ignored, and
-// registrations are used only while this process knows none.
-func (v *View) Import(raw []byte, recs []store.Record, from string) {
-	if len(raw) > 0 {
-		v.applyCatalog(raw, from)
+// Import applies what another process exported. An older catalog is ignored. Registrations are
+// used only until this process has read them from the store, and if they are newer than those that
+// it knows.
+func (v *View) Import(snap Snapshot, from string) {
+	if len(snap.Catalog) > 0 {
+		v.applyCatalog(snap.Catalog, from)
 	}
-	v.mu.Lock()
-	known := v.registryKnown
-	v.mu.Unlock()
-	if !known && len(recs) > 0 {
-		v.replaceTargets(recs, from)
+	if len(snap.Targets) > 0 {
+		v.replaceTargets(snap.Targets, snap.RegistryEnd, from)
 	}
 }
 
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"strconv"
 	"testing"
-	"time"
 
 	"pumiceford/catalog"
 	"pumiceford/fleet"
@@ -59,7 +58,7 @@
 func TestLoadsCopyWhileRegistryIsDown(t *testing.T) {
 	s := sharedstore.New(numPartitions)
 	c := fleet.NewCopies(s.ClientFor("a"), "copies", numPartitions, filledView("7", "i0", "i1"), logging.Logger{})
-	c.Save(t.Context(), time.Now())
+	c.Save(t.Context())
 	// Two of the three partitions with copies are down as well.
 	s.SetPartitionDown(store.Partition{Topic: "copies", Number: 0}, true)
 	s.SetPartitionDown(store.Partition{Topic: "copies", Number: 8}, true)
@@ -86,11 +85,10 @@
 	v.CatalogSink().Reset([]store.Record{{Key: "c", Value: []byte("1")}})
 	v.TargetSink().Reset(recs)
 	s := sharedstore.New(numPartitions)
-	fleet.NewCopies(s.ClientFor("a"), "copies", numPartitions, v, logging.Logger{}).Save(t.Context(), time.Now())
+	fleet.NewCopies(s.ClientFor("a"), "copies", numPartitions, v, logging.Logger{}).Save(t.Context())
 	fromCopy, fromPeer := newView(), newView()
 	fleet.NewCopies(s.ClientFor("b"), "copies", numPartitions, fromCopy, logging.Logger{}).Load(t.Context())
-	raw, exported := v.Export()
-	fromPeer.Import(raw, store.FromWire(store.ToWire(exported)), "peer")
+	fromPeer.Import(fleet.SnapshotFromWire(v.Export().ToWire()), "peer")
 	for name, got := range map[string]*fleet.View{"copy": fromCopy, "peer": fromPeer} {
 		for _, in := range got.Instances() {
 			if in.Superseded != (in.ID[:3] == "old") {
@@ -104,7 +102,7 @@
 // have left.
 func TestCopyDoesNotOverrideKnownState(t *testing.T) {
 	s := sharedstore.New(numPartitions)
-	fleet.NewCopies(s.ClientFor("a"), "copies", numPartitions, filledView("7", "old"), logging.Logger{}).Save(t.Context(), time.Now())
+	fleet.NewCopies(s.ClientFor("a"), "copies", numPartitions, filledView("7", "old"), logging.Logger{}).Save(t.Context())
 	v := filledView("9", "new")
 	fleet.NewCopies(s.ClientFor("b"), "copies", numPartitions, v, logging.Logger{}).Load(t.Context())
 	if got := v.Instances(); v.Catalog().Version != 9 || len(got) != 1 || got[0].ID != "new" {
@@ -123,14 +121,14 @@
 func TestLoadsNewestCopy(t *testing.T) {
 	s := sharedstore.New(numPartitions)
 	old := fleet.NewCopies(s.ClientFor("a"), "copies", numPartitions, filledView("7"), logging.Logger{})
-	old.Save(t.Context(), time.UnixMilli(1000))
+	old.Save(t.Context())
 	before := s.CallCount()
-	old.Save(t.Context(), time.UnixMilli(2000))
+	old.Save(t.Context())
 	if s.CallCount() != before {
 		t.Fatal("unchanged view was saved again")
 	}
 	s.SetPartitionDown(store.Partition{Topic: "copies", Number: 0}, true)
-	fleet.NewCopies(s.ClientFor("a"), "copies", numPartitions, filledView("8"), logging.Logger{}).Save(t.Context(), time.UnixMilli(3000))
+	fleet.NewCopies(s.ClientFor("a"), "copies", numPartitions, filledView("8"), logging.Logger{}).Save(t.Context())
 	s.SetPartitionDown(store.Partition{Topic: "copies", Number: 0}, false)
 	v := newView()
 	fleet.NewCopies(s.ClientFor("b"), "copies", numPartitions, v, logging.Logger{}).Load(t.Context())
@@ -139,6 +137,56 @@
 	}
 }
 
+// Guards against targets that have left coming back from an older copy. Copies are as new as what
+// was read of the registry, whenever and by whichever clock they were saved.
+func TestCopyReadFurthestIsUsed(t *testing.T) {
+	for _, oldFirst := range []bool{true, false} {
+		s := sharedstore.New(numPartitions)
+		save := func(v *fleet.View, number int) {
+			for n := range numPartitions {
+				s.SetPartitionDown(store.Partition{Topic: "copies", Number: n}, n != number)
+			}
+			fleet.NewCopies(s.ClientFor("a"), "copies", numPartitions, v, logging.Logger{}).Save(t.Context())
+			for n := range numPartitions {
+				s.SetPartitionDown(store.Partition{Topic: "copies", Number: n}, false)
+			}
+		}
+		older, newer := filledView("7", "stays", "leaves"), filledView("7", "stays", "leaves")
+		newer.TargetSink().Apply(store.Record{Key: "leaves", Offset: 9})
+		first, second := 0, 8 // partitions in the order in which they are read
+		if oldFirst {
+			save(newer, second)
+			save(older, first)
+		} else {
+			save(newer, first)
+			save(older, second)
+		}
+		v := newView()
+		fleet.NewCopies(s.ClientFor("b"), "copies", numPartitions, v, logging.Logger{}).Load(t.Context())
+		if got := v.Instances(); len(got) != 1 || got[0].ID != "stays" {
+			t.Errorf("older copy read first %v: got %v, want only the target that stays", oldFirst, got)
+		}
+	}
+}
+
+// Guards against the registrations of a peer that has lost the store, or of a copy, in place of
+// those that were read from the store meanwhile.
+func TestImportDoesNotReplaceWhatWasReadFromTheStore(t *testing.T) {
+	older := filledView("7", "stays", "leaves").Export()
+	newer := filledView("7", "gone", "gone", "stays")
+	v := newView()
+	v.Import(older, "peer")
+	v.Import(newer.Export(), "peer")
+	if got := v.Instances(); len(got) != 2 || got[0].ID != "gone" {
+		t.Fatalf("got %v, want the targets of the peer that has read further", got)
+	}
+	v.TargetSink().Reset([]store.Record{{Key: "stays", Value: []byte("stays"), Offset: 1}})
+	v.Import(newer.Export(), "peer")
+	if got := v.Instances(); len(got) != 1 || got[0].ID != "stays" {
+		t.Fatalf("got %v, want what was read from the store", got)
+	}
+}
+
 // Guards against a record that cannot be decoded leaving a node without configuration.
 func TestIgnoresUnreadableCatalog(t *testing.T) {
 	v := filledView("3", "i0")
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -32,7 +32,7 @@
 
 // Reset implements store.Sink.
 func (s targetSink) Reset(recs []store.Record) {
-	s.v.replaceTargets(recs, "store")
+	s.v.replaceTargets(recs, 0, fromStore)
 }
 
 // Apply implements store.Sink. It applies all records as one change: when all targets
@@ -154,6 +154,7 @@
 // noteRecordLocked keeps the stored form of a registration for peers and copies. The caller
 // holds v.mu.
 func (v *View) noteRecordLocked(r store.Record) {
+	v.registryEnd = max(v.registryEnd, r.Offset+1)
 	if len(r.Value) == 0 {
 		delete(v.rawTargets, r.Key)
 		return
@@ -182,8 +183,11 @@
 	return targets.Registration{Instance: in, Revision: r.Offset}, true
 }
 
-func (v *View) replaceTargets(recs []store.Record, from string) {
+// replaceTargets replaces the registry by recs, which were read up to the offset end or further.
+func (v *View) replaceTargets(recs []store.Record, end int64, from string) {
+	recs = slices.Clone(recs)
 	slices.SortFunc(recs, func(a, b store.Record) int { return cmp.Compare(a.Offset, b.Offset) })
+	end = max(end, endOf(recs))
 	var all []targets.Registration
 	raw := make(map[string]store.Record)
 	for _, r := range recs {
@@ -194,16 +198,35 @@
 	}
 	now := time.Now()
 	var kept []string
+	replaced := false
 	v.updateTargets(func() {
+		// Decided under the lock: a read of the store may have ended meanwhile.
+		replaced = from == fromStore || !v.registryRead && (!v.registryKnown || end > v.registryEnd)
+		if !replaced {
+			return
+		}
 		kept = v.set.Replace(now, all)
 		v.rawTargets = raw
+		v.registryEnd = max(v.registryEnd, end)
 		v.registryKnown = true
+		v.registryRead = v.registryRead || from == fromStore
 	})
+	if !replaced {
+		return
+	}
 	v.logKept(kept)
 	v.mu.Lock()
 	v.closeReadyLocked()
 	v.mu.Unlock()
-	v.log.Info("registry loaded", logging.F("from", from), logging.F("targets", len(all)))
+	v.log.Info("registry loaded", logging.F("from", from), logging.F("targets", len(all)), logging.F("end", end))
+}
+
+// endOf returns the offset after the last of records that are sorted by offset.
+func endOf(recs []store.Record) int64 {
+	if len(recs) == 0 {
+		return 0
+	}
+	return recs[len(recs)-1].Offset + 1
 }
 
 // updateTargets calls change with v.mu held. If the instances differ afterwards, it
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -62,8 +62,7 @@
 		// A send fails only if the peer has disconnected.
 		_ = st.Send(s.Versions(ctx))
 	case call.GetCatalog() != nil:
-		raw, recs := s.View.Export()
-		_ = st.Send(&wire.CatalogReply{Catalog: raw, Targets: store.ToWire(recs)})
+		_ = st.Send(s.View.Export().ToWire())
 	}
 }
 
@@ -337,17 +336,20 @@
 // fetchTimeout bounds one request for a catalog.
 const fetchTimeout = 500 * time.Millisecond
 
-// Fetch asks the peers in turn for their catalog and targets, until one returns them, and
-// imports these into view.
+// Fetch asks the peers for their catalog and targets, and imports what they return into view. The
+// newest replaces the others: a peer that has lost the store knows less than one that follows it.
 func (pool *Pool) Fetch(ctx context.Context, view *fleet.View) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	var all sync.WaitGroup
 	for _, p := range pool.sessions() {
-		callCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
-		reply := &wire.CatalogReply{}
-		err := p.Call(callCtx, link.Control, &wire.Call{Kind: &wire.Call_Catalog{Catalog: &wire.CatalogFetch{}}}, reply)
-		cancel()
-		if err == nil && len(reply.GetCatalog()) > 0 {
-			view.Import(reply.GetCatalog(), store.FromWire(reply.GetTargets()), "peer")
-			return
-		}
+		all.Go(func() {
+			reply := &wire.CatalogReply{}
+			err := p.Call(ctx, link.Control, &wire.Call{Kind: &wire.Call_Catalog{Catalog: &wire.CatalogFetch{}}}, reply)
+			if err == nil && len(reply.GetCatalog()) > 0 {
+				view.Import(fleet.SnapshotFromWire(reply), "peer")
+			}
+		})
 	}
+	all.Wait()
 }
