logging: lines written after the log is closed are dropped

Cause: Close closed the channel that Write sends on. Change: Close signals the writer, which writes what is queued; later lines are dropped.

Red before: panic: send on closed channel, logging.(*Async).Write. Green: ./logging with -race.

--- a/logging/async.go
+++ b/logging/async.go
@@ -26,17 +26,19 @@
 	dropped    atomic.Uint64
 	second     atomic.Int64 // Unix second that count belongs to
 	count      atomic.Int64
-	done       chan struct{}
+	stop       chan struct{} // closed by Close
+	done       chan struct{} // closed when the queued lines have been written
 }
 
 // NewAsync returns an Async writer to out and starts its goroutine, which Close stops.
 func NewAsync(out io.Writer) *Async {
-	a := &Async{out: out, lines: make(chan []byte, maxQueuedLines), done: make(chan struct{})}
+	a := &Async{out: out, lines: make(chan []byte, maxQueuedLines), stop: make(chan struct{}), done: make(chan struct{})}
 	go a.run()
 	return a
 }
 
-// Write implements io.Writer. p must be one line. It never returns an error.
+// Write implements io.Writer. p must be one line. It never returns an error. After Close it drops
+// the line: requests that are cut off at the end of a stop still log that.
 func (a *Async) Write(p []byte) (int, error) {
 	if !a.allow(time.Now().Unix()) {
 		a.drop()
@@ -70,24 +72,46 @@
 
 func (a *Async) run() {
 	defer close(a.done)
-	for line := range a.lines {
-		if n := a.unreported.Swap(0); n > 0 {
-			a.write([]byte(`{"level":"warn","message":"log: lines left out","count":` + strconv.FormatUint(n, 10) + "}\n"))
+	for {
+		select {
+		case line := <-a.lines:
+			a.writeNext(line)
+		case <-a.stop:
+			a.writeQueued()
+			return
 		}
-		a.write(line)
 	}
 }
 
+// writeQueued writes the lines that are queued.
+func (a *Async) writeQueued() {
+	for {
+		select {
+		case line := <-a.lines:
+			a.writeNext(line)
+		default:
+			return
+		}
+	}
+}
+
+// writeNext writes a line, after the number of those dropped before it.
+func (a *Async) writeNext(line []byte) {
+	if n := a.unreported.Swap(0); n > 0 {
+		a.write([]byte(`{"level":"warn","message":"log: lines left out","count":` + strconv.FormatUint(n, 10) + "}\n"))
+	}
+	a.write(line)
+}
+
 // write writes one line. It ignores a write error, since the output is the only place to
 // report one.
 func (a *Async) write(line []byte) {
 	_, _ = a.out.Write(line)
 }
 
-// Close writes the queued lines and waits at most timeout for that. Write must not be called
-// after it.
+// Close writes the queued lines and waits at most timeout for that. It is called once.
 func (a *Async) Close(timeout time.Duration) {
-	close(a.lines)
+	close(a.stop)
 	select {
 	case <-a.done:
 	case <-time.After(timeout):
--- a/logging/async_test.go
+++ b/logging/async_test.go
@@ -86,3 +86,15 @@
 		}
 	})
 }
+
+// Guards against a panic of a process that is being stopped: requests that are cut off log it after
+// the log was closed.
+func TestWriteAfterCloseIsDropped(t *testing.T) {
+	var out bytes.Buffer
+	a := logging.NewAsync(&out)
+	_, _ = a.Write([]byte("before\n"))
+	a.Close(time.Minute)
+	if n, err := a.Write([]byte("after\n")); n != len("after\n") || err != nil || out.String() != "before\n" {
+		t.Fatalf("got %d, %v, output %q, want only the line before Close", n, err, out.String())
+	}
+}
