daemon: an entry follows agents of configured services only, and some of each

Hypotheses: (1) the 16 targets whose agents an entry follows are chosen among all registered ones, and seats are granted only by followed agents; (2) the group gives the partitions to entries that are not ready. The lost items all belong to some partitions and their entries log no seat request; a draw with the old choice, 90 targets of one service, 3 of another and 180 foreign ones: "44 of 50 entries follow no target of the small service".

Change: only targets of services in the catalog in force are followed, at least two of each, further ones up to 16 by the same ranking as before; with one service nothing changes. A change of the services is told like a change of the targets. Holders of stream origins are chosen among configured services too: beside many foreign targets, streams were refused as not recorded. The number of foreign targets is logged.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -134,6 +135,7 @@
 	Limits   Limits
 	Services map[string]Service
 	hosts    map[string][]Route // by host in lower case, longest prefix first
+	names    map[string]bool    // of the services and of those that routes name
 
 	byKey       map[KeyDigest]*Workspace // nil if requests need no key
 	workspaces  map[string]*Workspace    // by name
@@ -143,11 +145,15 @@
 
 // New returns a Catalog without workspaces.
 func New(version int64, limits Limits, services []Service, routes []Route) *Catalog {
-	c := &Catalog{Version: version, Limits: limits, Services: make(map[string]Service), hosts: make(map[string][]Route)}
+	c := &Catalog{Version: version, Limits: limits, Services: make(map[string]Service), hosts: make(map[string][]Route), names: make(map[string]bool)}
 	for _, s := range services {
 		c.Services[s.Name] = s
+		c.names[s.Name] = true
 	}
 	for _, r := range routes {
+		for _, s := range r.Shares {
+			c.names[s.Service] = true
+		}
 		host := strings.ToLower(r.Host)
 		c.hosts[host] = append(c.hosts[host], r)
 	}
@@ -157,6 +163,16 @@
 	return c
 }
 
+// HasService reports whether a service is configured.
+func (c *Catalog) HasService(name string) bool {
+	return c.names[name]
+}
+
+// HasSameServices reports whether another catalog has the same services.
+func (c *Catalog) HasSameServices(other *Catalog) bool {
+	return maps.Equal(c.names, other.names)
+}
+
 // Match returns the route of a host with the longest prefix of path, or nil if there is
 // none.
 func (c *Catalog) Match(host, path string) *Route {
--- a/daemon/agentlinks.go
+++ b/daemon/agentlinks.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,10 +19,15 @@
 	"pumiceford/wire"
 )
 
-// maxWatchedTargets bounds the number of targets whose load one entry follows, so that the
-// number of its sessions and messages does not grow with the fleet. More watched targets
-// make placement worse: many entries then see the same free slot and all choose it.
-const maxWatchedTargets = 16
+const (
+	// maxWatchedTargets bounds the number of targets whose load one entry follows, so that the
+	// number of its sessions and messages does not grow with the fleet. More watched targets
+	// make placement worse: many entries then see the same free slot and all choose it.
+	maxWatchedTargets = 16
+	// minWatchedPerService is the number of targets of each configured service that are followed
+	// in any case. An item of a service of which none is followed would never run.
+	minWatchedPerService = 2
+)
 
 // agentLinks maintains the sessions to the agents beside the targets. It implements
 // runner.Seats and gateway.FailureNotifier.
@@ -39,6 +46,7 @@
 	// unwatched are the sessions with agents whose targets are not followed, by address of the
 	// target. They are used for origins of streams.
 	unwatched map[string]*unwatchedAgent
+	foreign   int // registered targets of services that are not configured
 }
 
 // unwatchedAgent is a session with an agent whose target is not followed.
@@ -63,35 +71,56 @@
 	}
 }
 
-// update opens and closes links so that the agents of the given targets are followed. When
-// there are more than maxWatchedTargets, a stable subset is followed, chosen by rendezvous
-// hashing on the node's name.
+// update opens and closes links so that the agents of the chosen targets are followed.
 func (a *agentLinks) update(ctx context.Context, all []targets.Instance) {
-	byID := make(map[string]targets.Instance, len(all))
-	var ids []string
-	for _, in := range all {
-		byID[in.ID] = in
-		ids = append(ids, in.ID)
-	}
-	keep := make(map[string]bool)
-	for _, id := range routing.Top(ids, routing.Score(a.cfg.Node, 1), maxWatchedTargets) {
-		keep[id] = true
-	}
-	a.shares.SetFollowed(len(keep), len(byID))
+	keep, configured := watchedTargets(a.cfg.Node, all, a.view.IsConfigured)
+	a.shares.SetFollowed(len(keep), configured)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for id, l := range a.links {
-		if !keep[id] || l.target != byID[id].Addr {
+		if in, ok := keep[id]; !ok || l.target != in.Addr {
 			l.stop()
 			l.peer.Close()
 			delete(a.links, id)
 		}
 	}
-	for id := range keep {
+	for id, in := range keep {
 		if a.links[id] == nil {
-			a.links[id] = a.watch(ctx, byID[id])
+			a.links[id] = a.watch(ctx, in)
+		}
+	}
+	if foreign := len(all) - configured; foreign != a.foreign {
+		a.foreign = foreign
+		a.log.Info("targets of services that are not configured are not followed", logging.F("targets", foreign), logging.F("followed", len(keep)))
+	}
+}
+
+// watchedTargets chooses the targets whose agents a node follows: minWatchedPerService of each
+// configured service, and further ones up to maxWatchedTargets in all. It also returns the number
+// of targets of configured services. The choice is stable, by rendezvous hashing on the node's name.
+func watchedTargets(node string, all []targets.Instance, isConfigured func(service string) bool) (keep map[string]targets.Instance, configured int) {
+	byID := make(map[string]targets.Instance, len(all))
+	for _, in := range all {
+		if isConfigured(in.Service) {
+			byID[in.ID] = in
+		}
+	}
+	ranked := routing.Top(slices.Collect(maps.Keys(byID)), routing.Score(node, 1), len(byID))
+	keep = make(map[string]targets.Instance)
+	perService := make(map[string]int)
+	for _, id := range ranked {
+		if in := byID[id]; perService[in.Service] < minWatchedPerService {
+			perService[in.Service]++
+			keep[id] = in
+		}
+	}
+	for _, id := range ranked {
+		if len(keep) >= maxWatchedTargets {
+			break
 		}
+		keep[id] = byID[id]
 	}
+	return keep, len(byID)
 }
 
 func (a *agentLinks) watch(ctx context.Context, in targets.Instance) *agentLink {
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -242,7 +242,7 @@
 	}
 	n.setUpRateLimits(linkCfg, base.WithPrefix("limits"))
 	n.origins = origins.NewDirectory(origins.Config{
-		Registry: n.registry, Agents: n.agentLinks, Entries: n.peerPool, Clock: boottime.Now, Log: base.WithPrefix("origins"), Metrics: n.metrics,
+		Registry: n.registry, Agents: n.agentLinks, Entries: n.peerPool, IsConfigured: n.view.IsConfigured, Clock: boottime.Now, Log: base.WithPrefix("origins"), Metrics: n.metrics,
 	})
 	n.gateway = gateway.New(gateway.Config{
 		View: n.view, CatalogAsOf: n.config.AsOf, Sender: deps.Sender, Reserver: deps.Sender, FailureNotifier: n.agentLinks, Quarantine: n.quarantine, Refusals: n.refusals, Shares: n.shares, Origins: n.origins, Shutdown: n.shutdown,
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -70,8 +70,8 @@
 	}
 }
 
-// OnTargetChange sets the function that is called with all instances after they change. It
-// is called without locks held.
+// OnTargetChange sets the function that is called with all instances after they, or the services in
+// force, change. It is called without locks held.
 func (v *View) OnTargetChange(fn func([]targets.Instance)) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -108,6 +108,13 @@
 	return v.current.Get()
 }
 
+// IsConfigured reports whether the catalog in force has a service. Without a catalog all services
+// count as configured.
+func (v *View) IsConfigured(service string) bool {
+	c := v.current.Get()
+	return c == nil || c.HasService(service)
+}
+
 // CatalogVersion returns the version of the catalog in force, -1 if none is known yet.
 func (v *View) CatalogVersion() int64 {
 	if c := v.current.Get(); c != nil {
@@ -163,8 +170,12 @@
 	v.mu.Lock()
 	before := v.current.Get()
 	newer := v.current.SetIfNewer(c)
-	onShares := func() {}
+	onShares, onServices := func() {}, func() {}
 	if newer {
+		if before == nil || !c.HasSameServices(before) {
+			all, notify := v.set.All(), v.onChange
+			onServices = func() { notify(all) }
+		}
 		if before != nil && v.noteChangedSharesLocked(time.Now(), c.ChangedShares(before)) {
 			onShares = v.onShares
 		}
@@ -175,6 +186,7 @@
 	}
 	v.mu.Unlock()
 	onShares()
+	onServices()
 	if newer {
 		v.metrics.SetGauge("catalog_version", float64(c.Version))
 		v.metrics.Count("catalog_changes")
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -286,3 +286,27 @@
 		t.Error("notified of heartbeats as a change")
 	}
 }
+
+// serviceDecoder decodes a catalog whose only service is named by the number of its version.
+type serviceDecoder struct{ decoder }
+
+func (serviceDecoder) Catalog(value []byte) (*catalog.Catalog, error) {
+	v, err := strconv.ParseInt(string(value), 10, 64)
+	return catalog.New(v, catalog.Limits{}, []catalog.Service{{Name: fmt.Sprint("s", v)}}, nil), err
+}
+
+// Guards against targets of a service that are not followed after a catalog has added it: a change of
+// the services is told like a change of the targets.
+func TestNotifiesOnServiceChanges(t *testing.T) {
+	v := fleet.NewView(serviceDecoder{}, 1, logging.Logger{}, metrics.New("test"))
+	var configured []string
+	v.OnTargetChange(func([]targets.Instance) {
+		configured = append(configured, fmt.Sprint(v.IsConfigured("s1"), v.IsConfigured("s2")))
+	})
+	for _, version := range []string{"1", "1", "2"} {
+		v.CatalogSink().Apply(store.Record{Key: "c", Value: []byte(version)})
+	}
+	if want := "[true false false true]"; fmt.Sprint(configured) != want {
+		t.Fatalf("notified with services configured %v, want %s", configured, want)
+	}
+}
--- a/origins/directory.go
+++ b/origins/directory.go
@@ -108,9 +108,12 @@
 	Registry Registry
 	Agents   Agents
 	Entries  Entries
-	Clock    func() time.Duration // monotonic, includes the time for which the host is suspended
-	Log      logging.Logger
-	Metrics  *metrics.Set
+	// IsConfigured reports whether a service is configured; nil if all are. Other targets have no
+	// agent that holds origins.
+	IsConfigured func(service string) bool
+	Clock        func() time.Duration // monotonic, includes the time for which the host is suspended
+	Log          logging.Logger
+	Metrics      *metrics.Set
 }
 
 // Directory knows the origins of streams that began at this entry or another one. It is safe for
@@ -177,6 +180,9 @@
 
 // NewDirectory returns a Directory.
 func NewDirectory(cfg Config) *Directory {
+	if cfg.IsConfigured == nil {
+		cfg.IsConfigured = func(string) bool { return true }
+	}
 	return &Directory{cfg: cfg, history: NewHistory(), own: NewTable(), open: make(map[string]Stream)}
 }
 
@@ -328,7 +334,7 @@
 func (d *Directory) SetTargets(all []targets.Instance) {
 	var addrs []string
 	for _, in := range all {
-		if !in.Draining && !in.Superseded {
+		if !in.Draining && !in.Superseded && d.cfg.IsConfigured(in.Service) {
 			addrs = append(addrs, in.Addr)
 		}
 	}
