platform, targets: a registration that lacks a field names no target

Hypotheses ruled out: a late own registration (the store's order shows the foreign one is the newest), an address taken over (the address is the target's own).

A start time is required once the target's own registrations state it (older platforms do not): one without it contradicts them, so that the target is not used until its own next registration.

--- a/targets/targets.go
+++ b/targets/targets.go
@@ -160,12 +160,13 @@
 	return Applied
 }
 
-// contradicts reports whether a registration is older than the known one by what its target says.
+// contradicts reports whether a registration is older than the known one by what its target says,
+// or lacks a start time although the target states it.
 func (e *entry) contradicts(in Instance) bool {
 	if in.StartedUnixMs == e.StartedUnixMs {
 		return in.Seq < e.Seq
 	}
-	return slices.Contains(e.replaced, in.StartedUnixMs)
+	return in.StartedUnixMs == 0 || slices.Contains(e.replaced, in.StartedUnixMs)
 }
 
 // noteContrary counts a registration that contradicts the known one.
