link, jobstore: elapsed time is measured on the monotonic clock

A host whose time of day jumps forward by 2 s lost all sessions to other hosts at once: the time since the last heartbeat was kept as Unix nanoseconds, and a session ends after 2 s. A jump back kept dead sessions for 2 s longer. In the same way a partition counted as without a local runner.

Change: both keep the moment with its monotonic reading. Other elapsed times do so already.

--- a/jobstore/jobstore.go
+++ b/jobstore/jobstore.go
@@ -105,13 +105,14 @@
 	probeSlot    chan struct{}
 	lastUsed     time.Time // guarded by Store.mu
 	stop         context.CancelFunc
-	runnerUsedAt atomic.Int64 // last access by a local runner, in Unix nanoseconds
+	runnerUsedAt atomic.Pointer[time.Time] // last access by a local runner; nil if there was none
 }
 
 // hasLocalRunner reports whether a runner of this process used the partition within
 // runnerTimeout.
 func (p *partition) hasLocalRunner() bool {
-	return time.Since(time.Unix(0, p.runnerUsedAt.Load())) < runnerTimeout
+	at := p.runnerUsedAt.Load()
+	return at != nil && time.Since(*at) < runnerTimeout
 }
 
 // New returns a Store whose followers run until ctx ends.
@@ -160,7 +161,8 @@
 // reads does not apply to the partition until runnerTimeout has passed.
 func (s *Store) forRunner(number int) *partition {
 	p := s.forCaller(number)
-	p.runnerUsedAt.Store(time.Now().UnixNano())
+	now := time.Now()
+	p.runnerUsedAt.Store(&now)
 	return p
 }
 
--- a/link/session.go
+++ b/link/session.go
@@ -23,10 +23,10 @@
 	mux   *yamux.Session
 	conn  *muxConn
 	wake  chan struct{} // signalled when a stream was opened, so that the next heartbeat is due now
-	// waitingSince is a time in Unix nanoseconds. On the dialling side it is when the
-	// oldest unanswered heartbeat was sent, 0 if there is none; on the accepting side,
-	// when the last heartbeat arrived.
-	waitingSince atomic.Int64
+	// waitingSince is, on the dialling side, when the oldest unanswered heartbeat was sent, nil if
+	// there is none; on the accepting side, when the last heartbeat arrived. It is compared on the
+	// monotonic clock: a step of the host's time of day ends no session.
+	waitingSince atomic.Pointer[time.Time]
 	closed       atomic.Bool                     // close was called
 	lastStatus   atomic.Pointer[wire.NodeStatus] // last status sent
 	sinceStatus  atomic.Int32                    // heartbeats sent since then
@@ -80,7 +80,7 @@
 			return
 		}
 		since := s.waitingSince.Load()
-		if since != 0 && time.Since(time.Unix(0, since)) > timeout {
+		if since != nil && time.Since(*since) > timeout {
 			s.close()
 			return
 		}
@@ -98,7 +98,8 @@
 	defer st.Close()
 	go s.readEchoes(st)
 	for n := uint64(1); ; n++ {
-		s.waitingSince.CompareAndSwap(0, time.Now().UnixNano())
+		now := time.Now()
+		s.waitingSince.CompareAndSwap(nil, &now)
 		if st.Send(&wire.Heartbeat{Tick: n, Status: s.heartbeatStatus()}) != nil {
 			s.close()
 			return
@@ -162,7 +163,7 @@
 		if st.Recv(hb) != nil {
 			return
 		}
-		s.waitingSince.Store(0)
+		s.waitingSince.Store(nil)
 		s.reportStatus(hb)
 	}
 }
@@ -185,7 +186,8 @@
 		if st.Recv(hb) != nil {
 			return
 		}
-		s.waitingSince.Store(time.Now().UnixNano())
+		now := time.Now()
+		s.waitingSince.Store(&now)
 		s.reportStatus(hb)
 		if st.Send(&wire.Heartbeat{Tick: hb.GetTick(), Status: s.heartbeatStatus()}) != nil {
 			return
@@ -258,7 +260,8 @@
 	stop := context.AfterFunc(ctx, s.close)
 	defer stop()
 	defer s.close()
-	s.waitingSince.Store(time.Now().UnixNano())
+	now := time.Now()
+	s.waitingSince.Store(&now)
 	s.watch(s.cfg.IdleHeartbeatInterval + s.cfg.HeartbeatTimeout)
 	s.accept(ctx)
 }
