gateway: a stream taken up after its last event is complete

Cause: a response without events counted as broken off, also when the caller had asked for what follows its last event. Items already take an empty rest for the end.

Change: an empty, complete response to a resumed stream is its end if a second target says the same, or if no other one can be asked; one target alone may have lost the rest. It no longer counts as a failure of the target or of the prompt. A stream that never began stays a failure.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -257,6 +257,9 @@
 			s.outcome = outcomeServed
 			return finished
 		}
+		if errors.Is(err, io.EOF) && s.resumeAfter() > 0 {
+			return s.handleEmptyRest(c, onFirst)
+		}
 		if errors.Is(err, io.EOF) {
 			err = errEmptyStream
 		}
@@ -285,6 +288,25 @@
 	}
 }
 
+// maxEmptyRests is the number of targets that are asked whether a stream has no more events. One
+// alone may have lost the rest.
+const maxEmptyRests = 2
+
+// handleEmptyRest handles the complete response of a target that has no events after the last one
+// that the caller has.
+func (s *requestState) handleEmptyRest(c balance.Choice, onFirst func() error) step {
+	s.emptyRests++
+	if s.emptyRests < maxEmptyRests && s.mayRetry() && s.hasOther(c.Instance) {
+		return s.continueElsewhere(c.Instance, errEmptyStream, ResponseLost)
+	}
+	if err := onFirst(); err != nil {
+		return s.handleRejectedStream(c, err)
+	}
+	s.updateHealth(c.Instance, balance.Succeeded, "")
+	s.outcome = outcomeServed
+	return finished
+}
+
 // handleBrokenStream decides what to do when a stream broke off. When timedOut is true, the
 // watchdog ended the stream and handleUnresponsive has already recorded the target's outcome.
 func (s *requestState) handleBrokenStream(in targets.Instance, timedOut bool, err error) step {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -284,6 +284,7 @@
 	headerSent      bool              // status and header were sent to the caller
 	lastEvent       uint64            // ID of the last event sent to the caller
 	attemptEvents   uint64            // events received in the last send
+	emptyRests      int               // targets that had no more events of the stream
 	firstResponseAt time.Time         // time of the first event or response
 	continues       *targets.Software // that the caller's events come from; nil while it has none
 	outcome         string
--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -245,3 +245,35 @@
 		}
 	})
 }
+
+// Guards against a failure in place of the end of a stream: the caller takes it up after the last
+// event, and the targets have no more. One target alone is not believed while there is another.
+func TestStreamTakenUpAfterItsLastEventIsComplete(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		f := newResumeFixture(ctx, t, instanceOf("a", "s", "v1"), instanceOf("b", "s", "v1"))
+		empty := func() scriptedResponse { return respond(exchange.Done, 200, strings.NewReader(""), true) }
+		cut := func() scriptedResponse { return respond(exchange.Done, 200, truncatedStream(4, 3), true) }
+		rest := func() scriptedResponse {
+			return respond(exchange.Done, 200, strings.NewReader(eventStream(4, 6)), true)
+		}
+		for name, tc := range map[string]struct {
+			after     uint64
+			responses []scriptedResponse
+			status    int
+			body      string
+		}{
+			"two targets have no more":              {after: 3, responses: []scriptedResponse{empty(), empty()}, status: 200},
+			"one has lost the rest":                 {after: 3, responses: []scriptedResponse{empty(), rest()}, status: 200, body: eventStream(4, 6)},
+			"one has no more, the other breaks off": {after: 3, responses: []scriptedResponse{empty(), cut()}},
+			"it never began":                        {responses: []scriptedResponse{empty(), empty()}},
+		} {
+			f.entries[0].serve(ctx, "one "+name, "", 0, respond(exchange.Done, 200, truncatedStream(1, 3), true))
+			got := f.entries[1].serve(ctx, "two "+name, "one "+name, tc.after, tc.responses...)
+			if got.status != tc.status || got.body.String() != tc.body || (got.refusal != nil) != (tc.status == 0) {
+				t.Errorf("%s: %+v, want status %d and body %q", name, got, tc.status, tc.body)
+			}
+		}
+	})
+}
