fleet: peers and copies get the registration that is believed, not a write applied late

An entry that has just started while the store is away would believe such a write, which the entry that it asks does not: the export held the newest record of each target, also one that was ignored.

Red before: fleet_test.go:335: got [{ID:a StartedUnixMs:9000 ...}], want the target that has restarted Green: ./fleet ./targets ./peers.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -310,3 +310,31 @@
 		t.Fatalf("notified with services configured %v, want %s", configured, want)
 	}
 }
+
+// bornDecoder decodes an instance from its start time and address, such as "7 10.0.0.1:1".
+type bornDecoder struct{ decoder }
+
+func (bornDecoder) Instance(id string, value []byte) (targets.Instance, error) {
+	in := targets.Instance{ID: id, Service: "s", Slots: 1}
+	_, err := fmt.Sscan(string(value), &in.StartedUnixMs, &in.Addr)
+	return in, err
+}
+
+// Guards against entries that have just started and believe a write that the registry applied late:
+// what a peer exports is what it believes.
+func TestExportLeavesOutWritesAppliedLate(t *testing.T) {
+	bornView := func() *fleet.View { return fleet.NewView(bornDecoder{}, 1, logging.Logger{}, metrics.New("test")) }
+	v := bornView()
+	v.TargetSink().Reset([]store.Record{{Key: "a", Value: []byte("9000 10.0.0.1:1")}})
+	for n, value := range []string{"7000 10.0.0.2:1", "9000 10.0.0.1:1"} {
+		v.TargetSink().Apply(store.Record{Key: "a", Value: []byte(value), Offset: int64(n + 1)})
+	}
+	started := bornView()
+	started.Import(v.Export(), "peer")
+	if got := started.Instances(); len(got) != 1 || got[0].Addr != "10.0.0.2:1" {
+		t.Fatalf("got %+v, want the target that has restarted", got)
+	}
+	if end := v.Export().RegistryEnd; end != 3 {
+		t.Fatalf("registry read up to %d, want 3", end)
+	}
+}
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -116,6 +116,7 @@
 	for _, u := range updates {
 		v.set.Put(u.registration)
 		v.noteRecordLocked(u.record)
+		v.registryEnd = max(v.registryEnd, u.record.Offset+1)
 	}
 	return true
 }
@@ -145,16 +146,16 @@
 	default:
 		put = v.set.Put(u.registration)
 	}
-	if !u.unreadable && put != targets.ReadLate {
+	if !u.unreadable && put == targets.Applied {
 		v.noteRecordLocked(u.record)
 	}
+	v.registryEnd = max(v.registryEnd, u.record.Offset+1)
 	return kept, put
 }
 
 // noteRecordLocked keeps the stored form of a registration for peers and copies. The caller
 // holds v.mu.
 func (v *View) noteRecordLocked(r store.Record) {
-	v.registryEnd = max(v.registryEnd, r.Offset+1)
 	if len(r.Value) == 0 {
 		delete(v.rawTargets, r.Key)
 		return
--- a/targets/targets.go
+++ b/targets/targets.go
@@ -226,9 +226,9 @@
 	}
 }
 
-// Drop records the end of a registration at a revision, unless a newer one is known. Around a registry outage the instance is kept
-// until outageGrace after the outage, because registrations of live targets expire then and
-// return. It reports whether the instance is kept from now on.
+// Drop records the end of a registration at a revision, unless a newer one is known. Around a
+// registry outage the instance is kept until outageGrace after the outage, because registrations
+// of live targets expire then and return. It reports whether the instance is kept from now on.
 func (s *Set) Drop(now time.Time, id string, revision int64) (kept bool) {
 	e := s.byID[id]
 	if e == nil || revision < e.Revision {
