fleet: notices of changed targets come one at a time, with the newest targets

A notice that was prepared first and delivered last left the entry with the agents and holders of before, at a start with none, until the next change. Two changes of the registry could cross in the same way before.

Change: notices are serialized, and each reads the targets when its turn comes.

Red before: fleet_test.go:369: the last notice had 0 targets, want 1 Green: ./fleet ./daemon ./gateway ./peers ./runner with -race.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -38,6 +38,10 @@
 
 	current catalog.Current
 
+	// notifying is held while onChange runs, so that calls for concurrent changes end with the newest
+	// instances. It is taken before mu.
+	notifying sync.Mutex
+
 	mu            sync.Mutex
 	rawCatalog    []byte // newest catalog in its stored form, for peers
 	set           *targets.Set
@@ -71,13 +75,23 @@
 }
 
 // OnTargetChange sets the function that is called with all instances after they, or the services in
-// force, change. It is called without locks held.
+// force, change. It is called for one change at a time and must not change the view.
 func (v *View) OnTargetChange(fn func([]targets.Instance)) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.onChange = fn
 }
 
+// notifyTargetChange calls the function set by OnTargetChange.
+func (v *View) notifyTargetChange() {
+	v.notifying.Lock()
+	defer v.notifying.Unlock()
+	v.mu.Lock()
+	all, notify := v.set.All(), v.onChange
+	v.mu.Unlock()
+	notify(all)
+}
+
 // OnRegistrations sets the function that is called with registrations that are not heartbeats,
 // before OnTargetChange, also if they have ended since. It is called without locks held.
 func (v *View) OnRegistrations(fn func([]targets.Instance)) {
@@ -170,12 +184,9 @@
 	v.mu.Lock()
 	before := v.current.Get()
 	newer := v.current.SetIfNewer(c)
-	onShares, onServices := func() {}, func() {}
+	onShares := func() {}
+	servicesChanged := newer && (before == nil || !c.HasSameServices(before))
 	if newer {
-		if before == nil || !c.HasSameServices(before) {
-			all, notify := v.set.All(), v.onChange
-			onServices = func() { notify(all) }
-		}
 		if before != nil && v.noteChangedSharesLocked(time.Now(), c.ChangedShares(before)) {
 			onShares = v.onShares
 		}
@@ -186,7 +197,9 @@
 	}
 	v.mu.Unlock()
 	onShares()
-	onServices()
+	if servicesChanged {
+		v.notifyTargetChange()
+	}
 	if newer {
 		v.metrics.SetGauge("catalog_version", float64(c.Version))
 		v.metrics.Count("catalog_changes")
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"strconv"
+	"sync"
 	"testing"
+	"time"
 
 	"pumiceford/catalog"
 	"pumiceford/fleet"
@@ -338,3 +340,32 @@
 		t.Fatalf("registry read up to %d, want 3", end)
 	}
 }
+
+// Guards against agents of targets that have left, or of none, being followed until the next change:
+// the catalog and the registry change at the same time, and the older notice comes last.
+func TestLastNoticeHasTheNewestTargets(t *testing.T) {
+	v := newView()
+	entered, release, blocked := make(chan bool), make(chan bool), false
+	last := -1
+	v.OnTargetChange(func(all []targets.Instance) {
+		if !blocked {
+			blocked = true
+			entered <- true
+			<-release
+		}
+		last = len(all)
+	})
+	var changes sync.WaitGroup
+	changes.Go(func() { v.CatalogSink().Apply(store.Record{Key: "c", Value: []byte("1")}) })
+	<-entered
+	changes.Go(func() { v.TargetSink().Reset([]store.Record{{Key: "a", Value: []byte("a")}}) })
+	for len(v.Instances()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(10 * time.Millisecond) // the notice of the second change comes, or waits
+	close(release)
+	changes.Wait()
+	if last != 1 {
+		t.Fatalf("the last notice had %d targets, want 1", last)
+	}
+}
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -242,14 +242,13 @@
 		v.table.Replace(after)
 		v.changes++
 	}
-	notify := v.onChange
 	v.mu.Unlock()
 	if same {
 		return
 	}
 	v.logChanges(before, after)
 	v.metrics.SetGauge("targets", float64(len(after)))
-	notify(after)
+	v.notifyTargetChange()
 }
 
 // sameInstances reports whether a and b are equal apart from their sequence numbers.
