access: a key that was written just before is found

Cause: unknown keys cause a read of the configuration at most each 100 ms; a request within that time was decided by the read before. Change: it waits for the next one, which all requests share.

Red before: access_test.go:112: key of the newest configuration: no workspace has this key Green: ./access, TestUnknownKeysCauseFewStoreCalls as before.

--- a/access/access.go
+++ b/access/access.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"pumiceford/catalog"
+	"pumiceford/internal/wait"
 	"pumiceford/store"
 )
 
@@ -152,7 +153,7 @@
 			return nil
 		}
 		// The key may belong to a version that has not been received yet.
-		return a.refresh(ctx, minRefreshInterval)
+		return a.refreshSince(ctx, a.cfg.Clock())
 	}
 	if a.lease <= 0 || a.age() <= a.lease {
 		return nil
@@ -160,6 +161,15 @@
 	return a.refresh(ctx, a.lease)
 }
 
+// refreshSince confirms the configuration as of a time or later. It waits until minRefreshInterval has
+// passed since the last confirmation: callers do not try a key again that was refused as unknown.
+func (a *Authenticator) refreshSince(ctx context.Context, at time.Duration) error {
+	if age := a.age(); age < minRefreshInterval {
+		_ = wait.For(ctx, minRefreshInterval-age)
+	}
+	return a.refresh(ctx, a.cfg.Clock()-at)
+}
+
 // refresh confirms the configuration unless it was confirmed within maxAge.
 func (a *Authenticator) refresh(ctx context.Context, maxAge time.Duration) error {
 	if a.backingOff() {
--- a/access/access_test.go
+++ b/access/access_test.go
@@ -94,6 +94,26 @@
 	})
 }
 
+// Guards against a key that is refused although the store has it: the configuration was read just
+// before, and unknown keys cause few reads.
+func TestKeyWrittenJustAfterAReadIsFound(t *testing.T) {
+	inVirtualTime(t, func(ctx context.Context, t *testing.T) {
+		h := &testHost{store: sharedstore.New(1), start: time.Now()}
+		h.put("a")
+		h.follower = store.NewFollower(h.store.ClientFor("h"), configPartition, h, store.FollowerConfig{Clock: h.clock})
+		h.auth = NewAuthenticator(Config{Catalog: h.current.Get, Source: h.follower, KeyLease: keyLease, Clock: h.clock})
+		if err := h.follower.Confirm(ctx, 0); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(minRefreshInterval / 5)
+		h.put("ab")
+		time.Sleep(time.Millisecond)
+		if err := h.identify(ctx, "b"); err != nil {
+			t.Fatalf("key of the newest configuration: %v", err)
+		}
+	})
+}
+
 // Guards against a key that is refused because it belongs to a version that this host has not
 // read yet, and against a key that is refused for ever because it was used before it existed.
 func TestNewKeyIsReadFromStore(t *testing.T) {
