store, daemon: overdue store calls and late confirmations of the configuration are logged

No change of what is served. Entries logged none of these.

An overdue call now logs through whom it went and how long it has waited, at most four lines a second with the number left out; a confirmation of the configuration later than two reads take logs for how long there was none. Without these two lines before a late 'catalog in force' the version was received in time.

--- a/daemon/background.go
+++ b/daemon/background.go
@@ -3,11 +3,22 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"pumiceford/duties"
 	"pumiceford/internal/wait"
 	"pumiceford/logging"
+	"pumiceford/metrics"
+	"pumiceford/store"
+)
+
+const (
+	// unconfirmedMargin is added to the time of two reads before the configuration counts as
+	// confirmed late.
+	unconfirmedMargin = 500 * time.Millisecond
+	// overdueLogInterval is the shortest time between two lines on overdue store calls.
+	overdueLogInterval = 250 * time.Millisecond
 )
 
 // followStore follows the configuration and the registry until ctx ends.
@@ -25,6 +36,46 @@
 	n.log.Info("store answers again", logging.F("read", source), logging.F("away_ms", outage.Milliseconds()))
 }
 
+// configConfirmed logs that the configuration had not been confirmed for longer than two reads
+// take. A version that came into force with this confirmation may be as late as that.
+func (n *entryNode) configConfirmed(after time.Duration) {
+	if after > 2*configReadWait(n.set)+unconfirmedMargin {
+		n.metrics.Count("configuration_confirmed_late")
+		n.log.Warn("configuration was not confirmed for longer than two reads", logging.F("unconfirmed_ms", after.Milliseconds()), logging.F("catalog", n.view.CatalogVersion()))
+	}
+}
+
+// overdueLog counts overdue calls to the store and logs them, at most one each
+// overdueLogInterval. It is safe for concurrent use.
+type overdueLog struct {
+	log     logging.Logger
+	metrics *metrics.Set
+
+	mu       sync.Mutex
+	loggedAt time.Time
+	unlisted int // overdue calls since the last line
+}
+
+func newOverdueLog(log logging.Logger, ms *metrics.Set) *overdueLog {
+	return &overdueLog{log: log, metrics: ms}
+}
+
+// note counts an overdue call.
+func (l *overdueLog) note(o store.Overdue) {
+	l.metrics.Count("store_call_overdue")
+	l.mu.Lock()
+	now := time.Now()
+	if now.Sub(l.loggedAt) < overdueLogInterval {
+		l.unlisted++
+		l.mu.Unlock()
+		return
+	}
+	unlisted := l.unlisted
+	l.loggedAt, l.unlisted = now, 0
+	l.mu.Unlock()
+	l.log.Warn("store call is overdue", logging.F("through", o.Backend), logging.F("waited_ms", o.Waited.Milliseconds()), logging.F("unlisted_before", unlisted))
+}
+
 // watchPeers keeps the list of the other entries up to date from the group, and fetches
 // the catalog and the targets from them while this entry does not know them.
 func (n *entryNode) watchPeers(ctx context.Context) {
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -206,10 +206,13 @@
 	linkCfg := link.Config{Node: set.Name, Incarnation: oplog.NewIncarnation(), TLS: tlsConf, Dial: netx.Dial}
 	n.peerPool = peers.NewPool(set.Peers, linkCfg, set.Seeds)
 	n.store = store.NewFailover(deps.Store, n.peerPool.StorePeers)
+	overdue := newOverdueLog(n.log, n.metrics)
+	n.store.OnOverdue(overdue.note)
 	n.config = store.NewFollower(n.store, deps.Catalog, n.view.CatalogSink(), store.FollowerConfig{
 		Wait: configReadWait(set), ProbeInterval: store.ProbeInterval, Clock: boottime.Now,
-		OnFailure:  func(err error) { n.storeFailed("configuration", err) },
-		OnRecovery: func(d time.Duration) { n.storeRecovered("configuration", d) },
+		OnFailure:   func(err error) { n.storeFailed("configuration", err) },
+		OnRecovery:  func(d time.Duration) { n.storeRecovered("configuration", d) },
+		OnConfirmed: n.configConfirmed,
 	})
 	n.registry = n.view.RegistryFollower(n.store, deps.Registry, storeReadWait, boottime.Now)
 	n.access = access.NewAuthenticator(access.Config{
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -143,6 +143,9 @@
 	peer *link.Peer
 }
 
+// String returns the address of the peer.
+func (s PeerStore) String() string { return s.peer.Addr() }
+
 // call makes one call to the peer. If there is no reply, it marks the error with
 // store.ErrRefused when the call was not sent and with store.ErrUnavailable otherwise.
 func (s PeerStore) call(ctx context.Context, c *wire.StoreCall) (*wire.StoreReply, error) {
--- a/store/failover.go
+++ b/store/failover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -41,6 +42,8 @@
 	direct Client
 	peers  func() []Peer // in order of preference
 
+	onOverdue func(Overdue)
+
 	mu               sync.Mutex
 	avoidDirectUntil time.Time
 	avoidPeersUntil  time.Time
@@ -53,7 +56,30 @@
 // NewFailover returns a Failover that prefers direct and falls back to the peers that
 // peers returns, in that order.
 func NewFailover(direct Client, peers func() []Peer) *Failover {
-	return &Failover{direct: direct, peers: peers}
+	return &Failover{direct: direct, peers: peers, onOverdue: func(Overdue) {}}
+}
+
+// Overdue describes a call that has no response yet although one is due.
+type Overdue struct {
+	Backend string        // "direct" or the address of a peer
+	Waited  time.Duration // since the call began
+}
+
+// OnOverdue sets the function that is called for each overdue call. It must not block and is set
+// before the first call.
+func (f *Failover) OnOverdue(fn func(Overdue)) {
+	f.onOverdue = fn
+}
+
+// nameOf returns the name of a backend in the log.
+func (f *Failover) nameOf(b Peer) string {
+	if b == Peer(f.direct) {
+		return "direct"
+	}
+	if s, ok := b.(fmt.Stringer); ok {
+		return s.String()
+	}
+	return "peer"
 }
 
 // Append implements Log. It does not retry an append that gets no response, since
@@ -133,6 +159,7 @@
 	timer := time.NewTimer(hedgeDelay)
 	defer timer.Stop()
 	started, inFlight := 0, 0
+	var startedAt time.Time // of the latest call
 	startNext := func() {
 		if started == len(backends) {
 			return
@@ -140,6 +167,7 @@
 		b := backends[started]
 		started++
 		inFlight++
+		startedAt = time.Now()
 		timer.Reset(hedgeDelay)
 		go func() {
 			callCtx, cancel := context.WithTimeout(ctx, hedgeDelay+slowResponseTimeout)
@@ -166,6 +194,7 @@
 			startNext()
 		case <-timer.C:
 			f.recordResult(backends[started-1], ErrUnavailable)
+			f.onOverdue(Overdue{f.nameOf(backends[started-1]), time.Since(startedAt)})
 			startNext()
 		case <-ctx.Done():
 			return zero, errors.Mark(ctx.Err(), ErrUnavailable)
--- a/store/follower.go
+++ b/store/follower.go
@@ -36,6 +36,9 @@
 	// it, with the time since the first read that failed.
 	OnFailure  func(err error)
 	OnRecovery func(outage time.Duration)
+	// OnConfirmed is called with the time since the last confirmation whenever a read reaches the
+	// end of the partition. It is called with the follower's lock held.
+	OnConfirmed func(after time.Duration)
 	// LoadLimit bounds the number of concurrent full reads of partitions; nil sets no bound.
 	LoadLimit LoadLimit
 	// Clock is a monotonic clock for confirmation times; nil if they are not used.
@@ -111,6 +114,9 @@
 	if cfg.OnFailure == nil {
 		cfg.OnFailure = func(error) {}
 	}
+	if cfg.OnConfirmed == nil {
+		cfg.OnConfirmed = func(time.Duration) {}
+	}
 	if cfg.Clock == nil {
 		cfg.Clock = func() time.Duration { return 0 }
 	}
@@ -293,7 +299,11 @@
 	}
 }
 
+// confirmLocked records that the state is complete up to the time at. f.mu is held.
 func (f *Follower) confirmLocked(at time.Duration) {
+	if f.hasConfirmed {
+		f.cfg.OnConfirmed(f.cfg.Clock() - f.confirmedAt)
+	}
 	f.confirmedAt, f.hasConfirmed = max(f.confirmedAt, at), true
 }
 
