store: a change is in force in time whatever holds up peers

Cause: one read brought all changes, and nothing else ran beside it. It went through a peer if any direct call, also an append or the load of a job partition, had failed within the second before. A peer that stopped (killed, frozen, cut off) held it until its own timeout, 2 s of waiting and 0.7 s; the failover would have started the next call after 2.8 s only, so the failure was not even recorded and the next try could meet the same peer. A direct connection that went silent cost the same. The registry, which tells that targets leave, was read the same way.

Change: prompt followers, for configuration and registry. A read waits 0.8 s in place of 2 s and is overdue 0.15 s after that. Then probes start beside it, and the first response counts. A read that does not wait is also made through the next backend after 0.25 s, and the direct client is the second one at the latest. An overdue backend is recorded as failed; an overdue direct call drops idle connections, which may be silent as well. A reader of the configuration that is behind loads the newest in place of each version. All other reads through peers wait for 1 s at most, so that job partitions, which are read with waits of 8 s, do not depend on one peer either.

Why it holds: a change waits for at most pause + wait + overdue (0 or 0.25, 0.8, 0.15 s) and 0.25 s for each backend before the one that responds, of which the direct one is the first or second.

With it: a page without the next record is replaced by a load; a store that answers empty before the wait is over is not asked without a pause, and its answer no longer counts as complete up to the end of the wait ('complete up to 800ms from now' before). A route that the configuration lacks is refused for good only if it was confirmed 1.9 s ago or later, by the start of a read, in place of 4 s: its test allowed 404 for a route that had been added 3 s before, which the operators' bound of 2 s does not; the new cases are stricter.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -91,10 +91,9 @@
 
 // Intervals and bounds of an entry.
 const (
-	// storeReadWait is how long a read of the configuration or the registry waits for
-	// records. A change has to be in force within 2 s even if the connection of a read
-	// stops delivering data.
-	storeReadWait  = 2 * time.Second
+	// configLoadAge is the age from which a load of the configuration, one record, counts as
+	// hung.
+	configLoadAge  = 1200 * time.Millisecond
 	expireInterval = 200 * time.Millisecond
 	ownersInterval = 4 * time.Second
 	// ownersRetryInterval is the interval after a failure. A process that knows no owners loads
@@ -208,13 +207,13 @@
 	n.store = store.NewFailover(deps.Store, n.peerPool.StorePeers)
 	overdue := newOverdueLog(n.log, n.metrics)
 	n.store.OnOverdue(overdue.note)
-	n.config = store.NewFollower(n.store, deps.Catalog, n.view.CatalogSink(), store.FollowerConfig{
-		Wait: configReadWait(set), ProbeInterval: store.ProbeInterval, Clock: boottime.Now,
+	n.config = store.NewPromptFollower(n.store, deps.Catalog, n.view.CatalogSink(), store.FollowerConfig{
+		Wait: configReadWait(set), NewestOnly: true, LoadAge: configLoadAge, Clock: boottime.Now,
 		OnFailure:   func(err error) { n.storeFailed("configuration", err) },
 		OnRecovery:  func(d time.Duration) { n.storeRecovered("configuration", d) },
 		OnConfirmed: n.configConfirmed,
 	})
-	n.registry = n.view.RegistryFollower(n.store, deps.Registry, storeReadWait, boottime.Now)
+	n.registry = n.view.RegistryFollower(n.store, deps.Registry, boottime.Now)
 	n.access = access.NewAuthenticator(access.Config{
 		Catalog: n.view.Catalog, Source: n.config, KeyLease: time.Duration(set.KeyLease), Clock: boottime.Now,
 	})
@@ -232,7 +231,7 @@
 	n.shares = fairshare.NewLedger()
 	n.agentLinks = newAgentLinks(linkCfg, set.AgentAddr, n.view, n.quarantine, n.shares, base.WithPrefix("targets"))
 	n.runner = runner.New(runner.Config{
-		Member: set.Peers, Group: jobGroup, Store: n.jobs, Groups: n.store, View: n.view, CatalogAsOf: n.config.AsOf, Sender: deps.Sender,
+		Member: set.Peers, Group: jobGroup, Store: n.jobs, Groups: n.store, View: n.view, CatalogAsOf: n.configAsOf, Sender: deps.Sender,
 		Seats: n.agentLinks, Quarantine: n.quarantine, Shares: n.shares, Log: base.WithPrefix("batch"), Metrics: n.metrics,
 		Headers: deps.ItemHeader, Work: deps.ItemWork, Parts: deps.ItemParts, MaxRunning: maxRunningItems,
 	})
@@ -248,7 +247,7 @@
 		Registry: n.registry, Agents: n.agentLinks, Entries: n.peerPool, IsConfigured: n.view.IsConfigured, Clock: boottime.Now, Log: base.WithPrefix("origins"), Metrics: n.metrics,
 	})
 	n.gateway = gateway.New(gateway.Config{
-		View: n.view, CatalogAsOf: n.config.AsOf, Sender: deps.Sender, Reserver: deps.Sender, FailureNotifier: n.agentLinks, Quarantine: n.quarantine, Refusals: n.refusals, Shares: n.shares, Origins: n.origins, Shutdown: n.shutdown,
+		View: n.view, CatalogAsOf: n.configAsOf, Sender: deps.Sender, Reserver: deps.Sender, FailureNotifier: n.agentLinks, Quarantine: n.quarantine, Refusals: n.refusals, Shares: n.shares, Origins: n.origins, Shutdown: n.shutdown,
 		Log: base.WithPrefix("online"), Metrics: n.metrics,
 	})
 	n.view.OnLoadChange(n.gateway.SlotsChanged)
@@ -265,9 +264,9 @@
 // configReadWait returns how long a read of the configuration waits for records.
 func configReadWait(set *settings.Gateway) time.Duration {
 	if set.KeyLease == 0 {
-		return storeReadWait
+		return store.PromptWait
 	}
-	return min(storeReadWait, time.Duration(set.KeyLease)/readsPerKeyLease)
+	return min(store.PromptWait, time.Duration(set.KeyLease)/readsPerKeyLease)
 }
 
 func (n *entryNode) run(ctx context.Context, cancel context.CancelFunc, stop context.Context, reloads <-chan os.Signal, file string) error {
@@ -314,6 +313,16 @@
 	return !n.shutdown.Stopping() && n.view.Ready()
 }
 
+// configAsOf returns the time up to which the configuration is known to be the newest, the zero value
+// if it was never confirmed. A time for which the host was suspended counts.
+func (n *entryNode) configAsOf() time.Time {
+	at, ok := n.config.ConfirmedAt()
+	if !ok {
+		return time.Time{}
+	}
+	return time.Now().Add(at - boottime.Now())
+}
+
 // limits returns the limits of the catalog in force, the zero value while none is known.
 func (n *entryNode) limits() catalog.Limits {
 	if c := n.view.Catalog(); c != nil {
--- a/fleet/outage_test.go
+++ b/fleet/outage_test.go
@@ -20,10 +20,11 @@
 	contactTime = 3 * time.Second
 )
 
-// Timing of the registry reads and of the expiry, as entries use them.
+// Timing of the expiry, as entries use it, and the span of moments at which an outage begins, longer
+// than a read of the registry.
 const (
-	registryReadWait = 2 * time.Second
-	expireInterval   = 200 * time.Millisecond
+	phases         = 2 * time.Second
+	expireInterval = 200 * time.Millisecond
 )
 
 var registry = store.Partition{Topic: "registry"}
@@ -39,14 +40,14 @@
 func atEachOutage(t *testing.T, run func(t *testing.T, fx outageFixture, fault sharedstore.Fault, length time.Duration)) {
 	for name, fault := range map[string]sharedstore.Fault{"refused": sharedstore.Refuse, "no response": sharedstore.NoResponse} {
 		for length := 500 * time.Millisecond; length <= 8*time.Second; length += 500 * time.Millisecond {
-			for phase := 50 * time.Millisecond; phase < registryReadWait; phase += 150 * time.Millisecond {
+			for phase := 50 * time.Millisecond; phase < phases; phase += 150 * time.Millisecond {
 				synctest.Test(t, func(t *testing.T) {
 					ctx, cancel := context.WithCancel(t.Context())
 					fx := outageFixture{store: sharedstore.New(1), view: newView()}
 					fx.register("a")
 					fx.register("b")
 					storeLog := store.NewFailover(fx.store.ClientFor("host"), fx.peers)
-					go fx.view.RegistryFollower(storeLog, registry, registryReadWait, nil).Run(ctx)
+					go fx.view.RegistryFollower(storeLog, registry, nil).Run(ctx)
 					go func() {
 						for tick := time.NewTicker(expireInterval); ctx.Err() == nil; <-tick.C {
 							fx.view.ExpireTargets(time.Now())
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -15,10 +15,10 @@
 const registryPause = 250 * time.Millisecond
 
 // RegistryFollower returns a follower of the registry that keeps the targets up to date while
-// it runs. Each read waits up to readWait for records.
-func (v *View) RegistryFollower(log store.Log, registry store.Partition, readWait time.Duration, clock func() time.Duration) *store.Follower {
-	return store.NewFollower(log, registry, v.TargetSink(), store.FollowerConfig{
-		Wait: readWait, Pause: registryPause, ProbeInterval: store.ProbeInterval, Clock: clock,
+// it runs.
+func (v *View) RegistryFollower(f *store.Failover, registry store.Partition, clock func() time.Duration) *store.Follower {
+	return store.NewPromptFollower(f, registry, v.TargetSink(), store.FollowerConfig{
+		Pause: registryPause, Clock: clock,
 		OnFailure: v.registryUnavailable, OnRecovery: v.registryRecovered,
 	})
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -85,8 +85,8 @@
 	// the catalog and the targets.
 	startupGrace = 250 * time.Millisecond
 	// maxCatalogAge is the age of the catalog's last confirmation up to which a route that it lacks
-	// is refused for good. It is the time of two reads of the store that wait for changes.
-	maxCatalogAge = 4 * time.Second
+	// is refused for good. A route that was added longer ago may have to be served.
+	maxCatalogAge = 1900 * time.Millisecond
 	// retryAfterUnavailable is the retry-after while no target is known: a new one
 	// registers within about a second.
 	retryAfterUnavailable = 500 * time.Millisecond
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -787,7 +787,9 @@
 			want gateway.Reason
 		}{
 			{"never confirmed", time.Time{}, gateway.NotReady},
-			{"confirmed 3 s ago", time.Now().Add(-3 * time.Second), gateway.NoRoute},
+			{"confirmed 1.8 s ago", time.Now().Add(-1800 * time.Millisecond), gateway.NoRoute},
+			{"confirmed 2 s ago", time.Now().Add(-2 * time.Second), gateway.NotReady},
+			{"confirmed 3 s ago", time.Now().Add(-3 * time.Second), gateway.NotReady},
 			{"confirmed 5 s ago", time.Now().Add(-5 * time.Second), gateway.NotReady},
 		} {
 			asOf = c.asOf
--- a/store/failover.go
+++ b/store/failover.go
@@ -21,6 +21,16 @@
 	// calls soon.
 	avoidInterval   = time.Second
 	maxPeersPerCall = 2
+	// maxPeerWait bounds the wait for records of a read through a peer: it depends on that
+	// peer, which may stop at any moment.
+	maxPeerWait = time.Second
+	// overdueAfter is the time after which a response counts as overdue where changes have to be
+	// known in time, in addition to the time for which the read waits. It covers the pauses of a
+	// host whose processor share is used up.
+	overdueAfter = 150 * time.Millisecond
+	// promptHedgeDelay is the time after which such a read that does not wait is also made
+	// through the next backend.
+	promptHedgeDelay = 250 * time.Millisecond
 )
 
 // Joiner is the part of Groups that peers forward for each other.
@@ -108,21 +118,71 @@
 
 // Read implements Log.
 func (f *Failover) Read(ctx context.Context, p Partition, from int64, wait time.Duration) (Page, error) {
-	return firstResponse(ctx, f, wait+callTimeout, func(ctx context.Context, b Peer) (Page, error) {
-		return b.Read(ctx, p, from, wait)
-	})
+	plan := callPlan{backends: f.backends(false), overdue: func(b Peer) time.Duration { return f.waitAt(b, wait) + callTimeout }}
+	return firstResponse(ctx, f, plan, f.readCall(p, from, wait))
+}
+
+// waitAt returns how long a read through a backend waits for records.
+func (f *Failover) waitAt(b Peer, wait time.Duration) time.Duration {
+	if b == Peer(f.direct) {
+		return wait
+	}
+	return min(wait, maxPeerWait)
+}
+
+// readCall returns a call that reads a partition.
+func (f *Failover) readCall(p Partition, from int64, wait time.Duration) func(context.Context, Peer) (Page, error) {
+	return func(ctx context.Context, b Peer) (Page, error) { return b.Read(ctx, p, from, f.waitAt(b, wait)) }
 }
 
 // Newest implements Log.
 func (f *Failover) Newest(ctx context.Context, p Partition, after string) (Snapshot, error) {
-	return firstResponse(ctx, f, callTimeout, func(ctx context.Context, b Peer) (Snapshot, error) {
-		return b.Newest(ctx, p, after)
-	})
+	return firstResponse(ctx, f, callPlan{backends: f.backends(false), overdue: noWait(callTimeout)}, newestCall(p, after))
+}
+
+// newestCall returns a call that reads the newest records of a partition.
+func newestCall(p Partition, after string) func(context.Context, Peer) (Snapshot, error) {
+	return func(ctx context.Context, b Peer) (Snapshot, error) { return b.Newest(ctx, p, after) }
+}
+
+// Prompt returns a Log for partitions whose changes have to be known in time. Its reads do not
+// depend on one backend for longer than a fraction of a second: a read that waits counts as
+// overdue soon after its wait, and other reads are also made directly if a peer does not respond.
+func (f *Failover) Prompt() Log {
+	return promptLog{f}
+}
+
+type promptLog struct{ *Failover }
+
+// Read implements Log. A read that waits uses one backend; the caller makes other reads beside it
+// once it is overdue.
+func (l promptLog) Read(ctx context.Context, p Partition, from int64, wait time.Duration) (Page, error) {
+	plan := callPlan{backends: l.promptBackends(), overdue: noWait(promptHedgeDelay)}
+	if wait > 0 {
+		plan.overdue = func(b Peer) time.Duration { return l.waitAt(b, wait) + overdueAfter }
+		plan.unhedged = true
+	}
+	return firstResponse(ctx, l.Failover, plan, l.readCall(p, from, wait))
+}
+
+// Newest implements Log.
+func (l promptLog) Newest(ctx context.Context, p Partition, after string) (Snapshot, error) {
+	return firstResponse(ctx, l.Failover, callPlan{backends: l.promptBackends(), overdue: noWait(callTimeout)}, newestCall(p, after))
+}
+
+// promptBackends returns the backends to call, in order: the direct client is the second one at
+// the latest, since it may serve this host again while the peers have stopped.
+func (f *Failover) promptBackends() []Peer {
+	all := f.backends(false)
+	if last := len(all) - 1; last > 1 && all[last] == Peer(f.direct) {
+		all[1], all[last] = all[last], all[1]
+	}
+	return all
 }
 
 // Join implements Groups.
 func (f *Failover) Join(ctx context.Context, req JoinRequest) (Membership, error) {
-	return firstResponse(ctx, f, callTimeout, func(ctx context.Context, b Peer) (Membership, error) {
+	return firstResponse(ctx, f, callPlan{backends: f.backends(false), overdue: noWait(callTimeout)}, func(ctx context.Context, b Peer) (Membership, error) {
 		return b.Join(ctx, req)
 	})
 }
@@ -141,11 +201,25 @@
 	return f.direct.Owners(ctx, group)
 }
 
+// callPlan says through which backends a call is made.
+type callPlan struct {
+	backends []Peer // in order
+	// overdue returns the time after which a call through a backend is overdue.
+	overdue func(Peer) time.Duration
+	// unhedged says that the next call starts only when one has failed, not when it is overdue.
+	unhedged bool
+}
+
+// noWait returns the overdue time of a call that does not wait for records.
+func noWait(d time.Duration) func(Peer) time.Duration {
+	return func(Peer) time.Duration { return d }
+}
+
 // firstResponse makes an idempotent call with hedging: it calls the backends in order and
-// starts the next call when one fails or has not responded after hedgeDelay. A slow call
+// starts the next call when one fails or is overdue. An overdue call
 // continues meanwhile for up to slowResponseTimeout; otherwise a large response over a slow
 // link would be requested repeatedly without ever completing.
-func firstResponse[T any](ctx context.Context, f *Failover, hedgeDelay time.Duration, call func(context.Context, Peer) (T, error)) (T, error) {
+func firstResponse[T any](ctx context.Context, f *Failover, plan callPlan, call func(context.Context, Peer) (T, error)) (T, error) {
 	type response struct {
 		backend Peer
 		result  T
@@ -154,23 +228,23 @@
 	var zero T
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	backends := f.backends(false)
-	responses := make(chan response, len(backends))
-	timer := time.NewTimer(hedgeDelay)
+	responses := make(chan response, len(plan.backends))
+	timer := time.NewTimer(plan.overdue(plan.backends[0]))
 	defer timer.Stop()
 	started, inFlight := 0, 0
 	var startedAt time.Time // of the latest call
 	startNext := func() {
-		if started == len(backends) {
+		if started == len(plan.backends) {
 			return
 		}
-		b := backends[started]
+		b := plan.backends[started]
+		overdue := plan.overdue(b)
 		started++
 		inFlight++
 		startedAt = time.Now()
-		timer.Reset(hedgeDelay)
+		timer.Reset(overdue)
 		go func() {
-			callCtx, cancel := context.WithTimeout(ctx, hedgeDelay+slowResponseTimeout)
+			callCtx, cancel := context.WithTimeout(ctx, overdue+slowResponseTimeout)
 			defer cancel()
 			result, err := call(callCtx, b)
 			responses <- response{b, result, err}
@@ -193,9 +267,10 @@
 			lastErr = r.err
 			startNext()
 		case <-timer.C:
-			f.recordResult(backends[started-1], ErrUnavailable)
-			f.onOverdue(Overdue{f.nameOf(backends[started-1]), time.Since(startedAt)})
-			startNext()
+			f.recordOverdue(plan.backends[started-1], time.Since(startedAt))
+			if !plan.unhedged {
+				startNext()
+			}
 		case <-ctx.Done():
 			return zero, errors.Mark(ctx.Err(), ErrUnavailable)
 		}
@@ -203,6 +278,22 @@
 	return zero, lastErr
 }
 
+// Reconnector is implemented by clients that keep idle connections open.
+type Reconnector interface {
+	// DropIdle closes the idle connections, so that the next call opens a new one.
+	DropIdle()
+}
+
+// recordOverdue records that a backend has not responded in time. Idle connections to the store may
+// have gone silent together with that of the call.
+func (f *Failover) recordOverdue(b Peer, waited time.Duration) {
+	f.recordResult(b, ErrUnavailable)
+	f.onOverdue(Overdue{f.nameOf(b), waited})
+	if r, ok := b.(Reconnector); ok && b == Peer(f.direct) {
+		r.DropIdle()
+	}
+}
+
 // DirectReachable reports whether direct calls reach the store. It returns false after a
 // direct call that got no response or was refused, until another one succeeds.
 func (f *Failover) DirectReachable() bool {
--- a/store/follower.go
+++ b/store/follower.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -39,6 +40,16 @@
 	// OnConfirmed is called with the time since the last confirmation whenever a read reaches the
 	// end of the partition. It is called with the follower's lock held.
 	OnConfirmed func(after time.Duration)
+	// Prompt says that a read which has not responded soon after its wait is overdue: probes start
+	// beside it, and the first response of any of them counts. Otherwise a read is given up
+	// and then repeated. NewPromptFollower sets it.
+	Prompt bool
+	// NewestOnly says that only the newest record of each key matters: a follower that is behind
+	// loads these in place of all records that it lacks.
+	NewestOnly bool
+	// LoadAge is the age from which a load counts as hung, so that another one starts beside it.
+	// If it is zero, hungLoadAge is used.
+	LoadAge time.Duration
 	// LoadLimit bounds the number of concurrent full reads of partitions; nil sets no bound.
 	LoadLimit LoadLimit
 	// Clock is a monotonic clock for confirmation times; nil if they are not used.
@@ -69,6 +80,8 @@
 
 // Timeouts and delays of a Follower.
 const (
+	// PromptWait is how long a read of a prompt follower waits for records.
+	PromptWait = 800 * time.Millisecond
 	// readTimeoutMargin is added to the wait time of a read to get its timeout.
 	readTimeoutMargin = 700 * time.Millisecond
 	// ReadResponseTimeout is how long a read may take to begin to arrive, apart from the time
@@ -114,6 +127,7 @@
 	if cfg.OnFailure == nil {
 		cfg.OnFailure = func(error) {}
 	}
+	cfg.LoadAge = cmp.Or(cfg.LoadAge, hungLoadAge)
 	if cfg.OnConfirmed == nil {
 		cfg.OnConfirmed = func(time.Duration) {}
 	}
@@ -130,6 +144,20 @@
 	}
 }
 
+// NewPromptFollower returns a Follower of a small partition whose changes have to be applied within
+// two seconds while the store serves this host or a peer of it, whatever holds up other peers. A
+// change waits at most for a read that hangs (the pause, the wait and overdueAfter), and
+// for the first probe to reach a backend that responds (promptHedgeDelay for each before it). A
+// shorter wait than PromptWait may be set in cfg.
+func NewPromptFollower(f *Failover, part Partition, sink Sink, cfg FollowerConfig) *Follower {
+	if cfg.Wait == 0 {
+		cfg.Wait = PromptWait
+	}
+	cfg.Wait = min(cfg.Wait, PromptWait)
+	cfg.Prompt, cfg.ProbeInterval = true, ProbeInterval
+	return NewFollower(f.Prompt(), part, sink, cfg)
+}
+
 // Run follows the partition until ctx is cancelled.
 func (f *Follower) Run(ctx context.Context) {
 	f.mu.Lock()
@@ -137,21 +165,68 @@
 	f.mu.Unlock()
 	retryDelay := minRetryDelay
 	for ctx.Err() == nil {
-		received, err := f.readOnce(ctx, f.cfg.Wait)
-		if ctx.Err() != nil {
-			return
-		}
-		if err != nil {
-			retryDelay = f.waitForResponse(ctx, retryDelay)
-			continue
-		}
-		retryDelay = minRetryDelay
-		if received {
+		began := time.Now()
+		received, err := f.follow(ctx, &retryDelay)
+		switch {
+		case err != nil:
+		case received:
 			_ = wait.For(ctx, f.cfg.Pause)
+		case time.Since(began) < f.cfg.Wait:
+			// A store that answers before the wait is over must not be asked without a pause.
+			_ = wait.For(ctx, minRetryDelay)
+		}
+	}
+}
+
+// follow makes one read that waits for records, and probes if it fails or is overdue, until a
+// response arrives. It reports whether the read returned records. retryDelay is the delay before
+// the first probe after a failure.
+func (f *Follower) follow(ctx context.Context, retryDelay *time.Duration) (received bool, err error) {
+	readCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	read := make(chan readResult, 1)
+	go func() {
+		received, err := f.readOnce(readCtx, f.cfg.Wait)
+		read <- readResult{received, err}
+	}()
+	var overdue <-chan time.Time
+	if f.cfg.Prompt && f.isLoaded() {
+		timer := time.NewTimer(f.cfg.Wait + overdueAfter)
+		defer timer.Stop()
+		overdue = timer.C
+	}
+	select {
+	case r := <-read:
+		switch {
+		case ctx.Err() != nil:
+			return false, ctx.Err()
+		case r.err != nil:
+			*retryDelay = f.waitForResponse(ctx, *retryDelay)
+			return false, r.err
 		}
+		*retryDelay = minRetryDelay
+		return r.received, nil
+	case <-overdue:
+		f.probeBeside(ctx, read)
+		return false, errReadOverdue
 	}
 }
 
+// readResult is the result of one read.
+type readResult struct {
+	received bool // it returned records
+	err      error
+}
+
+// errReadOverdue reports that a read has not responded in time.
+var errReadOverdue = errors.Mark(errors.New("no response to a read"), ErrUnavailable)
+
+func (f *Follower) isLoaded() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.loaded
+}
+
 // readOnce loads the partition or makes one read, which waits up to wait for records. It
 // reports whether it received records.
 func (f *Follower) readOnce(ctx context.Context, wait time.Duration) (bool, error) {
@@ -159,10 +234,16 @@
 	loaded, from := f.loaded, f.nextOffset
 	f.mu.Unlock()
 	if !loaded {
-		ctx, cancel := context.WithTimeout(ctx, hungLoadAge)
+		ctx, cancel := context.WithTimeout(ctx, f.cfg.LoadAge)
 		defer cancel()
 		return true, f.load(ctx)
 	}
+	if f.cfg.Prompt {
+		// It is overdue long before, and goes on beside others.
+		ctx, cancel := context.WithTimeout(ctx, f.cfg.Wait+ReadResponseTimeout)
+		defer cancel()
+		return f.read(ctx, from, wait)
+	}
 	// Probes get as much time as reads that wait: a read that is given up in the queue of a
 	// busy store and repeated prolongs the queue.
 	ctx, cancel := context.WithTimeout(ctx, f.cfg.Wait+readTimeoutMargin)
@@ -179,12 +260,12 @@
 
 // inProgress reports whether the load has not ended and does not hang. The caller holds
 // Follower.mu.
-func (l *sharedLoad) inProgress() bool {
+func (l *sharedLoad) inProgress(hungAge time.Duration) bool {
 	select {
 	case <-l.done:
 		return false
 	default:
-		return l.startedAt.IsZero() || time.Since(l.startedAt) < hungLoadAge
+		return l.startedAt.IsZero() || time.Since(l.startedAt) < hungAge
 	}
 }
 
@@ -204,7 +285,7 @@
 func (f *Follower) startLoad(ctx context.Context) *sharedLoad {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.loading != nil && f.loading.inProgress() {
+	if f.loading != nil && f.loading.inProgress(f.cfg.LoadAge) {
 		return f.loading
 	}
 	l := &sharedLoad{done: make(chan struct{})}
@@ -262,19 +343,28 @@
 	if err != nil {
 		return false, err
 	}
+	// A page without the records that follow does not bring the reader any further.
+	if isBehind := f.apply(page, start, startClock, wait); isBehind && (f.cfg.NewestOnly || len(page.Records) == 0) {
+		return true, f.load(ctx)
+	}
+	return len(page.Records) > 0, nil
+}
+
+// apply applies a page of a read that began at start and waited up to wait for records. It reports
+// whether further records follow the page.
+func (f *Follower) apply(page Page, start time.Time, startClock, wait time.Duration) (isBehind bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.applyLocked(page.Records)
-	switch {
-	case len(page.Records) == 0:
-		f.advanceAsOfLocked(start.Add(wait)) // no record arrived while the store waited
-	case f.nextOffset >= page.End:
-		f.advanceAsOfLocked(start)
+	if f.nextOffset < page.End {
+		return true
 	}
-	if f.nextOffset >= page.End {
-		f.confirmLocked(startClock)
+	if len(page.Records) == 0 && time.Since(start) >= wait {
+		start = start.Add(wait) // no record arrived while the store waited
 	}
-	return len(page.Records) > 0, nil
+	f.advanceAsOfLocked(start)
+	f.confirmLocked(startClock)
+	return false
 }
 
 // applyLocked applies the records that have not been applied yet. f.mu is held.
--- a/store/observed.go
+++ b/store/observed.go
@@ -90,3 +90,10 @@
 	i.record("owners", start, err)
 	return owners, err
 }
+
+// DropIdle implements Reconnector.
+func (i *Instrumented) DropIdle() {
+	if r, ok := i.client.(Reconnector); ok {
+		r.DropIdle()
+	}
+}
--- a/store/probe.go
+++ b/store/probe.go
@@ -46,20 +46,37 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	p := &prober{follower: f, results: make(chan error), retry: time.After(retryDelay), retryDelay: nextRetryDelay(retryDelay)}
+	p.run(ctx)
+	return p.retryDelay
+}
+
+// probeBeside probes the partition while a read is overdue until the read or a probe succeeds or
+// ctx is cancelled. The first probe starts at once.
+func (f *Follower) probeBeside(ctx context.Context, read <-chan readResult) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	p := &prober{follower: f, results: make(chan error), retryDelay: minRetryDelay, inFlight: 1}
+	go func() { p.report(ctx, (<-read).err) }()
+	p.start(ctx)
+	p.run(ctx)
+}
+
+// run probes until a probe succeeds or ctx is cancelled. It reports the outage that it notices.
+func (p *prober) run(ctx context.Context) {
 	began, inOutage := time.Now(), false
 	for {
 		succeeded, err := p.next(ctx)
 		switch {
 		case ctx.Err() != nil:
-			return p.retryDelay
+			return
 		case succeeded:
 			if inOutage {
-				f.cfg.OnRecovery(time.Since(began))
+				p.follower.cfg.OnRecovery(time.Since(began))
 			}
-			return p.retryDelay
+			return
 		case err != nil && !inOutage:
 			inOutage = true
-			f.cfg.OnFailure(err)
+			p.follower.cfg.OnFailure(err)
 		}
 	}
 }
@@ -94,12 +111,17 @@
 	p.inFlight++
 	go func() {
 		_, err := p.follower.readOnce(ctx, 0)
-		select {
-		case p.results <- err:
-		case <-ctx.Done():
-		}
+		p.report(ctx, err)
 	}()
 	if interval := p.follower.cfg.ProbeInterval; interval > 0 {
 		p.overdue = time.After(interval)
 	}
 }
+
+// report passes the result of a read to next.
+func (p *prober) report(ctx context.Context, err error) {
+	select {
+	case p.results <- err:
+	case <-ctx.Done():
+	}
+}
