--- a/standin/sharedstore/sharedstore.go
+++ b/standin/sharedstore/sharedstore.go
@@ -36,6 +36,7 @@
 	mu              sync.Mutex
 	logs            map[store.Partition]*log
 	hostFaults      map[string]Fault
+	refusesAppends  map[string]bool          // by host
 	partitionFaults map[store.Partition]Fault // takes precedence over hostFaults
 	groups          map[string]*group
 	changed         chan struct{} // closed and replaced at each change
@@ -107,7 +108,7 @@
 // New returns an empty Store with the given number of partitions in each topic.
 func New(partitions int) *Store {
 	return &Store{
-		partitions: partitions, logs: make(map[store.Partition]*log), hostFaults: make(map[string]Fault),
+		partitions: partitions, logs: make(map[store.Partition]*log), hostFaults: make(map[string]Fault), refusesAppends: make(map[string]bool),
 		partitionFaults: make(map[store.Partition]Fault), groups: make(map[string]*group), changed: make(chan struct{}),
 	}
 }
@@ -120,6 +121,14 @@
 	s.notifyLocked()
 }
 
+// SetRefusesAppends makes the store refuse the appends of a host, as if they exceeded its rate, or
+// take them again. Other calls of the host are served.
+func (s *Store) SetRefusesAppends(host string, refuses bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refusesAppends[host] = refuses
+}
+
 // SetPartitionDown makes a partition refuse all calls or serve them again.
 func (s *Store) SetPartitionDown(p store.Partition, down bool) {
 	if down {
@@ -284,6 +293,12 @@
 	if err != nil {
 		return 0, err
 	}
+	c.store.mu.Lock()
+	refuses := c.store.refusesAppends[c.host]
+	c.store.mu.Unlock()
+	if refuses {
+		return 0, store.ErrRefused
+	}
 	if fault == ApplyLate {
 		time.AfterFunc(LateDelay, func() { _, _ = c.store.append(p, recs, at) })
 		<-ctx.Done()
