quarantine: a part is held shortly if nothing had completed yet when targets crashed

Cause: a part of prompts with which nothing has completed counts as unproven, and its evidence as clear if its runs end at one point. Where nothing has completed at all, this tells nothing of the part: the first one is in each prompt, so it was at each crash, whatever caused them, and was blamed for all.

Change: a crash that a process observes before anything with a part in its prompt has completed there is marked as ambiguous evidence against parts; if most of a part's crashes are, it is held for 10 s first, as proven parts are, and one run then decides.

Evidence: TestPartIsHeldShortlyBeforeAnythingHasCompleted is red without it ('0 of 5 crashes after another part had completed: held for long true, want false').

--- a/quarantine/ambiguous.go
+++ b/quarantine/ambiguous.go
@@ -66,13 +66,15 @@
 	var first, last time.Time
 	var fewest, most uint64             // events
 	var shortest, longest time.Duration // until the crash
-	crashes := 0
+	crashes, doubted := 0, 0
 	for _, m := range r.marks {
 		switch {
-		case m.Ambiguous:
+		case m.Ambiguous && r.part == "":
 			return true
 		case m.Void || m.Owed:
 			continue
+		case m.Ambiguous:
+			doubted++
 		}
 		if crashes == 0 || m.At.Before(first) {
 			first = m.At
@@ -89,6 +91,9 @@
 		most, longest = max(most, m.Events), max(longest, m.Took)
 		crashes++
 	}
+	if 2*doubted > crashes {
+		return true // most of it says nothing of this part
+	}
 	near := max(nearFactor*last.Sub(first), minNear)
 	others := 0
 	for target, at := range unexplained {
--- a/quarantine/ambiguous_test.go
+++ b/quarantine/ambiguous_test.go
@@ -69,6 +69,7 @@
 		{"at nearby points, among fewer crashes without it", at(0, 5, 1, 3, 0), 5, true},
 	} {
 		tab := quarantine.NewTable()
+		tab.RecordPartSuccess(start, quarantine.NewPart("another").Key, 0)
 		addPartCrashes(tab, c.part...)
 		addOtherCrashes(tab, c.others, time.Second)
 		key := quarantine.NewPart(testPart).Key
@@ -82,6 +83,28 @@
 	}
 }
 
+// Guards against a sound part that all prompts share and that is held for ten minutes because targets
+// crashed before anything had completed: that nothing completes with it tells nothing of it then.
+func TestPartIsHeldShortlyBeforeAnythingHasCompleted(t *testing.T) {
+	const crashes = 5
+	for completed := range crashes + 1 {
+		tab := quarantine.NewTable()
+		for n := range crashes {
+			if n == crashes-completed {
+				tab.RecordPartSuccess(start, quarantine.NewPart("another").Key, 0)
+			}
+			tab.AddCrash(start, partMark(n, n, n+1))
+		}
+		if !partHeld(tab) {
+			t.Errorf("not held after %d crashes", crashes)
+		}
+		_, long := tab.Held(start.Add(15*time.Second), quarantine.NewPart(testPart).Key)
+		if want := completed > crashes/2; long != want {
+			t.Errorf("%d of %d crashes after another part had completed: held for long %v, want %v", completed, crashes, long, want)
+		}
+	}
+}
+
 // Guards against a sound request or item that is held for ten minutes because it was at three
 // targets that crash at random.
 func TestRequestAmongManyCrashesIsHeldShortly(t *testing.T) {
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -45,7 +45,8 @@
 	// Owed says that only accepted work that is still owed ran there, such as items of batch jobs.
 	Owed bool
 	// Ambiguous says that the evidence was ambiguous when the store kept the mark of a culprit,
-	// without those of the other crashes. It is false in marks of crashes that a process observed.
+	// without those of the other crashes, or, of a part, that nothing had completed before at the
+	// process that observed the crash.
 	Ambiguous bool
 
 	// The other fields are of parts only.
@@ -155,6 +156,8 @@
 	// partSuccesses are the parts of such requests.
 	partSuccesses [2]map[Key]bool
 	rotatedAt     time.Time // start of the current span
+	// partCompleted says that a run with some part in its prompt has survived at this process.
+	partCompleted bool
 }
 
 // NewTable returns an empty Table.
@@ -162,10 +165,13 @@
 	return &Table{records: make(map[Key]*record), culprits: make(map[Key]*culprit), successes: [2]map[Key]bool{{}, {}}, partSuccesses: [2]map[Key]bool{{}, {}}}
 }
 
-// AddCrash records crashes that this process observed.
+// AddCrash records crashes that this process observed. That nothing has completed with a part
+// speaks against it only where something has completed with others: the part that all prompts
+// share is not told from the rest before.
 func (t *Table) AddCrash(now time.Time, marks ...Mark) {
 	for _, m := range marks {
 		m.Proven = m.Part != "" && t.provenRecently(now, m.Key)
+		m.Ambiguous = m.Ambiguous || m.Part != "" && !t.partCompleted
 		t.mergeMark(now, m, nil, true)
 	}
 	t.updateCulprits(now)
@@ -268,6 +274,7 @@
 // began before.
 func (t *Table) RecordPartSuccess(now time.Time, key Key, knownChanges uint64) {
 	t.rotate(now)
+	t.partCompleted = true
 	if len(t.partSuccesses[0]) < maxSuccessesPerSpan {
 		t.partSuccesses[0][key] = true
 	}
