store: a page of newest records is requested by one call at a time, with patience

Cause: loads that are slow for want of bandwidth bring copies of themselves. A page without a response is asked for through two peers after 0.8 and 1.6 s, given up after 4.8 s, and a load that lasts 3.2 s is started again beside the first; so the link carries pages that nobody waits for.

Change: all readers of a page share one call for it. The time after which it is also asked for elsewhere doubles while the partition's pages are late, up to 12.8 s, and a call is given up after six times that. Patience is forgotten, and the calls in progress are made again, when small direct calls succeed after an outage of 1.5 s or more: those may never get a response. Reads of the owners count as such calls now.

--- a/store/bound_test.go
+++ b/store/bound_test.go
@@ -177,14 +177,14 @@
 		calm  time.Duration          // time from the fault until the bound holds again
 	}{
 		"no fault":                 {func(*boundFixture) {}, 0},
-		"refused for 400 ms":       {func(fx *boundFixture) { fx.fault("host", sharedstore.Refuse, 400*time.Millisecond) }, 400*time.Millisecond + contactTime},
-		"no response for 400 ms":   {func(fx *boundFixture) { fx.fault("host", sharedstore.NoResponse, 400*time.Millisecond) }, 400*time.Millisecond + contactTime},
-		"refused for 3 s":          {func(fx *boundFixture) { fx.fault("host", sharedstore.Refuse, 3*time.Second) }, 3*time.Second + contactTime},
+		"refused for 400 ms":       {func(fx *boundFixture) { fx.fault(sharedstore.Refuse, 400*time.Millisecond) }, 400*time.Millisecond + contactTime},
+		"no response for 400 ms":   {func(fx *boundFixture) { fx.fault(sharedstore.NoResponse, 400*time.Millisecond) }, 400*time.Millisecond + contactTime},
+		"refused for 3 s":          {func(fx *boundFixture) { fx.fault(sharedstore.Refuse, 3*time.Second) }, 3*time.Second + contactTime},
 		"connections silent":       {func(fx *boundFixture) { fx.host.loseCalls() }, contactTime},
 		"other calls fail":         {func(fx *boundFixture) { go fx.failAppends(length) }, 0},
 		"silent, other calls fail": {func(fx *boundFixture) { fx.host.loseCalls(); go fx.failAppends(length) }, contactTime},
 		"refused, other calls fail": {func(fx *boundFixture) {
-			fx.fault("host", sharedstore.Refuse, 400*time.Millisecond)
+			fx.fault(sharedstore.Refuse, 400*time.Millisecond)
 			go fx.failAppends(length)
 		}, 400*time.Millisecond + contactTime},
 	} {
@@ -220,10 +220,10 @@
 	t.Logf("the slowest change was not in force for %v", slowest)
 }
 
-// fault sets a fault of a host's calls for some time.
-func (fx *boundFixture) fault(host string, f sharedstore.Fault, length time.Duration) {
-	fx.store.SetFault(host, f)
-	time.AfterFunc(length, func() { fx.store.SetFault(host, sharedstore.NoFault) })
+// fault sets a fault of this host's calls for some time.
+func (fx *boundFixture) fault(f sharedstore.Fault, length time.Duration) {
+	fx.store.SetFault("host", f)
+	time.AfterFunc(length, func() { fx.store.SetFault("host", sharedstore.NoFault) })
 }
 
 // failAppends makes appends of this host that get no response, for some time.
--- a/store/failover.go
+++ b/store/failover.go
@@ -53,6 +53,7 @@
 	peers  func() []Peer // in order of preference
 
 	onOverdue func(Overdue)
+	pages     *pageCalls
 
 	mu               sync.Mutex
 	avoidDirectUntil time.Time
@@ -61,12 +62,15 @@
 	// peersFailed is the same for calls through peers.
 	directFailed bool
 	peersFailed  bool
+	// failedSince is the time of the first small direct call that failed since one succeeded, zero
+	// if none has.
+	failedSince time.Time
 }
 
 // NewFailover returns a Failover that prefers direct and falls back to the peers that
 // peers returns, in that order.
 func NewFailover(direct Client, peers func() []Peer) *Failover {
-	return &Failover{direct: direct, peers: peers, onOverdue: func(Overdue) {}}
+	return &Failover{direct: direct, peers: peers, onOverdue: func(Overdue) {}, pages: newPageCalls()}
 }
 
 // Overdue describes a call that has no response yet although one is due.
@@ -101,13 +105,13 @@
 		end, err := b.Append(callCtx, p, recs, at)
 		cancel()
 		if err == nil || !canFailOver(err) {
-			f.recordResult(b, nil)
+			f.recordSmall(b, nil)
 			return end, err
 		}
 		if ctx.Err() != nil {
 			return 0, err
 		}
-		f.recordResult(b, err)
+		f.recordSmall(b, err)
 		lastErr = err
 		if errors.Is(err, ErrUnavailable) {
 			break
@@ -137,7 +141,15 @@
 
 // Newest implements Log.
 func (f *Failover) Newest(ctx context.Context, p Partition, after string) (Snapshot, error) {
-	return firstResponse(ctx, f, callPlan{backends: f.backends(false), overdue: noWait(callTimeout)}, newestCall(p, after))
+	return f.pages.get(ctx, pageID{p, after}, func(ctx context.Context) (Snapshot, error) {
+		plan := callPlan{
+			backends:  f.backends(false),
+			overdue:   func(Peer) time.Duration { return f.pages.patienceWith(p) },
+			onOverdue: func() { f.pages.overdue(p) },
+			patient:   true,
+		}
+		return firstResponse(ctx, f, plan, newestCall(p, after))
+	})
 }
 
 // newestCall returns a call that reads the newest records of a partition.
@@ -198,7 +210,13 @@
 func (f *Failover) Owners(ctx context.Context, group string) ([]Owner, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return f.direct.Owners(ctx, group)
+	owners, err := f.direct.Owners(ctx, group)
+	if err != nil && canFailOver(err) {
+		f.recordSmall(f.direct, err)
+	} else {
+		f.recordSmall(f.direct, nil)
+	}
+	return owners, err
 }
 
 // callPlan says through which backends a call is made.
@@ -208,6 +226,18 @@
 	overdue func(Peer) time.Duration
 	// unhedged says that the next call starts only when one has failed, not when it is overdue.
 	unhedged bool
+	// onOverdue is called when a call is overdue; nil if nothing depends on it.
+	onOverdue func()
+	// patient says that calls are given up only after a multiple of their overdue time.
+	patient bool
+}
+
+// timeout returns the time after which a call is given up that is overdue after the given time.
+func (p *callPlan) timeout(overdue time.Duration) time.Duration {
+	if p.patient {
+		return max(givenUpFactor*overdue, overdue+slowResponseTimeout)
+	}
+	return overdue + slowResponseTimeout
 }
 
 // noWait returns the overdue time of a call that does not wait for records.
@@ -228,6 +258,10 @@
 	var zero T
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	record := f.recordSmall
+	if plan.patient {
+		record = f.recordResult
+	}
 	responses := make(chan response, len(plan.backends))
 	timer := time.NewTimer(plan.overdue(plan.backends[0]))
 	defer timer.Stop()
@@ -244,7 +278,7 @@
 		startedAt = time.Now()
 		timer.Reset(overdue)
 		go func() {
-			callCtx, cancel := context.WithTimeout(ctx, overdue+slowResponseTimeout)
+			callCtx, cancel := context.WithTimeout(ctx, plan.timeout(overdue))
 			defer cancel()
 			result, err := call(callCtx, b)
 			responses <- response{b, result, err}
@@ -257,17 +291,21 @@
 		case r := <-responses:
 			inFlight--
 			if r.err == nil || !canFailOver(r.err) {
-				f.recordResult(r.backend, nil)
+				record(r.backend, nil)
 				return r.result, r.err
 			}
 			if ctx.Err() != nil {
 				return zero, r.err
 			}
-			f.recordResult(r.backend, r.err)
+			record(r.backend, r.err)
 			lastErr = r.err
 			startNext()
 		case <-timer.C:
-			f.recordOverdue(plan.backends[started-1], time.Since(startedAt))
+			record(plan.backends[started-1], ErrUnavailable)
+			f.noteOverdue(plan.backends[started-1], time.Since(startedAt))
+			if plan.onOverdue != nil {
+				plan.onOverdue()
+			}
 			if !plan.unhedged {
 				startNext()
 			}
@@ -284,10 +322,9 @@
 	DropIdle()
 }
 
-// recordOverdue records that a backend has not responded in time. Idle connections to the store may
+// noteOverdue reports that a backend has not responded in time. Idle connections to the store may
 // have gone silent together with that of the call.
-func (f *Failover) recordOverdue(b Peer, waited time.Duration) {
-	f.recordResult(b, ErrUnavailable)
+func (f *Failover) noteOverdue(b Peer, waited time.Duration) {
 	f.onOverdue(Overdue{f.nameOf(b), waited})
 	if r, ok := b.(Reconnector); ok && b == Peer(f.direct) {
 		r.DropIdle()
@@ -340,6 +377,10 @@
 func (f *Failover) recordResult(backend Peer, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.recordLocked(backend, err)
+}
+
+func (f *Failover) recordLocked(backend Peer, err error) {
 	until := time.Time{}
 	if err != nil {
 		until = time.Now().Add(avoidInterval)
@@ -350,3 +391,24 @@
 	}
 	f.avoidPeersUntil, f.peersFailed = until, err != nil
 }
+
+// recordSmall is recordResult for a call with a small response. When an outage of direct calls
+// ends, the calls for pages that began in it are made again. Slow pages are no sign of an outage.
+func (f *Failover) recordSmall(backend Peer, err error) {
+	f.mu.Lock()
+	f.recordLocked(backend, err)
+	outageEnded := false
+	if backend == Peer(f.direct) {
+		switch {
+		case err == nil:
+			outageEnded = !f.failedSince.IsZero() && time.Since(f.failedSince) >= minOutage
+			f.failedSince = time.Time{}
+		case f.failedSince.IsZero():
+			f.failedSince = time.Now()
+		}
+	}
+	f.mu.Unlock()
+	if outageEnded {
+		f.pages.restart()
+	}
+}
--- a/store/follower.go
+++ b/store/follower.go
@@ -88,8 +88,8 @@
 	// for which it waits for records. It exceeds the time for which a busy store queues reads:
 	// reads that are given up in its queue and repeated would keep it busy for ever.
 	ReadResponseTimeout = 3200 * time.Millisecond
-	// loadTimeout bounds a full load, which may take several reads.
-	loadTimeout = 4 * ReadResponseTimeout
+	// loadTimeout bounds a full load, which may take several reads over a narrow link.
+	loadTimeout = time.Minute
 	// hungLoadAge is the age from which a load counts as hung, so that the next caller starts
 	// another one.
 	hungLoadAge = ReadResponseTimeout
--- a/store/narrow_test.go
+++ b/store/narrow_test.go
@@ -137,3 +137,48 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against partitions that are loaded long after an outage in which their loads began, by
+// processes that have lost patience with each of them.
+func TestLoadsOfAnOutageAreMadeAgainAtItsEnd(t *testing.T) {
+	// A host counts as in touch 3 s after an outage, and then knows an accepted job within 1 s.
+	const partitions, within = 6, 4 * time.Second
+	hosts := []string{"host", "peer 1", "peer 2"}
+	for length := time.Second; length <= 30*time.Second; length += 130 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			s := sharedstore.New(partitions)
+			for _, h := range hosts {
+				s.SetFault(h, sharedstore.NoResponse)
+			}
+			f := store.NewFailover(s.ClientFor("host"), func() []store.Peer { return []store.Peer{s.ClientFor("peer 1"), s.ClientFor("peer 2")} })
+			go store.NewPromptFollower(f, testPartition, &mirror{}, store.FollowerConfig{NewestOnly: true, LoadAge: 1200 * time.Millisecond}).Run(ctx)
+			go func() { // entries ask for the owners of partitions
+				for ctx.Err() == nil {
+					_, _ = f.Owners(ctx, "g") // only its effect on other calls matters
+					time.Sleep(500 * time.Millisecond)
+				}
+			}()
+			loads := store.NewLoadLimit(2)
+			var followers []*store.Follower
+			for n := range partitions {
+				fl := store.NewFollower(f, store.Partition{Topic: "jobs", Number: n}, &mirror{}, store.FollowerConfig{Wait: 8 * time.Second, LoadLimit: loads})
+				go fl.Run(ctx)
+				followers = append(followers, fl)
+			}
+			time.Sleep(length)
+			for _, h := range hosts {
+				s.SetFault(h, sharedstore.NoFault)
+			}
+			time.Sleep(within)
+			for n, fl := range followers {
+				if !fl.View(func(int64, <-chan struct{}) {}) {
+					t.Errorf("partition %d is not loaded %v after an outage of %v", n, within, length)
+				}
+			}
+			cancel()
+			time.Sleep(time.Second)
+			synctest.Wait()
+		})
+	}
+}
