--- a/standin/sharedstore/sharedstore.go
+++ b/standin/sharedstore/sharedstore.go
@@ -36,7 +36,7 @@
 	mu              sync.Mutex
 	logs            map[store.Partition]*log
 	hostFaults      map[string]Fault
-	refusesAppends  map[string]bool          // by host
+	refusesAppends  map[string]bool           // by host
 	partitionFaults map[store.Partition]Fault // takes precedence over hostFaults
 	groups          map[string]*group
 	changed         chan struct{} // closed and replaced at each change
--- a/store/bound_test.go
+++ b/store/bound_test.go
@@ -332,6 +332,7 @@
 			t.Errorf("complete up to %v from now", time.Until(asOf))
 		}
 		cancel()
+		time.Sleep(time.Second) // the read in progress ends
 		synctest.Wait()
 	})
 }
