--- a/store/failover.go
+++ b/store/failover.go
@@ -104,8 +104,8 @@
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		end, err := b.Append(callCtx, p, recs, at)
 		cancel()
-		if err == nil || !canFailOver(err) {
-			f.recordSmall(b, nil)
+		if !canFailOver(err) {
+			f.recordSmall(b, err)
 			return end, err
 		}
 		if ctx.Err() != nil {
@@ -211,11 +211,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	owners, err := f.direct.Owners(ctx, group)
-	if err != nil && canFailOver(err) {
-		f.recordSmall(f.direct, err)
-	} else {
-		f.recordSmall(f.direct, nil)
-	}
+	f.recordSmall(f.direct, err)
 	return owners, err
 }
 
@@ -293,8 +289,8 @@
 		select {
 		case r := <-responses:
 			inFlight--
-			if r.err == nil || !canFailOver(r.err) {
-				record(r.backend, nil)
+			if !canFailOver(r.err) {
+				record(r.backend, r.err)
 				return r.result, r.err
 			}
 			if ctx.Err() != nil {
@@ -380,35 +376,40 @@
 	return append([]Peer{f.direct}, peers...)
 }
 
-// recordResult updates the state of direct calls or of calls through peers.
+// recordResult updates the state of direct calls or of calls through peers by the result of a call.
+// An error that every backend would return is a response, too.
 func (f *Failover) recordResult(backend Peer, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.recordLocked(backend, err)
 }
 
+func (f *Failover) recordLocked(backend Peer, err error) {
+	failed, until := canFailOver(err), time.Time{}
+	if failed {
+		until = time.Now().Add(avoidInterval)
+	}
+	f.avoidUntilLocked(backend, until)
+	if backend == Peer(f.direct) {
+		f.directFailed = failed
+	} else {
+		f.peersFailed = failed
+	}
+}
+
 // avoid makes the next calls prefer other backends.
 func (f *Failover) avoid(backend Peer) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	until := time.Now().Add(avoidInterval)
-	if backend == Peer(f.direct) {
-		f.avoidDirectUntil = until
-		return
-	}
-	f.avoidPeersUntil = until
+	f.avoidUntilLocked(backend, time.Now().Add(avoidInterval))
 }
 
-func (f *Failover) recordLocked(backend Peer, err error) {
-	until := time.Time{}
-	if err != nil {
-		until = time.Now().Add(avoidInterval)
-	}
+func (f *Failover) avoidUntilLocked(backend Peer, until time.Time) {
 	if backend == Peer(f.direct) {
-		f.avoidDirectUntil, f.directFailed = until, err != nil
-		return
+		f.avoidDirectUntil = until
+	} else {
+		f.avoidPeersUntil = until
 	}
-	f.avoidPeersUntil, f.peersFailed = until, err != nil
 }
 
 // recordSmall is recordResult for a call with a small response. When an outage of direct calls
@@ -419,7 +420,7 @@
 	outageEnded := false
 	if backend == Peer(f.direct) {
 		switch {
-		case err == nil:
+		case !f.directFailed:
 			outageEnded = !f.failedSince.IsZero() && time.Since(f.failedSince) >= minOutage
 			f.failedSince = time.Time{}
 		case f.failedSince.IsZero():
--- a/store/follower.go
+++ b/store/follower.go
@@ -150,10 +150,7 @@
 // for the first probe to reach a backend that responds (promptHedgeDelay for each before it). A
 // shorter wait than PromptWait may be set in cfg.
 func NewPromptFollower(f *Failover, part Partition, sink Sink, cfg FollowerConfig) *Follower {
-	if cfg.Wait == 0 {
-		cfg.Wait = PromptWait
-	}
-	cfg.Wait = min(cfg.Wait, PromptWait)
+	cfg.Wait = min(cmp.Or(cfg.Wait, PromptWait), PromptWait)
 	cfg.Prompt, cfg.ProbeInterval = true, ProbeInterval
 	return NewFollower(f.Prompt(), part, sink, cfg)
 }
@@ -238,15 +235,13 @@
 		defer cancel()
 		return true, f.load(ctx)
 	}
+	margin := readTimeoutMargin
 	if f.cfg.Prompt {
-		// It is overdue long before, and goes on beside others.
-		ctx, cancel := context.WithTimeout(ctx, f.cfg.Wait+ReadResponseTimeout)
-		defer cancel()
-		return f.read(ctx, from, wait)
+		margin = ReadResponseTimeout // it is overdue long before, and goes on beside others
 	}
 	// Probes get as much time as reads that wait: a read that is given up in the queue of a
 	// busy store and repeated prolongs the queue.
-	ctx, cancel := context.WithTimeout(ctx, f.cfg.Wait+readTimeoutMargin)
+	ctx, cancel := context.WithTimeout(ctx, f.cfg.Wait+margin)
 	defer cancel()
 	return f.read(ctx, from, wait)
 }
--- a/store/narrow_test.go
+++ b/store/narrow_test.go
@@ -60,6 +60,16 @@
 	return n.Client.Newest(ctx, p, after)
 }
 
+// notLoaded returns the indices of the followers that have loaded nothing.
+func notLoaded(all []*store.Follower) (out []int) {
+	for n, f := range all {
+		if !f.View(func(int64, <-chan struct{}) {}) {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
 // Guards against items of a partition that are not run after a restart of the whole system,
 // without an error: on a host with a slow link, all loads time out and start again.
 func TestLoadsManyPartitionsOverSlowLink(t *testing.T) {
@@ -76,10 +86,8 @@
 			followers = append(followers, f)
 		}
 		time.Sleep(partitions * 2 * unsharedPageTime)
-		for n, f := range followers {
-			if !f.View(func(int64, <-chan struct{}) {}) {
-				t.Errorf("partition %d is not loaded", n)
-			}
+		for _, n := range notLoaded(followers) {
+			t.Errorf("partition %d is not loaded", n)
 		}
 		if pages := link.readPages(); pages > partitions+partitions/2 {
 			t.Errorf("read %d pages for %d partitions, want at most half as many again", pages, partitions)
@@ -105,13 +113,7 @@
 			followers = append(followers, f)
 		}
 		time.Sleep(within)
-		missing := 0
-		for _, f := range followers {
-			if !f.View(func(int64, <-chan struct{}) {}) {
-				missing++
-			}
-		}
-		if missing > 0 {
+		if missing := len(notLoaded(followers)); missing > 0 {
 			t.Errorf("%d of %d partitions are not loaded after %s, although the link carries them within %s", missing, len(followers), within, time.Duration(len(followers))*unsharedPageTime)
 		}
 		cancel()
@@ -171,10 +173,8 @@
 				s.SetFault(h, sharedstore.NoFault)
 			}
 			time.Sleep(within)
-			for n, fl := range followers {
-				if !fl.View(func(int64, <-chan struct{}) {}) {
-					t.Errorf("partition %d is not loaded %v after an outage of %v", n, within, length)
-				}
+			for _, n := range notLoaded(followers) {
+				t.Errorf("partition %d is not loaded %v after an outage of %v", n, within, length)
 			}
 			cancel()
 			time.Sleep(time.Second)
--- a/store/pages.go
+++ b/store/pages.go
@@ -38,6 +38,7 @@
 
 // pageCall is one call for a page.
 type pageCall struct {
+	id      pageID
 	cancel  context.CancelFunc
 	readers int           // guarded by pageCalls.mu; the call is cancelled when none is left
 	done    chan struct{} // closed at the end
@@ -72,7 +73,7 @@
 		return call
 	}
 	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	call := &pageCall{cancel: cancel, readers: 1, done: make(chan struct{})}
+	call := &pageCall{id: id, cancel: cancel, readers: 1, done: make(chan struct{})}
 	c.inFlight[id] = call
 	go func() {
 		defer cancel()
@@ -80,9 +81,7 @@
 		call.page, call.err = fetch(ctx)
 		call.page.ReadAt = began
 		c.mu.Lock()
-		if c.inFlight[id] == call {
-			delete(c.inFlight, id)
-		}
+		c.removeLocked(call)
 		if call.err == nil {
 			c.setPatienceLocked(id.partition, 2*time.Since(began))
 		}
@@ -98,11 +97,14 @@
 	defer c.mu.Unlock()
 	if call.readers--; call.readers == 0 {
 		call.cancel()
-		for id, other := range c.inFlight {
-			if other == call {
-				delete(c.inFlight, id)
-			}
-		}
+		c.removeLocked(call)
+	}
+}
+
+// removeLocked makes the next reader start another call. The caller holds c.mu.
+func (c *pageCalls) removeLocked(call *pageCall) {
+	if c.inFlight[call.id] == call {
+		delete(c.inFlight, call.id)
 	}
 }
 
@@ -134,8 +136,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	clear(c.patience)
-	for id, call := range c.inFlight {
+	for _, call := range c.inFlight {
 		call.cancel()
-		delete(c.inFlight, id)
+		c.removeLocked(call)
 	}
 }
--- a/store/store.go
+++ b/store/store.go
@@ -52,8 +52,8 @@
 	Records []Record
 	More    bool // further keys follow the last one of this page
 	End     int64
-	// ReadAt is when the call for the page began, which may be before its reader asked for it. It is
-	// zero if the call was made for this reader.
+	// ReadAt is when the call for the page began if several readers share it, so it may be before
+	// this reader asked for the page. Otherwise it is zero.
 	ReadAt time.Time
 }
 
