platform, e2e: crowds of clients that send too much, too slowly or nothing

Clients outside the limits ended a process: it ran out of memory. These tests start our processes on loopback with little memory (96 MiB for an entry, GOMEMLIMIT=192MiB for pumice-entry) or 256 descriptors, open a small crowd, keep it open, and check that the process lives, that its peak of resident memory and its open descriptors stay under its limits, and that an ordinary request is answered beside the crowd and after it.

Headers, lines, chunk extensions and trailers without end are cut off already; these stay as guards, like the single requests within the limits.

--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"syscall"
 	"testing"
 	"time"
@@ -161,7 +162,20 @@
 
 func (f *fleet) start(name, command string) {
 	f.t.Helper()
-	cmd := exec.Command(filepath.Join(binDir, command), f.settingsFiles[name])
+	f.startLimited(name, command, 0)
+}
+
+// startLimited starts a process with a limit of descriptors, 0 for the machine's, and with further
+// variables in its environment.
+func (f *fleet) startLimited(name, command string, descriptors int, env ...string) {
+	f.t.Helper()
+	program := filepath.Join(binDir, command)
+	cmd := exec.Command(program, f.settingsFiles[name])
+	if descriptors > 0 {
+		// The shell sets the limit and is replaced by the process.
+		cmd = exec.Command("sh", "-c", `ulimit -n "$0" && exec "$@"`, strconv.Itoa(descriptors), program, f.settingsFiles[name])
+	}
+	cmd.Env = append(os.Environ(), env...)
 	out := &bytes.Buffer{}
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
