intake, connguard: what callers' connections and requests hold is counted before it is read

Cause: nothing asked how much a process holds for all callers together. A body was read whole by a buffer that grows by copying, before its caller was identified; a header could have 256 KiB on any number of connections, and the number of connections was bounded by the descriptors alone.

intake is the decision, pure: connections and requests reserve memory before they read. When it is used up, the request that lags most behind 1 Mbit/s makes room, then, for small requests, the connection that was idle longest; otherwise a request waits for 0.7 s and is refused. Large requests leave a quarter to small ones. Headers, pauses, idle connections and bodies have their times; a pause of the process itself does not count. connguard carries the decisions out for a listener, answers a request that ends before its handler truly (431, 408, 503 with Retry-After), and accepts on when descriptors are short.

Not in use by any process yet.

--- /dev/null
+++ b/connguard/connguard_test.go
@@ -0,0 +1,161 @@
+package connguard_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pumiceford/connguard"
+	"pumiceford/intake"
+	"pumiceford/logging"
+	"pumiceford/metrics"
+)
+
+// pipeListener accepts connections in memory.
+type pipeListener struct {
+	conns chan net.Conn
+	done  chan struct{}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error   { close(l.done); return nil }
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (l *pipeListener) dial() net.Conn {
+	client, server := net.Pipe()
+	l.conns <- server
+	return client
+}
+
+// serve starts a server that answers each request with its body, in a bubble.
+func serve(t *testing.T, limits intake.Limits, maxHeader int) *pipeListener {
+	guard := connguard.New(connguard.Config{
+		Name: "callers", Limits: limits, BufferBytes: connguard.HTTPBufferBytes, Factor: connguard.HTTPFactor,
+		Timeouts: func() intake.Timeouts {
+			return intake.Timeouts{Header: 3 * time.Second, Stall: 10 * time.Second, Idle: 10 * time.Second}
+		},
+		MaxHeaderBytes: func() int { return maxHeader },
+		Refusal:        func(err error) []byte { return connguard.HTTPRefusal(err, time.Second, "") },
+		Log:            logging.New(logging.Settings{Writer: io.Discard}), Metrics: metrics.New("test"),
+	})
+	ln := &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})}
+	srv := &http.Server{ConnContext: connguard.NewContext, Handler: guard.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := connguard.FromContext(r.Context())
+		body, err := connguard.ReadBody(r.Context(), c, r.Body, r.ContentLength, 1<<20)
+		if err == nil {
+			err = c.Serve()
+		}
+		if err != nil {
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			_, _ = io.WriteString(w, err.Error())
+			return
+		}
+		_, _ = w.Write(body)
+	}))}
+	go func() { _ = srv.Serve(guard.Listener(ln)) }()
+	t.Cleanup(func() { _ = srv.Close() })
+	return ln
+}
+
+// exchange sends text on a connection and returns the status and body of the response, 0 and "" if
+// the connection ends without one.
+func exchange(conn net.Conn, text string) (int, string) {
+	go func() { _, _ = io.WriteString(conn, text) }()
+	return response(conn)
+}
+
+func response(conn net.Conn) (int, string) {
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0, ""
+	}
+	body, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(body)
+}
+
+var roomy = intake.Limits{Bytes: 4 << 20, Conns: 100, ConnBytes: 8 << 10}
+
+// Guards against requests within the limits that are refused or changed: any framing, several on one
+// connection.
+func TestSoundRequestsPass(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ln := serve(t, roomy, 16<<10)
+		conn := ln.dial()
+		defer func() { _ = conn.Close() }()
+		large := strings.Repeat("b", 200<<10)
+		for _, c := range []struct{ text, want string }{
+			{"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello", "hello"},
+			{"GET / HTTP/1.1\r\nHost: h\r\n\r\n", ""},
+			{"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n32000\r\n" + large + "\r\n0\r\n\r\n", large},
+			{"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 204800\r\n\r\n" + large, large},
+			{"POST / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 15<<10) + "\r\nContent-Length: 1\r\n\r\nz", "z"},
+		} {
+			if status, body := exchange(conn, c.text); status != 200 || body != c.want {
+				t.Fatalf("%.60q: status %d, %d bytes, want 200 with %d", c.text, status, len(body), len(c.want))
+			}
+		}
+	})
+}
+
+// Guards against requests that end early without a true response: one that has not run has to say
+// so, and the connection ends.
+func TestRequestsThatEndEarly(t *testing.T) {
+	const head = "POST / HTTP/1.1\r\nHost: h\r\n"
+	for name, c := range map[string]struct {
+		text   string
+		status int
+	}{
+		"header over the limit":   {head + strings.Repeat("X: "+strings.Repeat("x", 1000)+"\r\n", 40), http.StatusRequestHeaderFieldsTooLarge},
+		"header without end":      {head, http.StatusRequestTimeout},
+		"body short of its end":   {head + "Content-Length: 10\r\n\r\nhell", http.StatusServiceUnavailable},
+		"chunks without end":      {head + "Transfer-Encoding: chunked\r\n\r\n4\r\nhell\r\n", http.StatusServiceUnavailable},
+		"body larger than memory": {head + "Content-Length: 1000000\r\n\r\n", http.StatusServiceUnavailable},
+		"silent connection":       {"", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				conn := serve(t, intake.Limits{Bytes: 1 << 20, Conns: 100, ConnBytes: 8 << 10}, 16<<10).dial()
+				defer func() { _ = conn.Close() }()
+				if status, body := exchange(conn, c.text); status != c.status {
+					t.Errorf("status %d, body %q, want %d", status, body, c.status)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a client that waits for memory for ever, and against one that waits in vain though
+// another's request ends.
+func TestWaitForMemory(t *testing.T) {
+	const half = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 400000\r\n\r\n"
+	body := strings.Repeat("b", 400000)
+	synctest.Test(t, func(t *testing.T) {
+		ln := serve(t, intake.Limits{Bytes: 1 << 20, Conns: 100, ConnBytes: 8 << 10}, 16<<10)
+		first, second := ln.dial(), ln.dial()
+		defer func() { _, _ = first.Close(), second.Close() }()
+		go func() { _, _ = io.WriteString(first, half+body[1:]) }()
+		synctest.Wait()
+		go func() { _, _ = io.WriteString(second, half+body) }()
+		time.Sleep(200 * time.Millisecond)
+		if status, got := exchange(first, "b"); status != 200 || len(got) != len(body) {
+			t.Errorf("first upload: status %d, %d bytes", status, len(got))
+		}
+		if status, got := response(second); status != 200 || got != body {
+			t.Errorf("upload that waited: status %d, %d bytes", status, len(got))
+		}
+	})
+}
