platform: callers' memory and descriptors are bounded at an entry

What callers saw: crowds of large bodies, whole or not, of large headers, or of connections that hold all descriptors ended an entry or kept it from answering others.

New setting: descriptors. Refusals: 503 callers_memory with Retry-After, 408 upload_timeout, both before anything is sent to a target (TestRefusedUploadsDoNotRun).

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -3,8 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
-	"io"
-	stdlog "log"
+	"net"
 	"net/http"
 	"os"
 	"sync"
@@ -16,6 +15,7 @@
 
 	"pumiceford/access"
 	"pumiceford/catalog"
+	"pumiceford/connguard"
 	"pumiceford/estimate"
 	"pumiceford/exchange"
 	"pumiceford/fairshare"
@@ -120,13 +120,6 @@
 	maxStopMargin   = 700 * time.Millisecond
 	stopMarginShare = 1.0 / 8
 	logFlushTimeout = 200 * time.Millisecond
-	// headerTimeout, idleTimeout and maxHeaderBytes bound a connection whatever operators
-	// set. They exceed the limits in the catalog, which the callers' handler enforces. A
-	// server that closed idle connections sooner than those limits allow would race with
-	// requests arriving on them.
-	headerTimeout   = 15 * time.Second
-	idleTimeout     = 2 * time.Minute
-	maxHeaderBytes  = 256 << 10
 	jobGroup        = "runners"
 	maxRunningItems = 256
 )
@@ -275,12 +268,19 @@
 		return err
 	}
 	limiter := newConnLimiter(n.set.Host.CPUShare, n.log.WithPrefix("front"), n.metrics)
-	front := n.httpServer(limiter.handler(n.deps.FrontHandler(FrontConfig{Gateway: n.gateway, Access: n.access, Limiter: n.limiter, Jobs: n.routes, Catalog: n.view.Catalog, Limits: n.limits, Shutdown: n.shutdown, Log: n.log.WithPrefix("front")})))
+	guard := n.newCallerGuard()
+	front := httpServer(guard.Handler(limiter.handler(n.deps.FrontHandler(FrontConfig{Gateway: n.gateway, Access: n.access, Limiter: n.limiter, Jobs: n.routes, Catalog: n.view.Catalog, Limits: n.limits, Shutdown: n.shutdown, Log: n.log.WithPrefix("front")}))))
+	front.ConnContext = connguard.NewContext
 	drainer := newConnDrainer()
 	front.ConnState = drainer.trackState
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return serve(ctx, front, limiter.listener(listeners[0])) })
-	g.Go(func() error { return serve(ctx, n.httpServer(n.deps.ReadyHandler(n.ready)), listeners[1]) })
+	g.Go(func() error { return serve(ctx, front, guard.Listener(limiter.listener(listeners[0]))) })
+	serveOps := func(name string, h http.Handler, ln net.Listener) {
+		g.Go(func() error {
+			return serveOps(ctx, name, h, ln, n.set.Descriptors, n.log.WithPrefix("front"), n.metrics)
+		})
+	}
+	serveOps("ready", n.deps.ReadyHandler(n.ready), listeners[1])
 	peerServer := &peers.Server{
 		Store: n.deps.Store, View: n.view, Jobs: &jobroute.Server{Local: n.jobs, StoreUnavailable: n.store.Unreachable, HasDirectStore: n.store.DirectReachable},
 		Granter: n.granter, ActingSince: n.shards.Active, Entries: n.entries, Versions: n.origins.History,
@@ -292,7 +292,7 @@
 	ops.HandleFunc("GET /limits", n.limitsHandler)
 	ops.HandleFunc("GET /shares", n.sharesHandler)
 	ops.HandleFunc("GET /targets", n.targetsHandler)
-	g.Go(func() error { return serve(ctx, n.httpServer(ops), listeners[3]) })
+	serveOps("metrics", ops, listeners[3])
 	for _, loop := range []func(context.Context){n.followStore, n.watchPeers, n.maintainCopies, n.expireTargets, n.keepKeyLease, n.introduce, n.observeUse, limiter.run, n.origins.Run, n.shards.Run, n.runJobs, n.quarantine.Run, n.archive.Run, fairshare.NewMonitor(n.shares, n.log.WithPrefix("shares"), n.metrics).Run} {
 		g.Go(func() error { loop(ctx); return nil })
 	}
@@ -331,15 +331,6 @@
 	return catalog.Limits{}
 }
 
-// httpServer returns a server with the connection bounds of an entry. The server's own log
-// is discarded: it concerns single connections, whose failures are also returned as errors.
-func (n *entryNode) httpServer(h http.Handler) *http.Server {
-	return &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: stdlog.New(io.Discard, "", 0),
-	}
-}
-
 // reload applies the settings that may change while the process runs: the seeds. Other
 // changes take effect at the next start.
 func (n *entryNode) reload(file string) error {
--- a/daemon/seatagent.go
+++ b/daemon/seatagent.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"os"
 
 	"golang.org/x/sync/errgroup"
@@ -65,7 +64,7 @@
 		return link.Serve(ctx, listeners[0], link.Config{Node: set.Name, Handle: handle, TLS: tlsConf})
 	})
 	g.Go(func() error {
-		return serve(ctx, &http.Server{Handler: opsHandler(ms, tracker), ReadHeaderTimeout: headerTimeout}, listeners[1])
+		return serveOps(ctx, "metrics", opsHandler(ms, tracker), listeners[1], set.Descriptors, log, ms)
 	})
 	g.Go(func() error {
 		onReload(ctx, reloads, log, func() error {
--- a/gateway/denied.go
+++ b/gateway/denied.go
@@ -24,6 +24,23 @@
 	return Refusal{Reason: Stopping, NotRun: true, RetryAfter: retryAfterStopping}
 }
 
+// retryAfterUpload is the retry-after while callers' requests hold too much memory: most of it is
+// free again after that time.
+const retryAfterUpload = 500 * time.Millisecond
+
+// RefuseUpload returns the refusal of a request that was not received in full, because its caller
+// took too long or because there is no memory for it, and logs it.
+func (g *Gateway) RefuseUpload(id string, timedOut bool, cause error) Refusal {
+	r := Refusal{Reason: CallersMemory, NotRun: true, RetryAfter: retryAfterUpload}
+	if timedOut {
+		r = Refusal{Reason: UploadTimeout, NotRun: true}
+	}
+	if g.recordRefusal("", r.Reason) {
+		g.log.Info("request refused", logging.F("request", id), logging.F("outcome", r.Reason), logging.F("error", cause.Error()))
+	}
+	return r
+}
+
 // Deny returns the refusal of a request whose sender is unknown or may not send it now,
 // and logs the reason. It reveals nothing about the sender's key.
 func (g *Gateway) Deny(id string, err error) Refusal {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -51,6 +51,8 @@
 	Malformed        Reason = "malformed"        // the request cannot be parsed
 	TooLarge         Reason = "too_large"        // its body exceeds the limit
 	HeaderTooLarge   Reason = "header_too_large" // its header exceeds the limit
+	UploadTimeout    Reason = "upload_timeout"   // its body was not complete in time
+	CallersMemory    Reason = "callers_memory"   // the requests of all callers hold too much memory
 	StoreUnavailable Reason = "unsure"           // the shared store does not respond
 	JobNotFound      Reason = "unknown"          // there is no such job
 	JobConflict      Reason = "conflict"         // another job has the same ID
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -120,6 +120,9 @@
 	// StopWithin is the time from the platform's stop signal until it kills the process.
 	StopWithin Duration `json:"stop_within"`
 	MemoryMB   int      `json:"memory_mb"` // memory limit of this process in MiB
+	// Descriptors is the number of descriptors that this process may open. 0 is the system's limit.
+	// Callers' connections use three quarters of them at most.
+	Descriptors int `json:"descriptors"`
 	// GCPercent is the growth of the heap since the last collection, in percent, at which
 	// the runtime collects garbage. 0 is the runtime's default.
 	GCPercent int `json:"gc_percent"`
@@ -149,6 +152,7 @@
 	out = append(out, g.Host.check()...)
 	out = append(out, g.Store.check()...)
 	out = append(out, checkGCPercent(g.GCPercent)...)
+	out = append(out, checkDescriptors(g.Descriptors)...)
 	const minStopWithin = Duration(2 * time.Second) // running streams take about 1 s to end
 	if g.StopWithin < minStopWithin {
 		out = append(out, Problem{"stop_within", "expected 2s or more"})
@@ -175,7 +179,9 @@
 	Metrics    string   `json:"metrics"` // ip:port for metrics
 	StopWithin Duration `json:"stop_within"`
 	MemoryMB   int      `json:"memory_mb"`
-	GCPercent  int      `json:"gc_percent"` // as in Gateway
+	// Descriptors is the number of descriptors that this process may open. 0 is the system's limit.
+	Descriptors int `json:"descriptors"`
+	GCPercent   int `json:"gc_percent"` // as in Gateway
 	// MaxProcs bounds the threads that run at once. 0 is the runtime's default: the
 	// processors of the host.
 	MaxProcs   int  `json:"max_procs"`
@@ -193,6 +199,7 @@
 	}
 	out = append(out, CheckDistinct(addrs)...)
 	out = append(out, checkGCPercent(a.GCPercent)...)
+	out = append(out, checkDescriptors(a.Descriptors)...)
 	if a.MaxProcs < 0 {
 		out = append(out, Problem{"max_procs", "expected 0 or more"})
 	}
@@ -212,6 +219,15 @@
 	return nil
 }
 
+// checkDescriptors refuses limits that leave too few for a process's own connections.
+func checkDescriptors(n int) []Problem {
+	const minDescriptors = 128
+	if n != 0 && n < minDescriptors {
+		return []Problem{{"descriptors", fmt.Sprintf("expected %d or more, or 0 for the system's limit", minDescriptors)}}
+	}
+	return nil
+}
+
 func checkPort(field string, port int) []Problem {
 	if port < 1 || port > 65535 {
 		return []Problem{{field, "expected a port number from 1 to 65535"}}
