entry: pumice-entry bounds what callers hold, and accepts on without descriptors

Cause: hertz reads a whole request of any path into memory before a handler runs, copies a header that is spread over several buffers each time that a part of it arrives, has no limit of connections, and takes a failed accept for the end of its listener, after which the process exits.

Change: the listeners of callers, operators and the agents' metrics are guarded: connections are counted with a buffer that holds the largest header, and each further byte by four before it is read. A request that is ended before a handler has it gets the interface's own error, ran "no". An accept that fails for lack of descriptors is tried again. New settings: memory_mb and descriptors.

--- a/connguard/http.go
+++ b/connguard/http.go
@@ -86,6 +86,15 @@
 	// each byte of a larger header: lines, and the strings and the map that they are parsed to.
 	HTTPBufferBytes = 4 << 10
 	HTTPFactor      = 3
+	// HertzBufferBytes is the size of the read buffer of a hertz server, which holds its largest
+	// header, and HertzFactor what it holds for each further byte: a buffer that grows by copying, and
+	// what the request is decoded to.
+	HertzBufferBytes = 64 << 10
+	HertzFactor      = 4
+	hertzConnBytes   = HertzBufferBytes + 16<<10
+	// operatorConns and operatorBytes are the limits of the operators' listener.
+	operatorConns = 64
+	operatorBytes = 16 << 20
 	// maxOpsConns and opsConnFraction bound the connections of a listener for checks and metrics.
 	maxOpsConns     = 64
 	opsConnFraction = 1.0 / 16
@@ -98,6 +107,16 @@
 	return limits(memory, descriptors, httpConnBytes)
 }
 
+// HertzLimits is HTTPLimits for a server that is made by hertz.
+func HertzLimits(memory int64, descriptors int) intake.Limits {
+	return limits(memory, descriptors, hertzConnBytes)
+}
+
+// OperatorLimits returns the limits of the operators' listener, which is made by hertz.
+func OperatorLimits(descriptors int) intake.Limits {
+	return intake.Limits{Bytes: operatorBytes, Conns: min(operatorConns, int(opsConnFraction*float64(descriptors))), ConnBytes: hertzConnBytes}
+}
+
 func limits(memory int64, descriptors int, connBytes int64) intake.Limits {
 	l := intake.Limits{Bytes: int64(memoryShare * float64(memory)), ConnBytes: connBytes}
 	sockets := descriptors - min(maxReservedDescriptors, descriptors/4)
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -42,9 +42,9 @@
 	}
 }
 
-// descriptorLimit returns the number of descriptors that this process may open. A configured value
+// DescriptorLimit returns the number of descriptors that this process may open. A configured value
 // of 0 sets no other bound than the system's.
-func descriptorLimit(configured int) int {
+func DescriptorLimit(configured int) int {
 	limit := maxDescriptors
 	var system syscall.Rlimit
 	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &system) == nil {
@@ -62,7 +62,7 @@
 	if memory <= 0 {
 		memory = defaultMemory
 	}
-	limits := connguard.HTTPLimits(memory, descriptorLimit(n.set.Descriptors))
+	limits := connguard.HTTPLimits(memory, DescriptorLimit(n.set.Descriptors))
 	n.log.Info("callers' connections are limited", logging.F("bytes", limits.Bytes), logging.F("connections", limits.Conns))
 	return connguard.New(connguard.Config{
 		Name: "callers", Limits: limits, BufferBytes: connguard.HTTPBufferBytes, Factor: connguard.HTTPFactor,
@@ -88,9 +88,11 @@
 // serveOps serves readiness checks or metrics until ctx ends.
 func serveOps(ctx context.Context, name string, h http.Handler, ln net.Listener, descriptors int, log logging.Logger, ms *metrics.Set) error {
 	guard := connguard.New(connguard.Config{
-		Name: name, Limits: connguard.OpsLimits(descriptorLimit(descriptors)), BufferBytes: connguard.HTTPBufferBytes, Factor: connguard.HTTPFactor,
-		Timeouts: func() intake.Timeouts { return intake.Timeouts{Header: headerTimeout, Stall: headerTimeout, Idle: idleTimeout} },
-		Refusal:  refusal, Log: log, Metrics: ms,
+		Name: name, Limits: connguard.OpsLimits(DescriptorLimit(descriptors)), BufferBytes: connguard.HTTPBufferBytes, Factor: connguard.HTTPFactor,
+		Timeouts: func() intake.Timeouts {
+			return intake.Timeouts{Header: headerTimeout, Stall: headerTimeout, Idle: idleTimeout}
+		},
+		Refusal: refusal, Log: log, Metrics: ms,
 	})
 	srv := httpServer(guard.Handler(h))
 	srv.ConnContext = connguard.NewContext
--- a/daemon/plainlog/agent.go
+++ b/daemon/plainlog/agent.go
@@ -13,6 +13,7 @@
 	"pumiceford/admission"
 	"pumiceford/agent"
 	"pumiceford/config"
+	"pumiceford/connguard"
 	"pumiceford/daemon"
 	"pumiceford/engine"
 	"pumiceford/engine/enginehttp"
@@ -95,7 +96,7 @@
 	g.Go(func() error {
 		return link.Serve(ctx, peers, linkCfg)
 	})
-	g.Go(func() error { return serveAgentOps(ctx, ops, series) })
+	g.Go(func() error { return serveAgentOps(ctx, ops, agentLog, series) })
 	g.Go(func() error {
 		defer cancel()
 		if !daemon.WaitStop(ctx, stop) {
@@ -112,9 +113,10 @@
 	return g.Wait()
 }
 
-func serveAgentOps(ctx context.Context, ln net.Listener, set *metrics.Set) error {
+func serveAgentOps(ctx context.Context, ln net.Listener, log logging.Logger, set *metrics.Set) error {
 	const maxBody = 1 << 16
-	h := httpx.NewServer(ln, maxBody)
+	guard := newGuard("ops", connguard.OperatorLimits(daemon.DescriptorLimit(0)), nil, log, set)
+	h := httpx.NewGuardedServer(ln, maxBody, guard)
 	h.GET("/healthz", func(_ context.Context, c *app.RequestContext) { c.SetStatusCode(200) })
 	h.GET("/metrics", adaptor.HertzHandler(promhttp.HandlerFor(set.Registry, promhttp.HandlerOpts{})))
 	return httpx.Serve(ctx, h)
--- a/daemon/plainlog/entry.go
+++ b/daemon/plainlog/entry.go
@@ -11,10 +11,12 @@
 	"golang.org/x/sync/errgroup"
 
 	"pumiceford/config"
+	"pumiceford/connguard"
 	"pumiceford/daemon"
 	"pumiceford/entry"
 	"pumiceford/infra"
 	"pumiceford/infra/infrahttp"
+	"pumiceford/intake"
 	"pumiceford/ledger"
 	"pumiceford/link"
 	"pumiceford/logging"
@@ -29,6 +31,21 @@
 	defaultBalancerDelay = 2 * time.Second
 )
 
+// Timeouts of clients of the project's own interface.
+const (
+	stallTimeout = 30 * time.Second // between two parts of a request
+	idleTimeout  = 2 * time.Minute  // between two requests
+)
+
+// newGuard returns a guard for a listener of the project's own interface.
+func newGuard(name string, limits intake.Limits, refusal func(error) []byte, log logging.Logger, ms *metrics.Set) *connguard.Guard {
+	return connguard.New(connguard.Config{
+		Name: name, Limits: limits, BufferBytes: connguard.HertzBufferBytes, Factor: connguard.HertzFactor,
+		Timeouts: func() intake.Timeouts { return intake.Timeouts{Stall: stallTimeout, Idle: idleTimeout} },
+		Refusal:  refusal, Log: log, Metrics: ms,
+	})
+}
+
 // durationOr returns d, or def if d is 0.
 func durationOr(d settings.Duration, def time.Duration) time.Duration {
 	if d == 0 {
@@ -73,6 +90,8 @@
 	if err != nil {
 		return err
 	}
+	set.MemoryMB = daemon.MemoryMB(set.MemoryMB)
+	daemon.LimitMemory(set.MemoryMB)
 	return ServeEntry(stop, set, plat, ls)
 }
 
@@ -84,6 +103,11 @@
 		return err
 	}
 	log := set.Log.Logger()
+	series := metrics.New(set.Name)
+	guard := func(name string, limits intake.Limits) *connguard.Guard {
+		return newGuard(name, limits, entry.Refusal, log.WithPrefix("entry"), series)
+	}
+	descriptors := daemon.DescriptorLimit(set.Descriptors)
 	e := entry.New(entry.Config{
 		Name:        set.Name,
 		DataCentre:  set.DataCentre,
@@ -98,8 +122,10 @@
 			ResultsEvery: time.Duration(set.ResultsEvery),
 			Retention:    time.Duration(set.Retention),
 		},
-		Logger:  log,
-		Metrics: metrics.New(set.Name),
+		CallerGuard:   guard("callers", connguard.HertzLimits(int64(daemon.MemoryMB(set.MemoryMB))<<20, descriptors)),
+		OperatorGuard: guard("operators", connguard.OperatorLimits(descriptors)),
+		Logger:        log,
+		Metrics:       series,
 	})
 	entryLog := log.WithPrefix("entry")
 	if tlsConf == nil {
--- a/daemon/process.go
+++ b/daemon/process.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	stdlog "log"
+	"math"
 	"net"
 	"net/http"
 	"runtime"
 	"runtime/debug"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -33,6 +35,26 @@
 	}
 }
 
+// MemoryMB returns the memory limit of this process in MiB: the configured one, or the runtime's, or
+// half of the host's memory.
+func MemoryMB(configured int) int {
+	if configured > 0 {
+		return configured
+	}
+	if limit := debug.SetMemoryLimit(-1); limit < math.MaxInt64 {
+		return int(limit >> 20)
+	}
+	const hostFraction = 0.5
+	var host syscall.Sysinfo_t
+	if syscall.Sysinfo(&host) != nil {
+		return defaultMemory >> 20
+	}
+	return int(hostFraction*float64(host.Totalram)*float64(host.Unit)) >> 20
+}
+
+// LimitMemory sets the runtime's soft limit in a process with the given memory limit in MiB.
+func LimitMemory(megabytes int) { limitMemory(megabytes, 0) }
+
 // limitProcs bounds the threads that run at once, because each has caches of its own in the
 // runtime. It never raises the runtime's number. A value of 0 sets no bound.
 func limitProcs(procs int) {
--- a/e2e/crowd_test.go
+++ b/e2e/crowd_test.go
@@ -20,25 +20,25 @@
 	spareDescriptors = 16
 )
 
-// request returns the start of a request with a valid key, whose header is not complete.
-func request(method, path string) string {
-	return method + " " + path + " HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer " + dev.WorkspaceKey + "\r\n"
+// postTo returns the start of a request with a valid key, whose header is not complete.
+func postTo(path string) string {
+	return "POST " + path + " HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer " + dev.WorkspaceKey + "\r\n"
 }
 
 // upload returns a batch file of size bytes, of which all but the last byte are sent.
 func upload(size int) crowd.Send {
 	const start = "--b\r\nContent-Disposition: form-data; name=\"purpose\"\r\n\r\nbatch\r\n--b\r\nContent-Disposition: form-data; name=\"file\"; filename=\"f\"\r\n\r\n"
-	head := fmt.Sprintf("%sContent-Type: multipart/form-data; boundary=b\r\nContent-Length: %d\r\n\r\n%s", request("POST", "/v1/files"), size+len(start), start)
+	head := fmt.Sprintf("%sContent-Type: multipart/form-data; boundary=b\r\nContent-Length: %d\r\n\r\n%s", postTo("/v1/files"), size+len(start), start)
 	return crowd.Repeat(head, "x", size-1)
 }
 
 func chunked(path string, chunk, total int) crowd.Send {
 	framed := fmt.Sprintf("%x\r\n%s\r\n", chunk, strings.Repeat("x", chunk))
-	return crowd.Repeat(request("POST", path)+"Transfer-Encoding: chunked\r\n\r\n", framed, total/chunk*len(framed))
+	return crowd.Repeat(postTo(path)+"Transfer-Encoding: chunked\r\n\r\n", framed, total/chunk*len(framed))
 }
 
 func largeHeader(total int) crowd.Send {
-	return crowd.Repeat(request("POST", "/v1/completions"), "X-Filler: "+strings.Repeat("f", 500)+"\r\n", total)
+	return crowd.Repeat(postTo("/v1/completions"), "X-Filler: "+strings.Repeat("f", 500)+"\r\n", total)
 }
 
 // checkWithinLimits checks that a process lives within its memory and its descriptors.
@@ -97,10 +97,10 @@
 		{name: "empty lines without end", size: 50, addr: callers, send: crowd.Repeat("", "\r\n", 8<<20)},
 		{name: "chunks beyond a prompt", size: 6, addr: callers, send: chunked("/v1/completions", 64<<10, 64<<20)},
 		{name: "small chunks", size: 30, addr: callers, send: chunked("/v1/services/stamps/x", 16, 4<<20)},
-		{name: "prompts short of their end", size: 250, addr: callers, send: crowd.Repeat(request("POST", "/v1/completions")+"Content-Length: 1048576\r\n\r\n", "x", 1<<20-1)},
+		{name: "prompts short of their end", size: 250, addr: callers, send: crowd.Repeat(postTo("/v1/completions")+"Content-Length: 1048576\r\n\r\n", "x", 1<<20-1)},
 		{name: "files short of their end", size: 6, addr: callers, send: upload(64 << 20)},
 		{name: "headers to operators", size: 400, addr: operators, send: largeHeader(60 << 10)},
-		{name: "bodies to operators", size: 30, addr: operators, send: crowd.Repeat(request("POST", "/plans")+"Content-Length: 16777216\r\n\r\n", "x", 16<<20-1)},
+		{name: "bodies to operators", size: 30, addr: operators, send: crowd.Repeat(postTo("/plans")+"Content-Length: 16777216\r\n\r\n", "x", 16<<20-1)},
 		{name: "silent connections", size: 400, descriptors: crowdDescriptors, addr: callers, send: crowd.Silent},
 		{name: "silent connections to operators", size: 400, descriptors: crowdDescriptors, addr: operators, send: crowd.Silent},
 	} {
--- a/entry/api.go
+++ b/entry/api.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net"
+	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -11,6 +13,7 @@
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/common/adaptor"
+	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
@@ -18,6 +21,7 @@
 	"pumiceford/apierr"
 	"pumiceford/batch"
 	"pumiceford/config"
+	"pumiceford/connguard"
 	"pumiceford/httpx"
 	"pumiceford/wire"
 )
@@ -42,7 +46,7 @@
 
 // ServeCallers serves the callers' interface on ln until ctx ends.
 func (e *Entry) ServeCallers(ctx context.Context, ln net.Listener) error {
-	h := httpx.NewServer(ln, MaxCallerBodyBytes)
+	h := httpx.NewGuardedServer(ln, MaxCallerBodyBytes, e.cfg.CallerGuard)
 	h.GET("/healthz", func(_ context.Context, c *app.RequestContext) { c.SetStatusCode(200) })
 	h.GET("/readyz", func(_ context.Context, c *app.RequestContext) {
 		if !e.Ready() {
@@ -148,6 +152,34 @@
 	httpx.WriteJSON(c, fail.Status(), body)
 }
 
+// uploadRetryAfter is the retry-after of a request for which there is no memory. Requests that lag
+// make room in that time.
+const uploadRetryAfter = time.Second
+
+// Refusal returns the HTTP response to a request that was not received in full. The cause is an
+// error of package connguard.
+func Refusal(cause error) []byte {
+	var ended *connguard.Error
+	fail := apierr.New(apierr.CodeOverloaded, "the requests of all callers hold too much memory").WithRetryAfter(uploadRetryAfter)
+	switch {
+	case errors.As(cause, &ended) && ended.TimedOut():
+		fail = apierr.New(apierr.CodeDeadlineExceeded, "the request did not arrive in time")
+	case errors.Is(cause, connguard.ErrBodyTooLarge):
+		fail = apierr.New(apierr.CodeTooLarge, "the request exceeds the memory for requests")
+	}
+	_, detail := newErrorBody(fail)
+	body, err := json.Marshal(detail)
+	if err != nil {
+		body = nil // strings always encode; the status says enough
+	}
+	retry := ""
+	if fail.RetryAfter > 0 {
+		retry = fmt.Sprintf("Retry-After: %d\r\n", int(fail.RetryAfter/time.Second))
+	}
+	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n%s: %s\r\n%sConnection: close\r\nContent-Length: %d\r\n\r\n%s",
+		fail.Status(), http.StatusText(fail.Status()), HeaderRan, ranText(fail.Ran), retry, len(body), body)
+}
+
 type modelList struct {
 	Object string      `json:"object"`
 	Data   []modelInfo `json:"data"`
--- a/entry/api_operator.go
+++ b/entry/api_operator.go
@@ -18,7 +18,7 @@
 
 // ServeOperators serves the operators' interface on ln until ctx ends.
 func (e *Entry) ServeOperators(ctx context.Context, ln net.Listener) error {
-	h := httpx.NewServer(ln, maxOperatorBodyBytes)
+	h := httpx.NewGuardedServer(ln, maxOperatorBodyBytes, e.cfg.OperatorGuard)
 	h.GET("/metrics", e.serveMetrics())
 	h.POST("/plans", e.handleOperator(e.servePropose))
 	h.GET("/plans/:id", e.handleOperator(e.servePlan))
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,6 +14,7 @@
 	"golang.org/x/time/rate"
 
 	"pumiceford/config"
+	"pumiceford/connguard"
 	"pumiceford/infra"
 	"pumiceford/internal/defaults"
 	"pumiceford/internal/wait"
@@ -51,6 +52,10 @@
 	// default 64.
 	MaxAgents int
 
+	// CallerGuard and OperatorGuard bound what the clients of the two interfaces hold; nil sets no
+	// bound.
+	CallerGuard, OperatorGuard *connguard.Guard
+
 	Logger  logging.Logger
 	Metrics *metrics.Set
 }
--- a/httpx/httpx.go
+++ b/httpx/httpx.go
@@ -16,6 +16,8 @@
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"pumiceford/connguard"
 )
 
 func init() {
@@ -26,7 +28,7 @@
 
 // Limits and timeouts of HTTP servers and clients.
 const (
-	MaxHeaderBytes = 64 << 10
+	MaxHeaderBytes = connguard.HertzBufferBytes
 	idleTimeout    = 2 * time.Minute
 	dialTimeout    = 2 * time.Second
 	maxConns       = 4096
@@ -47,6 +49,25 @@
 	return server.New(append(all, opts...)...)
 }
 
+// NewGuardedServer is NewServer with connections that guard guards; nil guards none. A connection's
+// buffer has room for the largest header, since hertz copies a header that is spread over several buffers each
+// time that a part of it arrives.
+func NewGuardedServer(ln net.Listener, maxBody int, guard *connguard.Guard) *server.Hertz {
+	if guard == nil {
+		return NewServer(ln, maxBody)
+	}
+	h := NewServer(guard.Listener(ln), maxBody, server.WithReadBufferSize(connguard.HertzBufferBytes), server.WithOnAccept(func(c net.Conn) context.Context {
+		return connguard.NewContext(context.Background(), c)
+	}))
+	h.Use(func(ctx context.Context, c *app.RequestContext) {
+		conn := connguard.FromContext(ctx)
+		conn.BeginRequest(false)
+		defer conn.EndRequest(true)
+		c.Next(ctx)
+	})
+	return h
+}
+
 // Serve runs h until ctx ends. It does not wait for requests in flight; a caller that must
 // finish them does so before it ends ctx.
 func Serve(ctx context.Context, h *server.Hertz) error {
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -81,10 +81,10 @@
 
 // The outcomes.
 const (
-	Granted Outcome = iota
-	Waiting         // a Decision follows
-	Refused         // too much is held by others
-	TooLarge        // it exceeds what all may hold together
+	Granted  Outcome = iota
+	Waiting          // a Decision follows
+	Refused          // too much is held by others
+	TooLarge         // it exceeds what all may hold together
 )
 
 // Decision concerns a connection other than the one that asked, or one that was waiting.
--- a/settings/daemons.go
+++ b/settings/daemons.go
@@ -121,8 +121,13 @@
 	ResultsEvery Duration `json:"results_every"`
 	// Retention is how long the platform's log keeps records. Default 24h.
 	Retention Duration `json:"retention"`
-	TLS       *TLS     `json:"tls"`
-	Log       Log      `json:"log"`
+	// MemoryMB is the memory limit of the process in MiB. Callers' requests may hold three eighths of
+	// it. Default: the limit that the runtime has from GOMEMLIMIT, or half of the host's memory.
+	MemoryMB int `json:"memory_mb"`
+	// Descriptors is the number of descriptors that this process may open. 0 is the system's limit.
+	Descriptors int  `json:"descriptors"`
+	TLS         *TLS `json:"tls"`
+	Log         Log  `json:"log"`
 }
 
 // MaxPartitions is the largest number of batch partitions.
@@ -143,6 +148,10 @@
 	if s.Bootstrap.Name == "" || len(s.Bootstrap.KeyHash) != 64 {
 		out = append(out, Problem{"bootstrap_operator", "expected a name and the hex SHA-256 of a key"})
 	}
+	if s.MemoryMB < 0 {
+		out = append(out, Problem{"memory_mb", "expected 0 or more"})
+	}
+	out = append(out, checkDescriptors(s.Descriptors)...)
 	out = append(out, s.TLS.check()...)
 	return append(out, s.Log.check()...)
 }
