gateway: large responses are buffered only with memory for them

Cause, found by reading: up to 1 MiB of each response that is no event stream is buffered, by a buffer that grows by copying, whatever the process holds; only the targets' slots bounded how many. A large fleet has hundreds.

Change: beyond 64 KiB the buffer is reserved with the caller's connection. Where there is no room the response is relayed as it arrives; it is served as well, but not sent again elsewhere if it breaks off.

No crowd over real processes was red by this: the test's targets have 8 slots, and the system's buffers take 1 MiB.

--- a/connguard/connguard.go
+++ b/connguard/connguard.go
@@ -424,6 +424,20 @@
 	}
 }
 
+// TryReserve is Reserve without a wait. It reports whether the memory is reserved.
+func (c *Conn) TryReserve(n int64) bool {
+	if c == nil {
+		return true
+	}
+	outcome := intake.Refused
+	c.guard.locked(func(p *intake.Pool, now time.Duration) {
+		if outcome = p.Reserve(now, c.id, n); outcome == intake.Waiting {
+			p.CancelWait(now, c.id)
+		}
+	})
+	return outcome == intake.Granted
+}
+
 // dropAnswer drops the answer to a reservation whose wait had ended otherwise.
 func (c *Conn) dropAnswer() {
 	select {
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"sync"
@@ -21,6 +22,13 @@
 // request can still be retried at another target.
 const maxBufferedBodyBytes = 1 << 20
 
+// freeBufferedBodyBytes is the part of it that is read without a reservation of memory, and bufferCopies
+// how much the growing buffer holds, relative to its content.
+const (
+	freeBufferedBodyBytes = 64 << 10
+	bufferCopies          = 2
+)
+
 // maxBodyBytes bounds a response that is not an event stream. A longer one is the target's error.
 const maxBodyBytes = 32 << 20
 
@@ -151,12 +159,12 @@
 	if resp.ContentLength > maxBodyBytes {
 		return s.handleSendError(c.Instance, &exchange.SendError{Fault: exchange.FaultInvalid, Sent: true, Cause: errBodyTooLarge})
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBodyBytes))
+	body, whole, err := s.bufferBody(resp.Body)
 	if err != nil {
 		return s.handleSendError(c.Instance, &exchange.SendError{Fault: exchange.FaultBroken, Sent: true, Cause: err})
 	}
 	s.firstResponseAt = time.Now()
-	if len(body) < maxBufferedBodyBytes {
+	if whole {
 		s.updateHealth(c.Instance, balance.Succeeded, "")
 		s.responder.Start(resp.Status, resp.Header, int64(len(body)))
 		s.outcome = outcomeServed
@@ -192,6 +200,21 @@
 	return finished
 }
 
+// bufferBody reads the start of a response: maxBufferedBodyBytes, or freeBufferedBodyBytes if there is no memory
+// for more. It reports whether that is the whole response.
+func (s *requestState) bufferBody(src io.Reader) (body []byte, whole bool, err error) {
+	body, err = io.ReadAll(io.LimitReader(src, freeBufferedBodyBytes))
+	if err != nil || len(body) < freeBufferedBodyBytes {
+		return body, err == nil, err
+	}
+	if s.req.ReserveMemory != nil && !s.req.ReserveMemory(bufferCopies*maxBufferedBodyBytes) {
+		return body, false, nil
+	}
+	buf := bytes.NewBuffer(body)
+	_, err = buf.ReadFrom(io.LimitReader(src, maxBufferedBodyBytes-freeBufferedBodyBytes))
+	return buf.Bytes(), err == nil && buf.Len() < maxBufferedBodyBytes, err
+}
+
 // responderWriter is an io.Writer that remembers the error of its Responder.
 type responderWriter struct {
 	responder Responder
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -126,6 +126,9 @@
 	// request resumes; "" if it resumes none or the caller does not name it.
 	FirstAttempt string
 	Holder       fairshare.Holder
+	// ReserveMemory reserves bytes for the response until the request ends, and reports whether they
+	// are free; nil reserves nothing.
+	ReserveMemory func(bytes int64) bool
 }
 
 // FailureNotifier notifies other processes of target failures.
