connguard: a refusal does not wait for the rest of the body

What callers saw: a request with a body that is refused for lack of memory got its 503 only when its client stopped or was cut off, 10 s later in TestWaitEndsBesideTraffic, since a body that the handler has not read was read before the response went out. A client may wait for the response before it sends more.

Change: only a response that keeps its connection open waits for the body, as in net/http itself; refusals of uploads close theirs.

--- a/connguard/http.go
+++ b/connguard/http.go
@@ -31,7 +31,9 @@
 		r.Body = body
 		defer func() { c.EndRequest(body.ended) }()
 		h.ServeHTTP(w, r)
-		if !body.ended && r.Header.Get("Expect") == "" {
+		// A client may wait for the response before it sends the rest, so only a response that keeps the
+		// connection open waits for it.
+		if !body.ended && r.Header.Get("Expect") == "" && w.Header().Get("Connection") != "close" {
 			_, _ = io.CopyN(io.Discard, body, maxDrainBytes) // a body that is longer or fails closes the connection
 		}
 	})
