connguard: waits for memory end while other connections are busy

Cause, found by reading: each reservation, read or end of a request set the timer for the next check anew while any request waited, so at more than ten events a second it never fired, and nobody who waited was served or refused by it. The timer is also no longer stopped with the last connection, so that what happened last is still logged.

--- a/connguard/connguard.go
+++ b/connguard/connguard.go
@@ -77,7 +77,8 @@
 	pool     *intake.Pool
 	conns    map[intake.ID]*Conn
 	lastID   intake.ID
-	timer    *time.Timer // nil while no connection is open
+	timer    *time.Timer   // nil before the first connection
+	due      time.Duration // of the timer; 0 while it is not set
 	events   map[string]int
 	loggedAt time.Duration
 }
@@ -102,7 +103,7 @@
 			g.events[string(d.Reason)]++
 		}
 	}
-	g.arm()
+	g.arm(now)
 	g.mu.Unlock()
 	for n, d := range decisions {
 		if c := concerned[n]; c != nil {
@@ -111,22 +112,22 @@
 	}
 }
 
-// arm sets the timer for the next check. g.mu is held.
-func (g *Guard) arm() {
-	next := expireInterval
+// arm sets the timer for the next check, unless it is due sooner or no connection is open. g.mu is
+// held.
+func (g *Guard) arm(now time.Duration) {
+	interval := expireInterval
 	if g.pool.IsWaiting() {
-		next = waitInterval
+		interval = waitInterval
 	}
-	switch {
-	case len(g.conns) == 0 && g.timer != nil:
-		g.timer.Stop()
-		g.timer = nil
-	case len(g.conns) == 0:
-	case g.timer == nil:
-		g.timer = time.AfterFunc(next, g.expire)
-	case next == waitInterval:
-		g.timer.Reset(next)
+	if len(g.conns) == 0 || g.due != 0 && g.due <= now+interval {
+		return
+	}
+	g.due = now + interval
+	if g.timer == nil {
+		g.timer = time.AfterFunc(interval, g.expire)
+		return
 	}
+	g.timer.Reset(interval)
 }
 
 func (g *Guard) expire() {
@@ -135,9 +136,7 @@
 			p.SetTimeouts(g.cfg.Timeouts())
 		}
 		p.Expire(now)
-		if g.timer != nil {
-			g.timer.Reset(expireInterval)
-		}
+		g.due = 0
 	})
 	g.report()
 }
--- a/connguard/connguard_test.go
+++ b/connguard/connguard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -41,13 +42,13 @@
 }
 
 // serve starts a server that answers each request with its body, in a bubble.
-func serve(t *testing.T, limits intake.Limits, maxHeader int) *pipeListener {
+func serve(t *testing.T, limits intake.Limits) *pipeListener {
 	guard := connguard.New(connguard.Config{
 		Name: "callers", Limits: limits, BufferBytes: connguard.HTTPBufferBytes, Factor: connguard.HTTPFactor,
 		Timeouts: func() intake.Timeouts {
 			return intake.Timeouts{Header: 3 * time.Second, Stall: 10 * time.Second, Idle: 10 * time.Second}
 		},
-		MaxHeaderBytes: func() int { return maxHeader },
+		MaxHeaderBytes: func() int { return 16 << 10 },
 		Refusal:        func(err error) []byte { return connguard.HTTPRefusal(err, time.Second, "") },
 		Log:            logging.New(logging.Settings{Writer: io.Discard}), Metrics: metrics.New("test"),
 	})
@@ -93,7 +94,7 @@
 // connection.
 func TestSoundRequestsPass(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		ln := serve(t, roomy, 16<<10)
+		ln := serve(t, roomy)
 		conn := ln.dial()
 		defer func() { _ = conn.Close() }()
 		large := strings.Repeat("b", 200<<10)
@@ -128,7 +129,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				conn := serve(t, intake.Limits{Bytes: 1 << 20, Conns: 100, ConnBytes: 8 << 10}, 16<<10).dial()
+				conn := serve(t, intake.Limits{Bytes: 1 << 20, Conns: 100, ConnBytes: 8 << 10}).dial()
 				defer func() { _ = conn.Close() }()
 				if status, body := exchange(conn, c.text); status != c.status {
 					t.Errorf("status %d, body %q, want %d", status, body, c.status)
@@ -144,7 +145,7 @@
 	const half = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 400000\r\n\r\n"
 	body := strings.Repeat("b", 400000)
 	synctest.Test(t, func(t *testing.T) {
-		ln := serve(t, intake.Limits{Bytes: 1 << 20, Conns: 100, ConnBytes: 8 << 10}, 16<<10)
+		ln := serve(t, intake.Limits{Bytes: 1 << 20, Conns: 100, ConnBytes: 8 << 10})
 		first, second := ln.dial(), ln.dial()
 		defer func() { _, _ = first.Close(), second.Close() }()
 		go func() { _, _ = io.WriteString(first, half+body[1:]) }()
@@ -159,3 +160,35 @@
 		}
 	})
 }
+
+// Guards against a wait that does not end while other connections are busy.
+func TestWaitEndsBesideTraffic(t *testing.T) {
+	const size = 400000
+	head := fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", size)
+	synctest.Test(t, func(t *testing.T) {
+		ln := serve(t, intake.Limits{Bytes: 1 << 20, Conns: 100, ConnBytes: 8 << 10})
+		steady, waiting, busy := ln.dial(), ln.dial(), ln.dial()
+		defer func() { _, _, _ = steady.Close(), waiting.Close(), busy.Close() }()
+		go func() {
+			_, _ = io.WriteString(steady, head)
+			for range size / 20000 {
+				_, _ = io.WriteString(steady, strings.Repeat("b", 20000))
+				time.Sleep(100 * time.Millisecond)
+			}
+		}()
+		go func() {
+			for range 50 {
+				if status, _ := exchange(busy, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); status != 200 {
+					t.Errorf("small request: status %d", status)
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+		}()
+		time.Sleep(100 * time.Millisecond)
+		begun := time.Now()
+		if status, _ := exchange(waiting, head); status != http.StatusServiceUnavailable || time.Since(begun) > time.Second {
+			t.Errorf("status %d after %s, want a refusal within a second", status, time.Since(begun))
+		}
+		time.Sleep(3 * time.Second)
+	})
+}
