intake: who makes room is found in a heap, and small requests that lag make room for large ones

Cause 2, found while writing that: only uploads over 64 KiB made room for large ones, so a crowd of stalled requests of 60 KiB kept large uploads out until their times were over (TestStalledSmallRequestsMakeRoomForLargeOnes, red with the old rule). Any request that lags and holds memory makes room now; connections without a request do not, as a large upload would close hundreds (TestLargeUploadsCloseNoConnections, red without that).

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -99,6 +99,7 @@
 
 // conn is an open connection.
 type conn struct {
+	id        ID
 	phase     phase
 	held      int64         // bytes beyond Limits.ConnBytes
 	since     time.Duration // start of the phase
@@ -109,6 +110,7 @@
 	wants     int64         // bytes that it waits for
 	waitsFrom time.Duration
 	evicted   bool // it has to close; its memory is not counted any more
+	places    [rankingKinds]int
 }
 
 // Pool is the state of all connections. It is not safe for concurrent use.
@@ -117,6 +119,7 @@
 	timeouts  Timeouts
 	conns     map[ID]*conn
 	used      int64
+	rankings  [rankingKinds]ranking
 	waiting   []ID // in order of arrival
 	decisions []Decision
 	expiredAt time.Duration
@@ -124,7 +127,18 @@
 
 // New returns a Pool without connections.
 func New(limits Limits) *Pool {
-	return &Pool{limits: limits, conns: make(map[ID]*conn)}
+	p := &Pool{limits: limits, conns: make(map[ID]*conn)}
+	for kind := range rankingKinds {
+		p.rankings[kind].kind = kind
+	}
+	return p
+}
+
+// changed updates the rankings after a connection has changed.
+func (p *Pool) changed(c *conn) {
+	for kind := range p.rankings {
+		p.rankings[kind].update(c)
+	}
 }
 
 // SetTimeouts sets the timeouts of all connections.
@@ -146,7 +160,7 @@
 // Open adds a connection. It returns false if the connection has to be closed unread.
 func (p *Pool) Open(now time.Duration, id ID) bool {
 	if len(p.conns) >= p.usualConns() {
-		if v, ok := p.victim(now, id, 0); ok {
+		if v := p.victim(now, id, false); v != nil {
 			p.evict(v, MadeRoom)
 		}
 	}
@@ -160,7 +174,12 @@
 		p.expiredAt = now
 	}
 	p.used += p.limits.ConnBytes
-	p.conns[id] = &conn{since: now, lastByte: now, lagAt: now}
+	c := &conn{id: id, since: now, lastByte: now, lagAt: now}
+	for kind := range c.places {
+		c.places[kind] = noPlace
+	}
+	p.conns[id] = c
+	p.changed(c)
 	return true
 }
 
@@ -180,6 +199,7 @@
 	}
 	c.lag = max(0, c.lagNow(now)-time.Duration(float64(n)/usualRate*float64(time.Second)))
 	c.lagAt, c.lastByte = now, now
+	p.changed(c)
 }
 
 // lagNow returns how far a request is behind one that arrives at usualRate. Time in which it waits
@@ -211,12 +231,14 @@
 	c.lag = c.lagNow(now)
 	c.wants, c.waitsFrom = n, now
 	p.waiting = append(p.waiting, id)
+	p.changed(c)
 	return Waiting
 }
 
 func (p *Pool) grant(c *conn, n int64) {
 	c.held += n
 	p.used += n
+	p.changed(c)
 }
 
 // Release gives n reserved bytes back.
@@ -227,6 +249,7 @@
 	}
 	c.held -= n
 	p.used -= n
+	p.changed(c)
 	p.grantWaiting(now)
 }
 
@@ -247,13 +270,9 @@
 
 // makeRoom reports whether n more bytes may be reserved. It evicts connections if that helps.
 func (p *Pool) makeRoom(now time.Duration, id ID, n int64, large bool) bool {
-	minHeld := int64(0)
-	if large {
-		minHeld = SmallBytes // small requests do not make room for large ones
-	}
 	for p.used+n > p.capacity(large) {
-		v, ok := p.victim(now, id, minHeld)
-		if !ok {
+		v := p.victim(now, id, large)
+		if v == nil {
 			return false
 		}
 		p.evict(v, MadeRoom)
@@ -261,47 +280,37 @@
 	return true
 }
 
-// victim returns the connection that makes room for connection id: the request that lags most, or,
-// where minHeld is 0 and none lags, the connection that has been idle for the longest time.
-func (p *Pool) victim(now time.Duration, id ID, minHeld int64) (ID, bool) {
-	var lagging, idling ID
-	mostLag, mostIdle := minLag, minLag
-	foundLagging, foundIdling := false, false
-	for other, c := range p.conns {
-		if other == id || c.evicted || c.wants > 0 || c.held < minHeld {
-			continue
-		}
-		switch c.phase {
-		case receivingHeader, receivingBody:
-			if lag := c.lagNow(now); lag > mostLag {
-				lagging, mostLag, foundLagging = other, lag, true
-			}
-		case idle:
-			if t := now - c.since; t > mostIdle {
-				idling, mostIdle, foundIdling = other, t, true
-			}
-		}
+// victim returns the connection that makes room for connection id, nil if none does: the request that
+// lags most, or, where none lags, the connection that has been idle for the longest time. Connections
+// that hold no memory of a request do not make room for large ones, which would end many.
+func (p *Pool) victim(now time.Duration, id ID, large bool) *conn {
+	kinds := []rankingKind{lagging, idling}
+	if large {
+		kinds = []rankingKind{laggingHolders}
 	}
-	if foundLagging {
-		return lagging, true
+	for _, kind := range kinds {
+		if c := p.rankings[kind].first(id); c != nil && now-kind.rank(c) > minLag {
+			return c
+		}
 	}
-	return idling, foundIdling
+	return nil
 }
 
 // evict ends a connection. Its memory counts as free at once: its reader is woken and drops it.
-func (p *Pool) evict(id ID, why Reason) {
-	c := p.conns[id]
+func (p *Pool) evict(c *conn, why Reason) {
 	c.evicted = true
 	p.used -= p.limits.ConnBytes + c.held
 	c.held = 0
-	p.stopWaiting(id, c)
-	p.decisions = append(p.decisions, Decision{ID: id, Evicted: true, Reason: why})
+	p.stopWaiting(c)
+	p.changed(c)
+	p.decisions = append(p.decisions, Decision{ID: c.id, Evicted: true, Reason: why})
 }
 
-func (p *Pool) stopWaiting(id ID, c *conn) {
+// stopWaiting ends a wait. The time that it took does not count as lag.
+func (p *Pool) stopWaiting(c *conn) {
 	if c.wants > 0 {
 		c.wants = 0
-		p.waiting = slices.DeleteFunc(p.waiting, func(other ID) bool { return other == id })
+		p.waiting = slices.DeleteFunc(p.waiting, func(other ID) bool { return other == c.id })
 	}
 }
 
@@ -310,6 +319,7 @@
 func (p *Pool) HeaderEnded(now time.Duration, id ID, deadline time.Duration) {
 	if c := p.conns[id]; c != nil && c.phase != serving {
 		c.phase, c.since, c.lastByte, c.deadline = receivingBody, now, now, deadline
+		p.changed(c)
 	}
 }
 
@@ -320,6 +330,7 @@
 		return false
 	}
 	c.phase, c.since, c.deadline = serving, now, 0
+	p.changed(c)
 	return true
 }
 
@@ -329,9 +340,10 @@
 	if c == nil || c.evicted {
 		return
 	}
-	p.stopWaiting(id, c)
+	p.stopWaiting(c)
 	p.used -= c.held
 	c.phase, c.since, c.held, c.lag, c.lagAt, c.deadline = idle, now, 0, 0, now, 0
+	p.changed(c)
 	p.grantWaiting(now)
 }
 
@@ -341,10 +353,12 @@
 	if c == nil {
 		return
 	}
-	p.stopWaiting(id, c)
+	p.stopWaiting(c)
 	if !c.evicted {
 		p.used -= p.limits.ConnBytes + c.held
 	}
+	c.evicted = true
+	p.changed(c)
 	delete(p.conns, id)
 	p.grantWaiting(now)
 }
@@ -352,8 +366,9 @@
 // CancelWait ends the wait of a connection whose request has ended otherwise.
 func (p *Pool) CancelWait(now time.Duration, id ID) {
 	if c := p.conns[id]; c != nil {
-		p.stopWaiting(id, c)
+		p.stopWaiting(c)
 		c.lagAt = now
+		p.changed(c)
 	}
 }
 
@@ -372,7 +387,7 @@
 				break
 			}
 			n := c.wants
-			p.stopWaiting(id, c)
+			p.stopWaiting(c)
 			c.lagAt, c.lastByte = now, now
 			p.grant(c, n)
 			p.decisions = append(p.decisions, Decision{ID: id, Granted: true})
@@ -387,19 +402,21 @@
 		for _, c := range p.conns {
 			c.since, c.lastByte = min(c.since+pause, now), min(c.lastByte+pause, now)
 			c.lagAt, c.waitsFrom = now, now
+			p.changed(c)
 		}
 	}
 	p.expiredAt = now
-	for id, c := range p.conns {
+	for _, c := range p.conns {
 		if why, ok := p.overdue(now, c); ok {
-			p.evict(id, why)
+			p.evict(c, why)
 		}
 	}
 	for _, id := range slices.Clone(p.waiting) {
 		c := p.conns[id]
 		if now-c.waitsFrom >= maxWait {
-			p.stopWaiting(id, c)
+			p.stopWaiting(c)
 			c.lagAt = now
+			p.changed(c)
 			p.decisions = append(p.decisions, Decision{ID: id, Reason: NoMemory})
 		}
 	}
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -137,6 +137,33 @@
 	}
 }
 
+// Guards against many small requests that stop short of their end and keep large ones out.
+func TestStalledSmallRequestsMakeRoomForLargeOnes(t *testing.T) {
+	const small = 60 << 10
+	p := newProcess(intake.Limits{Bytes: 32 << 20, Conns: 2000, ConnBytes: connBytes})
+	for range 1000 {
+		p.start(&client{size: small, rate: 100 << 20, stopAt: 1})
+	}
+	p.run(time.Second)
+	if c := p.start(&client{size: bodyBytes, rate: 22 << 17}); !c.granted {
+		t.Error("large upload not admitted beside small requests that stopped")
+	}
+}
+
+// Guards against connections without a request that are closed in large numbers for a large upload.
+func TestLargeUploadsCloseNoConnections(t *testing.T) {
+	p := newProcess(intake.Limits{Bytes: 32 << 20, Conns: 2000, ConnBytes: connBytes})
+	silent := p.start(&client{})
+	for range 20 {
+		p.start(&client{size: bodyBytes, rate: 256 << 10})
+	}
+	p.run(time.Second)
+	p.start(&client{size: bodyBytes, rate: 256 << 10})
+	if silent.over {
+		t.Error("a connection without a request was closed for a large upload")
+	}
+}
+
 // Guards against large uploads, also sound ones, that keep small requests out.
 func TestSmallRequestsBesideLargeUploads(t *testing.T) {
 	const large = 50
