connguard: a request whose connection was just evicted is refused truly

Found by reading the diff. Between the last byte of a request and its handler its connection may be evicted: a request without a body ran all the same, its client's connection being closed, and one with a body could get 400, after which no client retries, if another goroutine had decided and not yet carried it out. Both get 503 with Retry-After now and do not run (TestEvictedRequestsDoNotBegin: 15 connections that lag, one that makes one of them go).

The timeouts in force are read before Guard.mu is taken, which is last in the order of locks.

--- a/connguard/connguard.go
+++ b/connguard/connguard.go
@@ -131,10 +131,12 @@
 }
 
 func (g *Guard) expire() {
+	var timeouts intake.Timeouts
+	if g.cfg.Timeouts != nil {
+		timeouts = g.cfg.Timeouts()
+	}
 	g.locked(func(p *intake.Pool, now time.Duration) {
-		if g.cfg.Timeouts != nil {
-			p.SetTimeouts(g.cfg.Timeouts())
-		}
+		p.SetTimeouts(timeouts)
 		p.Expire(now)
 		g.due = 0
 	})
@@ -454,18 +456,17 @@
 }
 
 // BeginRequest records that a handler has a request, whose body is still to be read if hasBody is
-// set.
-func (c *Conn) BeginRequest(hasBody bool) {
+// set. If it returns an error, the connection was evicted before, and the request must not run.
+func (c *Conn) BeginRequest(hasBody bool) error {
 	if c == nil {
-		return
+		return nil
 	}
 	c.handling.Store(true)
-	c.guard.locked(func(p *intake.Pool, now time.Duration) {
-		p.HeaderEnded(now, c.id, 0)
-		if !hasBody {
-			p.Serve(now, c.id)
-		}
-	})
+	if !hasBody {
+		return c.Serve()
+	}
+	c.guard.locked(func(p *intake.Pool, now time.Duration) { p.HeaderEnded(now, c.id, 0) })
+	return nil
 }
 
 // SetBodyDeadline sets the time by which the body has to be complete.
@@ -489,7 +490,7 @@
 	if evicted := c.evicted.Load(); evicted != nil {
 		return evicted
 	}
-	return net.ErrClosed
+	return &Error{intake.MadeRoom} // another goroutine is about to carry it out
 }
 
 // EndRequest records the end of a request. A server may go on reading the body if the handler has
--- a/connguard/connguard_test.go
+++ b/connguard/connguard_test.go
@@ -11,6 +11,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"pumiceford/connguard"
 	"pumiceford/intake"
 	"pumiceford/logging"
@@ -192,3 +194,46 @@
 		time.Sleep(3 * time.Second)
 	})
 }
+
+// Guards against a request that runs, or is refused for good, although its connection was evicted
+// between its last byte and its handler.
+func TestEvictedRequestsDoNotBegin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const conns = 16
+		guard := connguard.New(connguard.Config{Name: "callers", Limits: intake.Limits{Bytes: 1 << 20, Conns: conns, ConnBytes: 8 << 10}, BufferBytes: 4 << 10, Factor: 1, Metrics: metrics.New("test")})
+		ln := &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})}
+		guarded := guard.Listener(ln)
+		var all []*connguard.Conn
+		accept := func() {
+			go ln.dial()
+			c, err := guarded.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			all = append(all, c.(*connguard.Conn))
+		}
+		for range conns - 1 {
+			accept()
+		}
+		time.Sleep(600 * time.Millisecond) // all lag
+		accept()
+		evicted := 0
+		for n, c := range all {
+			err := c.BeginRequest(n%2 == 0)
+			if err == nil {
+				err = c.Serve()
+			}
+			var ended *connguard.Error
+			if errors.As(err, &ended) && !ended.TimedOut() {
+				evicted++
+			} else if err != nil {
+				t.Errorf("request on connection %d: %v", n, err)
+			}
+			_ = c.Close()
+		}
+		if evicted == 0 {
+			t.Error("no request was refused")
+		}
+		time.Sleep(time.Minute)
+	})
+}
--- a/connguard/http.go
+++ b/connguard/http.go
@@ -21,7 +21,13 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := FromContext(r.Context())
 		hasBody := r.ContentLength != 0
-		c.BeginRequest(hasBody)
+		if err := c.BeginRequest(hasBody); err != nil {
+			c.EndRequest(true)
+			w.Header().Set("Connection", "close")
+			w.Header().Set("Retry-After", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		if !hasBody {
 			defer c.EndRequest(true)
 			h.ServeHTTP(w, r)
--- a/httpx/httpx.go
+++ b/httpx/httpx.go
@@ -16,6 +16,7 @@
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
 
 	"pumiceford/connguard"
 )
@@ -61,8 +62,12 @@
 	}))
 	h.Use(func(ctx context.Context, c *app.RequestContext) {
 		conn := connguard.FromContext(ctx)
-		conn.BeginRequest(false)
 		defer conn.EndRequest(true)
+		if conn.BeginRequest(false) != nil {
+			c.SetConnectionClose()
+			c.AbortWithStatus(consts.StatusServiceUnavailable)
+			return
+		}
 		c.Next(ctx)
 	})
 	return h
