--- a/connguard/connguard_test.go
+++ b/connguard/connguard_test.go
@@ -7,11 +7,13 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"pgregory.net/rapid"
 
 	"pumiceford/connguard"
 	"pumiceford/intake"
@@ -237,3 +239,65 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// soundRequest draws a request with the given body.
+func soundRequest(t *rapid.T, body string) string {
+	head := "POST / HTTP/1.1\r\nHost: h\r\n"
+	if filler := rapid.IntRange(0, 15<<10).Draw(t, "header"); filler > 0 {
+		head += "X: " + strings.Repeat("x", filler) + "\r\n"
+	}
+	if !rapid.Bool().Draw(t, "chunked") {
+		return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+	}
+	text := head + "Transfer-Encoding: chunked\r\n\r\n"
+	for len(body) > 0 {
+		n := rapid.IntRange(1, len(body)).Draw(t, "chunk")
+		text += fmt.Sprintf("%x\r\n%s\r\n", n, body[:n])
+		body = body[n:]
+	}
+	return text + "0\r\n\r\n"
+}
+
+// Guards against limits that change, refuse or lose sound requests, in whatever pieces they arrive and
+// however many there are on a connection.
+func TestSoundRequestsPassInAnyPieces(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var texts, bodies []string
+		for range rapid.IntRange(1, 4).Draw(rt, "requests") {
+			body := strings.Repeat(rapid.SampledFrom([]string{"a", "\r\n", "0\r\n\r\n"}).Draw(rt, "content"), rapid.IntRange(0, 40000).Draw(rt, "size"))
+			bodies = append(bodies, body)
+			texts = append(texts, soundRequest(rt, body))
+		}
+		piece := rapid.IntRange(700, 70000).Draw(rt, "piece")
+		pause := rapid.SampledFrom([]time.Duration{0, time.Millisecond, 20 * time.Millisecond}).Draw(rt, "pause")
+		synctest.Test(t, func(t *testing.T) {
+			conn := serve(t, roomy).dial()
+			defer func() { _ = conn.Close() }()
+			var sending sync.WaitGroup
+			defer sending.Wait()
+			sending.Go(func() {
+				for _, text := range texts {
+					for len(text) > 0 {
+						n := min(piece, len(text))
+						if _, err := io.WriteString(conn, text[:n]); err != nil {
+							return
+						}
+						text = text[n:]
+						time.Sleep(pause)
+					}
+				}
+			})
+			in := bufio.NewReader(conn)
+			for n, want := range bodies {
+				resp, err := http.ReadResponse(in, nil)
+				if err != nil {
+					t.Fatalf("response %d: %v", n, err)
+				}
+				got, err := io.ReadAll(resp.Body)
+				if err != nil || resp.StatusCode != http.StatusOK || string(got) != want {
+					t.Fatalf("response %d: status %d, %d bytes, error %v, want %d bytes", n, resp.StatusCode, len(got), err, len(want))
+				}
+			}
+		})
+	})
+}
