--- a/connguard/connguard.go
+++ b/connguard/connguard.go
@@ -263,9 +263,11 @@
 	return c
 }
 
-// errPast is the deadline that ends all reads.
-var errPast = time.Unix(1, 0)
+// pastTime is a read deadline that ends all reads.
+var pastTime = time.Unix(1, 0)
 
+// carryOut carries out a decision of the pool: it answers a reservation that waits, or wakes the
+// connection's reader to end it.
 func (c *Conn) carryOut(d intake.Decision) {
 	var err error
 	if !d.Granted {
@@ -274,7 +276,7 @@
 	}
 	if d.Evicted {
 		c.evicted.CompareAndSwap(nil, &Error{d.Reason})
-		_ = c.Conn.SetReadDeadline(errPast) // fails only on a closed connection
+		_ = c.Conn.SetReadDeadline(pastTime) // fails only on a closed connection
 	}
 	select {
 	case c.answer <- err:
@@ -286,7 +288,7 @@
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	err := c.Conn.SetReadDeadline(t)
 	if c.evicted.Load() != nil {
-		err = c.Conn.SetReadDeadline(errPast)
+		err = c.Conn.SetReadDeadline(pastTime)
 	}
 	return err
 }
@@ -331,7 +333,8 @@
 	return n, err
 }
 
-// admit returns the part of p into which the next bytes of a request may be read.
+// admit returns the part of p into which the next bytes of a request may be read. It is called by the
+// connection's only reader.
 func (c *Conn) admit(p []byte) ([]byte, error) {
 	read, allowed := c.read.Load(), c.allowed.Load()
 	if limit := c.guard.maxHeaderBytes(); limit > 0 && !c.unread.Load() && read > limit+c.guard.cfg.BufferBytes {
