--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -275,12 +275,12 @@
 	front.ConnState = drainer.trackState
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return serve(ctx, front, guard.Listener(limiter.listener(listeners[0]))) })
-	serveOps := func(name string, h http.Handler, ln net.Listener) {
+	startOps := func(name string, h http.Handler, ln net.Listener) {
 		g.Go(func() error {
 			return serveOps(ctx, name, h, ln, n.set.Descriptors, n.log.WithPrefix("front"), n.metrics)
 		})
 	}
-	serveOps("ready", n.deps.ReadyHandler(n.ready), listeners[1])
+	startOps("ready", n.deps.ReadyHandler(n.ready), listeners[1])
 	peerServer := &peers.Server{
 		Store: n.deps.Store, View: n.view, Jobs: &jobroute.Server{Local: n.jobs, StoreUnavailable: n.store.Unreachable, HasDirectStore: n.store.DirectReachable},
 		Granter: n.granter, ActingSince: n.shards.Active, Entries: n.entries, Versions: n.origins.History,
@@ -292,7 +292,7 @@
 	ops.HandleFunc("GET /limits", n.limitsHandler)
 	ops.HandleFunc("GET /shares", n.sharesHandler)
 	ops.HandleFunc("GET /targets", n.targetsHandler)
-	serveOps("metrics", ops, listeners[3])
+	startOps("metrics", ops, listeners[3])
 	for _, loop := range []func(context.Context){n.followStore, n.watchPeers, n.maintainCopies, n.expireTargets, n.keepKeyLease, n.introduce, n.observeUse, limiter.run, n.origins.Run, n.shards.Run, n.runJobs, n.quarantine.Run, n.archive.Run, fairshare.NewMonitor(n.shares, n.log.WithPrefix("shares"), n.metrics).Run} {
 		g.Go(func() error { loop(ctx); return nil })
 	}
