connguard: one way to close a connection unread, and no parameter that nobody sets

Reading the diff: the guard closed refused connections by the same lines as the limit of new connections (netx.CloseUnread now), and HTTPRefusal took further header lines that no caller passed. No change of behaviour.

--- a/connguard/connguard.go
+++ b/connguard/connguard.go
@@ -16,6 +16,7 @@
 	"pumiceford/intake"
 	"pumiceford/logging"
 	"pumiceford/metrics"
+	"pumiceford/netx"
 )
 
 // Intervals and timeouts.
@@ -200,10 +201,7 @@
 			return c, nil
 		}
 		l.guard.count("connection_refused")
-		if tcp, ok := raw.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0) // a reset tells the client that nothing was read
-		}
-		_ = raw.Close() // the client tries again elsewhere
+		netx.CloseUnread(raw) // the client tries again elsewhere
 	}
 }
 
--- a/connguard/connguard_test.go
+++ b/connguard/connguard_test.go
@@ -53,7 +53,7 @@
 			return intake.Timeouts{Header: 3 * time.Second, Stall: 10 * time.Second, Idle: 10 * time.Second}
 		},
 		MaxHeaderBytes: func() int { return 16 << 10 },
-		Refusal:        func(err error) []byte { return connguard.HTTPRefusal(err, time.Second, "") },
+		Refusal:        func(err error) []byte { return connguard.HTTPRefusal(err, time.Second) },
 		Log:            logging.New(logging.Settings{Writer: io.Discard}), Metrics: metrics.New("test"),
 	})
 	ln := &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})}
--- a/connguard/http.go
+++ b/connguard/http.go
@@ -58,9 +58,8 @@
 	return n, err
 }
 
-// HTTPRefusal returns the response to a request that is not complete and will not run. more are
-// further header lines.
-func HTTPRefusal(err error, retryAfter time.Duration, more string) []byte {
+// HTTPRefusal returns the response to a request that is not complete and will not run.
+func HTTPRefusal(err error, retryAfter time.Duration) []byte {
 	status := http.StatusServiceUnavailable
 	var ended *Error
 	switch {
@@ -71,10 +70,11 @@
 	case errors.Is(err, ErrBodyTooLarge):
 		status = http.StatusRequestEntityTooLarge
 	}
+	retry := ""
 	if status == http.StatusServiceUnavailable {
-		more += fmt.Sprintf("Retry-After: %g\r\n", retryAfter.Seconds())
+		retry = fmt.Sprintf("Retry-After: %g\r\n", retryAfter.Seconds())
 	}
-	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\n%sConnection: close\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status), more)
+	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\n%sConnection: close\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status), retry)
 }
 
 // Shares of a process's memory and descriptors.
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -83,7 +83,7 @@
 	return intake.Timeouts{Header: bound(l.HeaderTimeout, headerTimeout), Stall: bound(l.IdleTimeout, idleTimeout), Idle: bound(l.IdleTimeout, idleTimeout)}
 }
 
-func refusal(err error) []byte { return connguard.HTTPRefusal(err, refusalRetryAfter, "") }
+func refusal(err error) []byte { return connguard.HTTPRefusal(err, refusalRetryAfter) }
 
 // serveOps serves readiness checks or metrics until ctx ends.
 func serveOps(ctx context.Context, name string, h http.Handler, ln net.Listener, descriptors int, log logging.Logger, ms *metrics.Set) error {
--- a/daemon/connlimit.go
+++ b/daemon/connlimit.go
@@ -11,6 +11,7 @@
 	"pumiceford/internal/wait"
 	"pumiceford/logging"
 	"pumiceford/metrics"
+	"pumiceford/netx"
 )
 
 // connLimiter closes new connections unread while they are more than the processor bears. It is
@@ -87,9 +88,6 @@
 			return c, err
 		}
 		l.limiter.metrics.Count("connection_closed_unread")
-		if tcp, ok := c.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0) // a reset tells the caller that nothing was read
-		}
-		_ = c.Close() // the caller tries again elsewhere
+		netx.CloseUnread(c) // the caller tries again elsewhere
 	}
 }
--- a/netx/netx.go
+++ b/netx/netx.go
@@ -55,3 +55,11 @@
 // dialTimeout bounds connecting. It leaves time for one retransmission of the first packet,
 // which follows after 1 s.
 const dialTimeout = 1500 * time.Millisecond
+
+// CloseUnread closes a connection with a reset, which tells the peer that nothing was read.
+func CloseUnread(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only on a closed connection
+	}
+	_ = c.Close() // nothing was written that could be lost
+}
